--- /dev/null
+++ b/cmd/toucanway/main.go
@@ -0,0 +1,4 @@
+// Command toucanway is the entry host daemon and the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/control/backend.go
@@ -0,0 +1,100 @@
+package control
+
+import "toucanway/core/fleet"
+
+func (s *State) putBackend(index fleet.Index, c *PutBackend) Result {
+	a := c.Announcement
+	cur, ok := s.d.Backends[a.ID]
+	switch {
+	case !ok && len(s.d.Backends) >= MaxBackends:
+		return reject(RejectLimit, "too many backend servers; remove those that are gone")
+	case ok && a.Incarnation < cur.Announcement.Incarnation:
+		return reject(RejectIncarnation, "a later incarnation of this backend server is registered")
+	case ok && a.Incarnation > cur.Announcement.Incarnation:
+		// Memory of the earlier process was freed when it ended, so its records end as well.
+		s.dropReplicasOn(a.ID)
+		s.d.Backends[a.ID] = Backend{Announcement: a, Leaving: c.Leaving, Fence: fleet.Fence(index)}
+	case ok:
+		cur.Announcement = a
+		cur.Leaving = c.Leaving
+		if cur.Lost {
+			cur.Lost = false
+			s.reviveReplicasOn(index, a.ID)
+		}
+		s.d.Backends[a.ID] = cur
+	default:
+		s.d.Backends[a.ID] = Backend{Announcement: a, Leaving: c.Leaving, Fence: fleet.Fence(index)}
+	}
+	return Result{}
+}
+
+func (s *State) removeBackend(index fleet.Index, c *RemoveBackend) Result {
+	cur, ok := s.d.Backends[c.Backend]
+	if !ok || cur.Announcement.Incarnation != c.Incarnation {
+		return reject(RejectUnknown, "this incarnation of the backend server is not registered")
+	}
+	if c.Dead {
+		s.dropReplicasOn(c.Backend)
+		delete(s.d.Backends, c.Backend)
+		return Result{}
+	}
+	s.freeOwner(index, c.Backend)
+	cur = s.d.Backends[c.Backend]
+	cur.Lost = true
+	s.d.Backends[c.Backend] = cur
+	for _, r := range s.ReplicasOn(c.Backend) {
+		if r.State == ReplicaIntended {
+			s.dropReplica(r.Order)
+			continue
+		}
+		s.setReplica(index, r, ReplicaLost)
+	}
+	return Result{}
+}
+
+// reviveReplicasOn puts the records of a backend server that is reachable again in doubt, until its inventory is read.
+func (s *State) reviveReplicasOn(index fleet.Index, id fleet.BackendID) {
+	for _, r := range s.ReplicasOn(id) {
+		if r.State == ReplicaLost {
+			s.setReplica(index, r, ReplicaInDoubt)
+		}
+	}
+}
+
+func (s *State) dropReplicasOn(id fleet.BackendID) {
+	for _, r := range s.ReplicasOn(id) {
+		s.dropReplica(r.Order)
+	}
+}
+
+func (s *State) assignOwner(index fleet.Index, c *AssignOwner) Result {
+	b, ok := s.d.Backends[c.Backend]
+	if !ok || b.Lost {
+		return reject(RejectUnknown, "the backend server is not registered or cannot be reached")
+	}
+	h, ok := s.d.Sessions[c.Owner]
+	if !ok {
+		return reject(RejectUnknown, "the new owner has no session")
+	}
+	if h.Draining {
+		return reject(RejectOwnerDrained, "the new owner is shutting down; choose another host")
+	}
+	if b.Fence != c.Expected {
+		return reject(RejectStaleFence, "the owner changed meanwhile; read the current one")
+	}
+	s.freeOwner(index, c.Backend)
+	b = s.d.Backends[c.Backend]
+	b.Owner = c.Owner
+	b.Fence = fleet.Fence(index)
+	s.d.Backends[c.Backend] = b
+	return Result{}
+}
+
+func (s *State) releaseOwner(index fleet.Index, c *ReleaseOwner) Result {
+	b, ok := s.d.Backends[c.Backend]
+	if !ok || b.Owner == "" || b.Fence != c.Fence {
+		return reject(RejectStaleFence, "the host does not own this backend server any more")
+	}
+	s.freeOwner(index, c.Backend)
+	return Result{}
+}
--- /dev/null
+++ b/core/control/doc.go
@@ -0,0 +1,6 @@
+// Package control is the replicated state machine of the control group: configuration documents, sessions of hosts,
+// backend servers and their owners, replica decisions with their orders, and marks of poison requests.
+//
+// Apply is deterministic and reads no clock. Limits of replicas and memory are checked here, at commit, so that no
+// planner can exceed them.
+package control
--- /dev/null
+++ b/core/control/session.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"toucanway/core/fleet"
+)
+
+func (s *State) openSession(index fleet.Index, c *OpenSession) Result {
+	if c.Incarnation <= s.d.Lives[c.Host] {
+		if cur, ok := s.d.Sessions[c.Host]; ok && cur.Incarnation == c.Incarnation {
+			return Result{}
+		}
+		return reject(RejectIncarnation, "the host opened a later session before; start it with a higher incarnation")
+	}
+	if _, ok := s.d.Sessions[c.Host]; !ok && len(s.d.Sessions) >= MaxSessions {
+		return reject(RejectLimit, "too many hosts; close sessions of hosts that were taken away")
+	}
+	s.freeOwned(index, c.Host)
+	s.d.Lives[c.Host] = c.Incarnation
+	s.d.Sessions[c.Host] = Session{
+		Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, CallerAddress: c.CallerAddress,
+		Place: c.Place, Opened: index,
+	}
+	return Result{}
+}
+
+func (s *State) drainSession(c *DrainSession) Result {
+	cur, ok := s.d.Sessions[c.Host]
+	if !ok || cur.Incarnation != c.Incarnation {
+		return reject(RejectUnknown, "the session has ended already")
+	}
+	cur.Draining = true
+	s.d.Sessions[c.Host] = cur
+	return Result{}
+}
+
+func (s *State) closeSession(index fleet.Index, c *CloseSession) Result {
+	cur, ok := s.d.Sessions[c.Host]
+	if !ok || cur.Incarnation != c.Incarnation {
+		return reject(RejectUnknown, "the session has ended already")
+	}
+	delete(s.d.Sessions, c.Host)
+	s.freeOwned(index, c.Host)
+	return Result{}
+}
+
+// freeOwned takes all backend servers from a host whose session ended or began anew.
+func (s *State) freeOwned(index fleet.Index, host fleet.HostID) {
+	for _, id := range slices.Sorted(maps.Keys(s.d.Backends)) {
+		if b := s.d.Backends[id]; b.Owner == host {
+			s.freeOwner(index, id)
+		}
+	}
+}
+
+// freeOwner leaves a backend server without owner; orders that the owner may have sent are in doubt from then on.
+func (s *State) freeOwner(index fleet.Index, id fleet.BackendID) {
+	b := s.d.Backends[id]
+	b.Owner = ""
+	b.Fence = fleet.Fence(index)
+	s.d.Backends[id] = b
+	for _, r := range s.ReplicasOn(id) {
+		switch r.State {
+		case ReplicaSent:
+			s.setReplica(index, r, ReplicaInDoubt)
+		case ReplicaUnloadSent:
+			s.setReplica(index, r, ReplicaUnloadInDoubt)
+		case ReplicaIntended, ReplicaReady, ReplicaInDoubt, ReplicaUnloadIntended, ReplicaUnloadInDoubt, ReplicaLost:
+		default:
+			panic("control: replica record in state " + r.State.String())
+		}
+	}
+}
+
+func (s *State) setReplica(index fleet.Index, r Replica, state ReplicaState) {
+	r.State = state
+	r.Changed = index
+	s.putReplica(r)
+}
--- /dev/null
+++ b/core/fleet/backend.go
@@ -0,0 +1,174 @@
+package fleet
+
+import "time"
+
+// Kind tells model engines and plain services apart.
+type Kind int
+
+// Kinds of backend servers.
+const (
+	KindEngine Kind = iota
+	KindService
+)
+
+// String returns the kind as backend servers announce it.
+func (k Kind) String() string {
+	if k == KindService {
+		return "service"
+	}
+	return "engine"
+}
+
+// Announcement is what a backend server says of itself, repeated once a second.
+type Announcement struct {
+	ID          BackendID   `cbor:"1,keyasint" json:"id"`
+	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
+	Kind        Kind        `cbor:"3,keyasint" json:"kind"`
+	Address     string      `cbor:"4,keyasint" json:"address"`
+	Place       Place       `cbor:"5,keyasint" json:"place"`
+	Memory      Bytes       `cbor:"6,keyasint" json:"memory"`
+	Slots       int         `cbor:"7,keyasint" json:"slots"`
+	Services    []ServiceID `cbor:"8,keyasint,omitempty" json:"services,omitempty"`
+	ChecksFence bool        `cbor:"9,keyasint,omitempty" json:"checks-fence,omitempty"`
+}
+
+// ReplicaState is what a backend server says of a model in its memory.
+type ReplicaState int
+
+// States of a model on a backend server.
+const (
+	ReplicaLoading ReplicaState = iota
+	ReplicaReady
+	ReplicaUnloading
+)
+
+// Tier is the place of a checkpoint nearest to a backend server.
+type Tier int
+
+// Tiers from fastest to slowest.
+const (
+	TierMemory Tier = iota
+	TierDisk
+	TierRemote
+)
+
+// String returns the tier's name.
+func (t Tier) String() string {
+	switch t {
+	case TierMemory:
+		return "memory"
+	case TierDisk:
+		return "disk"
+	default:
+		return "remote"
+	}
+}
+
+// Role is the part of serving that a replica takes.
+type Role int
+
+// Roles of replicas.
+const (
+	RoleMixed Role = iota
+	RolePrefill
+	RoleDecode
+)
+
+// LoadedModel is one model in a backend server's memory.
+type LoadedModel struct {
+	Model   ModelID      `cbor:"1,keyasint" json:"model"`
+	Version ModelVersion `cbor:"2,keyasint" json:"version"`
+	State   ReplicaState `cbor:"3,keyasint" json:"state"`
+	Memory  Bytes        `cbor:"4,keyasint" json:"memory"`
+	Role    Role         `cbor:"5,keyasint,omitempty" json:"role,omitempty"`
+	Order   OrderID      `cbor:"6,keyasint,omitempty" json:"order,omitempty"`
+}
+
+// LoadedAdapter is one adapter in a backend server's memory.
+type LoadedAdapter struct {
+	Target Target `cbor:"1,keyasint" json:"target"`
+	Memory Bytes  `cbor:"2,keyasint" json:"memory"`
+}
+
+// RunningRequest is one request that a backend server runs or holds queued.
+type RunningRequest struct {
+	Request RequestID `cbor:"1,keyasint" json:"request"`
+	Memory  Bytes     `cbor:"2,keyasint" json:"memory"`
+}
+
+// CachedCheckpoint is a checkpoint kept near a backend server.
+type CachedCheckpoint struct {
+	Model ModelID `cbor:"1,keyasint" json:"model"`
+	Tier  Tier    `cbor:"2,keyasint" json:"tier"`
+}
+
+// Inventory is a backend server's own account of its memory, taken at one moment.
+type Inventory struct {
+	Backend     BackendID          `cbor:"1,keyasint" json:"backend"`
+	Incarnation Incarnation        `cbor:"2,keyasint" json:"incarnation"`
+	Seq         uint64             `cbor:"3,keyasint" json:"seq"`
+	Memory      Bytes              `cbor:"4,keyasint" json:"memory"`
+	Models      []LoadedModel      `cbor:"5,keyasint,omitempty" json:"models,omitempty"`
+	Adapters    []LoadedAdapter    `cbor:"6,keyasint,omitempty" json:"adapters,omitempty"`
+	Running     []RunningRequest   `cbor:"7,keyasint,omitempty" json:"running,omitempty"`
+	Cached      []CachedCheckpoint `cbor:"8,keyasint,omitempty" json:"cached,omitempty"`
+	Fence       Fence              `cbor:"9,keyasint,omitempty" json:"fence,omitempty"`
+}
+
+// LoadReport is a backend server's load, published with a lag.
+type LoadReport struct {
+	Backend     BackendID     `json:"backend"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Seq         uint64        `json:"seq"`
+	Running     int           `json:"running"`
+	Queued      int           `json:"queued"`
+	KVUsed      Bytes         `json:"kv-used"`
+	Age         time.Duration `json:"age"`
+}
+
+// CacheEvent says that a prompt prefix was cached or evicted; events arrive late and with gaps in Seq.
+type CacheEvent struct {
+	Backend     BackendID   `json:"backend"`
+	Incarnation Incarnation `json:"incarnation"`
+	Seq         uint64      `json:"seq"`
+	Target      Target      `json:"target"`
+	Prefix      uint64      `json:"prefix"`
+	Length      Tokens      `json:"length"`
+	Evicted     bool        `json:"evicted,omitempty"`
+}
+
+// OrderKind is what an order asks a backend server to do.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoad          OrderKind = "load"
+	OrderUnload        OrderKind = "unload"
+	OrderLoadAdapter   OrderKind = "load-adapter"
+	OrderUnloadAdapter OrderKind = "unload-adapter"
+	OrderRole          OrderKind = "role"
+)
+
+// Order asks a backend server to change what it holds in memory.
+type Order struct {
+	ID       OrderID       `json:"id"`
+	Kind     OrderKind     `json:"kind"`
+	Target   Target        `json:"target"`
+	Version  ModelVersion  `json:"version,omitempty"`
+	Role     Role          `json:"role,omitempty"`
+	Memory   Bytes         `json:"memory"`
+	Fence    Fence         `json:"fence"`
+	Deadline time.Duration `json:"deadline"`
+}
+
+// OrderOutcome is how an order ended, as far as its sender knows.
+type OrderOutcome int
+
+// Outcomes of orders.
+const (
+	OrderDone OrderOutcome = iota
+	OrderRefused
+	OrderFailed
+	// OrderInDoubt means that no answer came, so that the order may still be carried out.
+	OrderInDoubt
+)
--- /dev/null
+++ b/core/fleet/id.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+)
+
+// HostID names an entry host, as set in its settings.
+type HostID string
+
+// Incarnation tells two lives of one host or backend server apart; later lives have higher numbers.
+type Incarnation uint64
+
+// BackendID names a backend server, as it announces itself.
+type BackendID string
+
+// ModelID names a base model, as declared in the configuration document.
+type ModelID string
+
+// AdapterID names an adapter of one model; empty means the base model alone.
+type AdapterID string
+
+// ServiceID names a plain service, as declared in the configuration document.
+type ServiceID string
+
+// TenantID names the organisation or team that callers belong to and that is billed.
+type TenantID string
+
+// CallerID names one caller's credential.
+type CallerID string
+
+// OperatorID names an operator's credential.
+type OperatorID string
+
+// Region names a region.
+type Region string
+
+// DataCentre names a data centre; names are unique across regions.
+type DataCentre string
+
+// Rack names a rack within a data centre.
+type Rack string
+
+// RequestID is the id of one caller's request, returned in X-Request-Id.
+type RequestID string
+
+// OrderID identifies an order to a backend server; it is the log index of the decision behind it.
+type OrderID uint64
+
+// GrantID identifies a capacity grant under one owner's fence.
+type GrantID uint64
+
+// Fence is a fencing token: a log index of the control group, so that it never falls.
+type Fence uint64
+
+// Index is a position in a replicated log, starting at 1.
+type Index uint64
+
+// DocumentVersion counts accepted configuration documents, starting at 1.
+type DocumentVersion uint64
+
+// ModelVersion is the version of a model's weights.
+type ModelVersion string
+
+// Fingerprint identifies a request's tenant, target and body across resends.
+type Fingerprint uint64
+
+// Bytes is an amount of memory or traffic in bytes.
+type Bytes int64
+
+// Units of Bytes.
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+)
+
+// Tokens is a count of tokens.
+type Tokens int64
+
+// Class is a priority class; lower values are served first.
+type Class int
+
+// Priority classes in order of service.
+const (
+	ClassCritical Class = iota
+	ClassInteractive
+	ClassStandard
+	ClassBatch
+	// Classes is the number of priority classes.
+	Classes = 4
+)
+
+var classNames = [Classes]string{"critical", "interactive", "standard", "batch"}
+
+// String returns the class's name as written in the configuration document.
+func (c Class) String() string {
+	if c < 0 || int(c) >= Classes {
+		return fmt.Sprintf("class-%d", int(c))
+	}
+	return classNames[c]
+}
+
+// ParseClass returns the class of a name and whether it exists.
+func ParseClass(name string) (Class, bool) {
+	for i, n := range classNames {
+		if n == name {
+			return Class(i), true
+		}
+	}
+	return 0, false
+}
+
+// Target is what a request addresses: a model, or one of its adapters.
+type Target struct {
+	Model   ModelID   `cbor:"1,keyasint"`
+	Adapter AdapterID `cbor:"2,keyasint,omitempty"`
+}
+
+// String returns the name that callers use, MODEL or MODEL:ADAPTER.
+func (t Target) String() string {
+	if t.Adapter == "" {
+		return string(t.Model)
+	}
+	return string(t.Model) + ":" + string(t.Adapter)
+}
+
+// ParseTarget splits a name that a caller uses into model and adapter.
+func ParseTarget(name string) Target {
+	m, a, _ := strings.Cut(name, ":")
+	return Target{Model: ModelID(m), Adapter: AdapterID(a)}
+}
+
+// Place is where a host or backend server stands.
+type Place struct {
+	Region     Region     `cbor:"1,keyasint" json:"region"`
+	DataCentre DataCentre `cbor:"2,keyasint" json:"data-centre"`
+	Rack       Rack       `cbor:"3,keyasint,omitempty" json:"rack,omitempty"`
+}
