memnet, store, tokens, history: base of the lab

An in-memory network with delays, bandwidth, silent and one-way cuts and resets, a rate-limited weight store, verifiable token text and the event history of a run.

--- /dev/null
+++ b/cmd/toucanway-lab/internal/history/history.go
@@ -0,0 +1,61 @@
+// Package history records what callers, entry hosts, backend servers and operators did in one run, as the checker reads
+// it afterwards.
+package history
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Record is one event with its time since the beginning of the run.
+type Record struct {
+	At    time.Duration
+	Event Event
+}
+
+// String returns the time and the event as one line.
+func (r Record) String() string { return fmt.Sprintf("%v %T%+v", r.At, r.Event, r.Event) }
+
+// History is the record of a run in the order in which it was told. It is safe for concurrent use; a nil History
+// records nothing.
+type History struct {
+	begin time.Time
+
+	mu      sync.Mutex
+	records []Record
+}
+
+// New returns an empty history that begins now.
+func New() *History { return &History{begin: time.Now()} }
+
+// Add records an event at the present time.
+func (h *History) Add(e Event) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records = append(h.records, Record{At: time.Since(h.begin), Event: e})
+}
+
+// Records returns a copy of all records, oldest first.
+func (h *History) Records() []Record {
+	if h == nil {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Record(nil), h.records...)
+}
+
+// Of returns the events of one type, oldest first.
+func Of[E Event](records []Record) []E {
+	var out []E
+	for _, r := range records {
+		if e, ok := r.Event.(E); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/memnet/host.go
@@ -0,0 +1,270 @@
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"toucanway/io/network"
+)
+
+const (
+	// maxBacklog bounds the connections that wait for Accept; more are refused.
+	maxBacklog     = 4096
+	firstEphemeral = 32768
+)
+
+var _ network.Network = (*Host)(nil)
+
+// Host is the network of one IP address.
+type Host struct {
+	network *Network
+	ip      netip.Addr
+
+	mu        sync.Mutex
+	nextPort  uint16
+	listeners map[uint16]*listener
+	conns     map[*conn]struct{}
+}
+
+func newHost(n *Network, ip netip.Addr) *Host {
+	return &Host{
+		network: n, ip: ip, nextPort: firstEphemeral,
+		listeners: map[uint16]*listener{}, conns: map[*conn]struct{}{},
+	}
+}
+
+// IP returns the host's address.
+func (h *Host) IP() string { return h.ip.String() }
+
+// Listen opens a listener on IP:PORT; port 0 takes a free one.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("listen address %q is not IP:PORT: %w", address, err)
+	}
+	if a.Addr() != h.ip && !a.Addr().IsUnspecified() {
+		return nil, opError("listen", a, syscall.EADDRNOTAVAIL)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	port := a.Port()
+	if port == 0 {
+		port = h.ephemeral()
+	}
+	if h.listeners[port] != nil {
+		return nil, opError("listen", a, syscall.EADDRINUSE)
+	}
+	l := &listener{host: h, addr: netip.AddrPortFrom(h.ip, port)}
+	l.cond.L = &l.mu
+	h.listeners[port] = l
+	return l, nil
+}
+
+// ephemeral returns a free port; it is called with the host locked.
+func (h *Host) ephemeral() uint16 {
+	for {
+		p := h.nextPort
+		h.nextPort++
+		if h.nextPort < firstEphemeral {
+			h.nextPort = firstEphemeral
+		}
+		if h.listeners[p] == nil {
+			return p
+		}
+	}
+}
+
+// Dial connects to IP:PORT. It takes one round trip, and waits while the link is cut until the context ends or
+// network.DialTimeout has passed. An address without a host never answers.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("dial address %q is not IP:PORT: %w", address, err)
+	}
+	out, back := h.network.link(h.ip, to.Addr()), h.network.link(to.Addr(), h.ip)
+	out.countDial()
+	limit := time.NewTimer(network.DialTimeout)
+	defer limit.Stop()
+	for {
+		changed := h.network.watch()
+		there, openOut := out.open()
+		here, openBack := back.open()
+		if !openOut || !openBack || h.network.lookup(to.Addr()) == nil {
+			if err := wait(ctx, limit.C, changed); err != nil {
+				return nil, opError("dial", to, err)
+			}
+			continue
+		}
+		trip := time.NewTimer(there + here)
+		err := wait(ctx, limit.C, trip.C)
+		trip.Stop()
+		if err != nil {
+			return nil, opError("dial", to, err)
+		}
+		_, openOut = out.open()
+		if _, openBack = back.open(); !openOut || !openBack {
+			continue
+		}
+		return h.connect(to, out, back)
+	}
+}
+
+// wait returns nil once ready, or the error of a dial that ends before.
+func wait[T any](ctx context.Context, limit <-chan time.Time, ready <-chan T) error {
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-limit:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+func (h *Host) connect(to netip.AddrPort, out, back *link) (net.Conn, error) {
+	peer := h.network.lookup(to.Addr())
+	peer.mu.Lock()
+	l := peer.listeners[to.Port()]
+	peer.mu.Unlock()
+	if l == nil {
+		return nil, opError("dial", to, syscall.ECONNREFUSED)
+	}
+	h.mu.Lock()
+	from := netip.AddrPortFrom(h.ip, h.ephemeral())
+	h.mu.Unlock()
+	sending, receiving := newStream(out, h.network.settings.Window), newStream(back, h.network.settings.Window)
+	here := &conn{host: h, in: receiving, out: sending, local: from, remote: to}
+	there := &conn{host: peer, in: sending, out: receiving, local: to, remote: from}
+	sending.lost = resetter(back, sending, receiving)
+	receiving.lost = resetter(out, receiving, sending)
+	h.track(here)
+	peer.track(there)
+	if !l.offer(there) {
+		here.reset()
+		there.reset()
+		return nil, opError("dial", to, syscall.ECONNREFUSED)
+	}
+	return here, nil
+}
+
+// resetter returns what tells the writer of a stream, over the link of the way back, that nobody reads it.
+func resetter(way *link, written, other *stream) func() {
+	return func() {
+		delay, open := way.open()
+		if !open {
+			return
+		}
+		time.AfterFunc(delay, func() {
+			written.fail()
+			other.mu.Lock()
+			other.arrive(segment{end: syscall.ECONNRESET})
+			other.cond.Broadcast()
+			other.mu.Unlock()
+		})
+	}
+}
+
+func (h *Host) track(c *conn) {
+	h.mu.Lock()
+	h.conns[c] = struct{}{}
+	h.mu.Unlock()
+}
+
+func (h *Host) forget(c *conn) {
+	h.mu.Lock()
+	delete(h.conns, c)
+	h.mu.Unlock()
+}
+
+// Close ends the process on the host: its listeners are closed and its connections reset. The host can be used again.
+func (h *Host) Close() {
+	h.mu.Lock()
+	listeners, conns := h.listeners, h.conns
+	h.listeners, h.conns = map[uint16]*listener{}, map[*conn]struct{}{}
+	h.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for c := range conns {
+		c.reset()
+	}
+}
+
+// Connections returns the number of open connections of the host.
+func (h *Host) Connections() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns)
+}
+
+type listener struct {
+	host *Host
+	addr netip.AddrPort
+
+	mu      sync.Mutex
+	cond    sync.Cond
+	backlog []*conn
+	closed  bool
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.backlog) == 0 && !l.closed {
+		l.cond.Wait()
+	}
+	if l.closed {
+		return nil, opError("accept", l.addr, net.ErrClosed)
+	}
+	c := l.backlog[0]
+	l.backlog = l.backlog[1:]
+	return c, nil
+}
+
+func (l *listener) offer(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.backlog) >= maxBacklog {
+		return false
+	}
+	l.backlog = append(l.backlog, c)
+	l.cond.Signal()
+	return true
+}
+
+// Close stops the listener and resets the connections that nobody accepted.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return opError("close", l.addr, net.ErrClosed)
+	}
+	l.closed = true
+	waiting := l.backlog
+	l.backlog = nil
+	l.cond.Broadcast()
+	l.mu.Unlock()
+	for _, c := range waiting {
+		c.reset()
+	}
+	l.host.mu.Lock()
+	if l.host.listeners[l.addr.Port()] == l {
+		delete(l.host.listeners, l.addr.Port())
+	}
+	l.host.mu.Unlock()
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
+
+func opError(op string, a netip.AddrPort, err error) error {
+	return &net.OpError{Op: op, Net: "tcp", Addr: net.TCPAddrFromAddrPort(a), Err: err}
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/store/store_test.go
@@ -0,0 +1,77 @@
+package store
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// run starts n transfers at once and returns when the last one ended.
+func run(t *testing.T, n int, load func() error) time.Duration {
+	t.Helper()
+	start := time.Now()
+	var g errgroup.Group
+	for range n {
+		g.Go(load)
+	}
+	require.NoError(t, g.Wait())
+	return time.Since(start)
+}
+
+// Guards against loads beyond the full-speed number that are not slowed proportionally, and against a rate that is not kept.
+func TestStore(t *testing.T) {
+	cases := map[string]struct {
+		settings Settings
+		n        int
+		adapter  bool
+		want     time.Duration
+	}{
+		"at full speed":           {settings: Settings{FullSpeed: 4}, n: 4, want: time.Second},
+		"twice as many":           {settings: Settings{FullSpeed: 4}, n: 8, want: 2 * time.Second},
+		"unlimited":               {n: 100, want: time.Second},
+		"starts by rate":          {settings: Settings{Rate: 4}, n: 9, want: 3 * time.Second},
+		"adapters at full speed":  {settings: Settings{AdapterFullSpeed: 30, Rate: 1}, n: 30, adapter: true, want: time.Second},
+		"three times as many":     {settings: Settings{AdapterFullSpeed: 30}, n: 90, adapter: true, want: 3 * time.Second},
+		"rate and sharing at end": {settings: Settings{Rate: 10, FullSpeed: 1}, n: 2, want: 2 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(c.settings)
+				load := s.Load
+				if c.adapter {
+					load = s.LoadAdapter
+				}
+				got := run(t, c.n, func() error { return load(t.Context(), time.Second) })
+				require.InDelta(t, c.want.Seconds(), got.Seconds(), 1e-6)
+				m, a := s.Loading()
+				require.Zero(t, m+a)
+			})
+		})
+	}
+}
+
+// Guards against a slowdown that does not apply to loads under way, and against given-up loads that keep their share.
+func TestSlowdownAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Settings{FullSpeed: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var g errgroup.Group
+		start := time.Now()
+		g.Go(func() error {
+			require.ErrorIs(t, s.Load(ctx, time.Minute), context.DeadlineExceeded)
+			return nil
+		})
+		g.Go(func() error { return s.Load(t.Context(), time.Second) })
+		time.Sleep(1100 * time.Millisecond)
+		s.SetSlowdown(10)
+		require.NoError(t, g.Wait())
+		// Half a second of work shared for a second, a tenth alone, and four tenths ten times slower.
+		require.InDelta(t, 5.1, time.Since(start).Seconds(), 1e-6)
+	})
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/tokens/tokens_test.go
@@ -0,0 +1,53 @@
+package tokens
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+)
+
+// Guards against answers of two prompts, targets or positions that cannot be told apart.
+func TestTextDiffers(t *testing.T) {
+	seen := map[string]bool{}
+	for _, target := range []string{"m", "m:a", "n"} {
+		for _, prompt := range []string{"p", "q", "p\x000"} {
+			for i := range 50 {
+				seen[Text(fleet.ParseTarget(target), prompt, i)] = true
+			}
+		}
+	}
+	require.Len(t, seen, 3*3*50)
+	require.Equal(t, Text(fleet.Target{Model: "m"}, "p", 0)+Text(fleet.Target{Model: "m"}, "p", 1),
+		Answer(fleet.Target{Model: "m"}, "p", 2))
+}
+
+// Guards against lengths that ignore the prompt's mark or the caller's limit.
+func TestLength(t *testing.T) {
+	cases := map[string]struct {
+		prompt string
+		limit  int
+		want   int
+	}{
+		"mark":           {prompt: "write " + Mark(300), want: 300},
+		"limit":          {prompt: "write " + Mark(300), limit: 20, want: 20},
+		"malformed mark": {prompt: "[out:x]", limit: 3, want: 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Length(c.prompt, c.limit)) })
+	}
+	require.GreaterOrEqual(t, Length("any", 0), minOutput)
+}
+
+// Guards against prefix hashes that depend on what follows the prefix, which would make the cache useless.
+func TestBlocks(t *testing.T) {
+	target := fleet.Target{Model: "m", Adapter: "a"}
+	prefix := strings.TrimSpace(strings.Repeat("word ", 2*BlockLength))
+	require.Equal(t, Blocks(target, prefix), Blocks(target, prefix+"  and more"))
+	require.Equal(t, xxhash.Sum64String("m:a\x00"+prefix), Blocks(target, prefix)[1])
+	require.Empty(t, Blocks(target, "short"))
+	require.EqualValues(t, 2, Count(Chat([]Message{{Role: "user", Content: "hello"}})))
+}
