engine: stand-in model engine on any network

Orders with load times by tier and the shared weight store, adapters, continuous batching with priorities, prefix cache with late and lossy events, resume, cancel, late load reports, fencing, announcements and fault switches. go test -race -count=20 ./cmd/... passes.

--- /dev/null
+++ b/cmd/toucanway-lab/internal/caller/transport.go
@@ -0,0 +1,27 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"toucanway/io/network"
+)
+
+const (
+	maxIdlePerHost = 1024
+	idleTimeout    = 30 * time.Second
+)
+
+// NewTransport returns an HTTP transport that dials on a network.
+func NewTransport(n network.Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return n.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/engine/engine_test.go
@@ -0,0 +1,327 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/cmd/toucanway-lab/internal/backend"
+	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/memnet"
+	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/tokens"
+	"toucanway/cmd/toucanway-lab/internal/wire"
+	"toucanway/core/fleet"
+)
+
+const (
+	engineIP = "10.0.1.1"
+	entryIP  = "10.0.0.1"
+)
+
+var target = fleet.Target{Model: "m"}
+
+// rig is one engine with an entry host that takes what it posts.
+type rig struct {
+	*testing.T
+	net     *memnet.Network
+	engine  *Engine
+	history *history.History
+	client  *http.Client
+
+	mu    sync.Mutex
+	posts []string
+}
+
+func withEngine(t *testing.T, edit func(*Settings), test func(*rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{T: t, net: memnet.New(memnet.Settings{}), history: history.New()}
+		life, err := backend.Begin(r.net.Host(entryIP), entryIP+":80")
+		require.NoError(t, err)
+		life.Serve(func(ctx *fasthttp.RequestCtx) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.posts = append(r.posts, fmt.Sprintf("%s %s", ctx.Path(), ctx.PostBody()))
+		})
+		s := Settings{
+			ID: "e1", Network: r.net.Host(engineIP), Address: engineIP + ":90", Entries: []string{entryIP + ":80"},
+			Memory: 40 * fleet.GiB, Seed: 1, History: r.history, AdapterMin: 5 * time.Millisecond, AdapterMax: 5 * time.Millisecond,
+		}
+		if edit != nil {
+			edit(&s)
+		}
+		r.engine = New(s)
+		require.NoError(t, r.engine.Start())
+		transport := caller.NewTransport(r.net.Host(entryIP))
+		r.client = &http.Client{Transport: transport}
+		t.Cleanup(func() {
+			transport.CloseIdleConnections()
+			require.NoError(t, r.engine.Close())
+			life.Abort()
+			require.NoError(t, life.Wait())
+			time.Sleep(backend.Settle)
+		})
+		test(r)
+	})
+}
+
+func (r *rig) do(method, path string, header map[string]string, body any) (int, string) {
+	r.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(r, err)
+	req, err := http.NewRequestWithContext(r.Context(), method, "http://"+r.engine.Address()+path, bytes.NewReader(data))
+	require.NoError(r, err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, string(out) + err.Error()
+	}
+	return resp.StatusCode, string(out)
+}
+
+func (r *rig) order(o fleet.Order) wire.OrderAnswer {
+	r.Helper()
+	_, body := r.do("POST", "/v1/orders", nil, o)
+	var a wire.OrderAnswer
+	require.NoError(r, json.Unmarshal([]byte(body), &a), body)
+	return a
+}
+
+func (r *rig) load(id fleet.OrderID, model fleet.ModelID) {
+	r.Helper()
+	a := r.order(fleet.Order{ID: id, Kind: fleet.OrderLoad, Target: fleet.Target{Model: model}})
+	require.Equal(r, wire.OutcomeDone, a.Outcome, a.Message)
+}
+
+// complete streams a completion and returns the ids, the text and whether it ended.
+func (r *rig) complete(id, prompt string, header map[string]string) (ids map[string]bool, text string, done bool) {
+	r.Helper()
+	h := map[string]string{wire.HeaderRequestID: id}
+	for k, v := range header {
+		h[k] = v
+	}
+	_, body := r.do("POST", "/v1/completions", h, wire.Completion{Model: "m", Prompt: prompt, Stream: true})
+	ids = map[string]bool{}
+	d := wire.NewDecoder(strings.NewReader(body))
+	for {
+		data, err := d.Next()
+		if err != nil {
+			return ids, text, false
+		}
+		if string(data) == wire.Done {
+			return ids, text, true
+		}
+		var c wire.Chunk
+		require.NoError(r, json.Unmarshal(data, &c))
+		ids[c.ID] = true
+		text += c.Choices[0].Text
+	}
+}
+
+// Guards against wrong accounting of memory over loads, adapters and unloads, and against repeated orders run twice.
+func TestOrdersAndInventory(t *testing.T) {
+	withEngine(t, nil, func(r *rig) {
+		t := r.T
+		start := time.Now()
+		r.load(7, "m")
+		require.Equal(t, DefaultModel().Load[fleet.TierRemote], time.Since(start))
+		r.load(7, "m")
+		require.Len(t, history.Of[history.LoadStarted](r.history.Records()), 1)
+		a := r.order(fleet.Order{ID: 8, Kind: fleet.OrderLoadAdapter, Target: fleet.Target{Model: "m", Adapter: "a"}})
+		require.Equal(t, wire.OutcomeDone, a.Outcome)
+		inv := r.engine.Inventory()
+		require.Equal(t, fleet.ReplicaReady, inv.Models[0].State)
+		require.EqualValues(t, 7, inv.Models[0].Order)
+		require.Equal(t, DefaultModel().Adapter, inv.Adapters[0].Memory)
+		require.Equal(t, []fleet.CachedCheckpoint{{Model: "m", Tier: fleet.TierMemory}}, inv.Cached)
+
+		require.Equal(t, wire.OutcomeDone, r.order(fleet.Order{ID: 9, Kind: fleet.OrderUnload, Target: target}).Outcome)
+		inv = r.engine.Inventory()
+		require.Empty(t, inv.Models)
+		require.Empty(t, inv.Adapters)
+		start = time.Now()
+		r.load(10, "m")
+		require.Equal(t, DefaultModel().Load[fleet.TierMemory], time.Since(start), "reload from the memory tier")
+		for _, p := range history.Of[history.MemoryPeak](r.history.Records()) {
+			require.LessOrEqual(t, p.Used, p.Total)
+		}
+	})
+}
+
+// Guards against excess memory that is not recorded, and against stale fences that are taken or refused wrongly.
+func TestOvercommitAndFence(t *testing.T) {
+	for _, strict := range []bool{false, true} {
+		withEngine(t, func(s *Settings) { s.RefuseOvercommit, s.ChecksFence = strict, strict }, func(r *rig) {
+			t := r.T
+			for id := range fleet.OrderID(3) {
+				a := r.order(fleet.Order{
+					ID: id + 1, Kind: fleet.OrderLoad, Fence: 5, Target: fleet.Target{Model: fleet.ModelID(fmt.Sprint(id))},
+				})
+				require.Equal(t, strict && id == 2, a.Outcome == wire.OutcomeRefused, a.Message)
+			}
+			peaks := history.Of[history.MemoryPeak](r.history.Records())
+			last := peaks[len(peaks)-1]
+			require.Equal(t, strict, last.Used <= last.Total)
+			a := r.order(fleet.Order{ID: 9, Kind: fleet.OrderUnload, Fence: 4, Target: fleet.Target{Model: "1"}})
+			require.Equal(t, strict, a.Outcome == wire.OutcomeRefused)
+		})
+	}
+}
+
+// Guards against answers that cannot be verified, resumes at the wrong token, and missing cache counts.
+func TestCompletion(t *testing.T) {
+	withEngine(t, nil, func(r *rig) {
+		t := r.T
+		r.load(1, "m")
+		prompt := strings.Repeat("word ", 40) + tokens.KeyMark("k1") + tokens.Mark(10)
+		start := time.Now()
+		ids, text, done := r.complete("r1", prompt, nil)
+		require.True(t, done)
+		require.Equal(t, map[string]bool{"r1": true}, ids)
+		require.Equal(t, tokens.Answer(target, prompt, 10), text)
+		require.Equal(t, 9*DefaultTokenInterval+41*DefaultPrefillPerToken, time.Since(start))
+		_, rest, _ := r.complete("r2", prompt, map[string]string{wire.HeaderResumeFrom: "4"})
+		require.Equal(t, text, tokens.Answer(target, prompt, 4)+rest)
+
+		_, body := r.do("POST", "/v1/completions", nil, wire.Completion{Model: "m", Prompt: prompt})
+		var c wire.Chunk
+		require.NoError(t, json.Unmarshal([]byte(body), &c))
+		require.Equal(t, text, c.Choices[0].Text)
+		require.Equal(t, 2*tokens.BlockLength, c.Usage.Details.CachedTokens)
+		runs := history.Of[history.RequestRun](r.history.Records())
+		require.Equal(t, history.Key("k1"), runs[0].Key)
+		require.True(t, runs[1].Resumed)
+
+		status, body := r.do("POST", "/v1/completions", nil, wire.Completion{Model: "other", Prompt: "p"})
+		require.Equal(t, http.StatusNotFound, status)
+		require.Contains(t, body, "not-run")
+	})
+}
+
+// Guards against a batch that ignores slots, priorities, its growth or cancels.
+func TestBatch(t *testing.T) {
+	withEngine(t, func(s *Settings) { s.Slots, s.BatchGrowth = 2, 1 }, func(r *rig) {
+		t := r.T
+		r.load(1, "m")
+		var g errgroup.Group
+		start := time.Now()
+		for i, priority := range []string{"3", "3", "3", "0"} {
+			g.Go(func() error {
+				_, _, done := r.complete(fmt.Sprint("r", i), tokens.Mark(100), map[string]string{wire.HeaderPriority: priority})
+				if done != (i != 1) {
+					return fmt.Errorf("request %d ended: %v", i, done)
+				}
+				return nil
+			})
+			synctest.Wait()
+		}
+		require.Len(t, r.engine.Inventory().Running, 4)
+		status, _ := r.do("POST", "/v1/cancel", nil, wire.Cancel{Request: "r1"})
+		require.Equal(t, http.StatusOK, status)
+		require.NoError(t, g.Wait())
+		// The cancelled request makes way at once, so that one pair runs at twice the interval and the last one alone.
+		require.Equal(t, 99*3*DefaultTokenInterval+2*DefaultPrefillPerToken, time.Since(start))
+		runs := history.Of[history.RequestRun](r.history.Records())
+		require.Equal(t, []fleet.RequestID{"r0", "r1", "r3", "r2"},
+			[]fleet.RequestID{runs[0].Request, runs[1].Request, runs[2].Request, runs[3].Request})
+	})
+}
+
+// Guards against fault switches without effect and against lives that are not told apart.
+func TestFaults(t *testing.T) {
+	withEngine(t, func(s *Settings) { s.Store = store.New(store.Settings{}) }, func(r *rig) {
+		t := r.T
+		status, _ := r.do("PUT", "/lab/faults", nil, backend.Faults{CrashOnLoad: true})
+		require.Equal(t, http.StatusOK, status)
+		status, body := r.do("POST", "/v1/orders", nil, fleet.Order{ID: 1, Kind: fleet.OrderLoad, Target: target})
+		require.Zero(t, status, body)
+		require.NoError(t, r.engine.Start())
+		require.EqualValues(t, 2, r.engine.Incarnation())
+		require.Empty(t, r.engine.Inventory().Models)
+		r.load(2, "m")
+
+		r.engine.Faults.Set(backend.Faults{Swap: true})
+		var g errgroup.Group
+		g.Go(func() error {
+			r.complete("first", tokens.Mark(50), nil)
+			return nil
+		})
+		synctest.Wait()
+		ids, text, _ := r.complete("second", "other "+tokens.Mark(5), nil)
+		require.Equal(t, map[string]bool{"first": true}, ids)
+		require.Equal(t, tokens.Answer(target, tokens.Mark(50), 5), text)
+		require.NoError(t, g.Wait())
+
+		r.engine.Faults.Set(backend.Faults{Slow: 10, Late: time.Second})
+		start := time.Now()
+		r.complete("slow", tokens.Mark(2), nil)
+		require.Equal(t, time.Second+10*(DefaultTokenInterval+DefaultPrefillPerToken), time.Since(start))
+
+		r.engine.Faults.Set(backend.Faults{Mute: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+r.engine.Address()+"/v1/inventory", nil)
+		require.NoError(t, err)
+		_, err = r.client.Do(req)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		cancel()
+
+		r.engine.Faults.Set(backend.Faults{CrashOnPrompt: "poison"})
+		_, _, done := r.complete("p", "poison", nil)
+		require.False(t, done)
+		require.Len(t, history.Of[history.BackendStopped](r.history.Records()), 2)
+	})
+}
+
+// Guards against announcements that stop, late reports that are not late, and cache events without gaps or loss.
+func TestPosts(t *testing.T) {
+	withEngine(t, func(s *Settings) { s.EventLoss = 0.5 }, func(r *rig) {
+		t := r.T
+		r.load(1, "m")
+		r.complete("r1", strings.Repeat("w ", 20*tokens.BlockLength)+tokens.Mark(5), nil)
+		time.Sleep(10 * time.Second)
+		require.NoError(t, r.engine.Reclaim(t.Context(), 2*time.Second))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		count := map[string]int{}
+		var events []fleet.CacheEvent
+		for _, p := range r.posts {
+			path, body, _ := strings.Cut(p, " ")
+			count[path]++
+			switch path {
+			case "/v1/backend/events":
+				require.NoError(t, json.Unmarshal([]byte(body), &events))
+			case "/v1/backend/report":
+				var rep fleet.LoadReport
+				require.NoError(t, json.Unmarshal([]byte(body), &rep))
+				require.Equal(t, DefaultReportLag, rep.Age)
+			}
+		}
+		require.Equal(t, 19, count["/v1/backend/announce"])
+		require.Equal(t, 1, count["/v1/backend/leave"])
+		require.NotEmpty(t, events)
+		require.Less(t, len(events), 20)
+		_, body := r.do("GET", "/v1/inventory", nil, nil)
+		require.Contains(t, body, "refused")
+	})
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -0,0 +1,322 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"toucanway/cmd/toucanway-lab/internal/backend"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/wire"
+	"toucanway/core/fleet"
+)
+
+// maxFinished bounds the ended orders whose answer is kept for a resend; the oldest is forgotten first.
+const maxFinished = 1024
+
+// maxOrderTime bounds an order that has no deadline.
+const maxOrderTime = 10 * time.Minute
+
+// orderRun is one order under way or ended.
+type orderRun struct {
+	done   chan struct{}
+	answer wire.OrderAnswer
+}
+
+// order carries an order out and answers at its end; a resent order gets the same answer.
+func (p *process) order(ctx *fasthttp.RequestCtx) {
+	var o fleet.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		refuse(ctx, "", &refusal{status: fasthttp.StatusBadRequest, reason: err.Error()})
+		return
+	}
+	answer := p.carryOut(o)
+	status := fasthttp.StatusOK
+	switch answer.Outcome {
+	case wire.OutcomeRefused:
+		status = fasthttp.StatusConflict
+	case wire.OutcomeFailed:
+		status = fasthttp.StatusInternalServerError
+	}
+	backend.WriteJSON(ctx, status, answer)
+}
+
+func (p *process) carryOut(o fleet.Order) wire.OrderAnswer {
+	p.mu.Lock()
+	if !p.checkFence(o.Fence) {
+		p.mu.Unlock()
+		return p.orderAnswer(o, &refusal{reason: "stale-fence"})
+	}
+	if earlier, ok := p.orders[o.ID]; ok {
+		p.mu.Unlock()
+		select {
+		case <-earlier.done:
+			return earlier.answer
+		case <-p.ctx.Done():
+			return p.orderAnswer(o, errCrashed)
+		}
+	}
+	r := &orderRun{done: make(chan struct{})}
+	p.orders[o.ID] = r
+	p.mu.Unlock()
+	deadline := o.Deadline
+	if deadline <= 0 {
+		deadline = maxOrderTime
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, deadline)
+	defer cancel()
+	answer := p.orderAnswer(o, p.perform(ctx, o))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.answer = answer
+	close(r.done)
+	p.finished = append(p.finished, o.ID)
+	if len(p.finished) > maxFinished {
+		delete(p.orders, p.finished[0])
+		p.finished = p.finished[1:]
+	}
+	return answer
+}
+
+func (p *process) orderAnswer(o fleet.Order, err error) wire.OrderAnswer {
+	var refused *refusal
+	switch {
+	case err == nil:
+		return wire.OrderAnswer{Order: o.ID, Outcome: wire.OutcomeDone}
+	case errors.As(err, &refused):
+		p.settings.History.Add(history.OrderRefused{Order: o.ID, Backend: p.settings.ID, Reason: refused.reason})
+		return wire.OrderAnswer{Order: o.ID, Outcome: wire.OutcomeRefused, Message: refused.reason}
+	default:
+		return wire.OrderAnswer{Order: o.ID, Outcome: wire.OutcomeFailed, Message: err.Error()}
+	}
+}
+
+func (p *process) perform(ctx context.Context, o fleet.Order) error {
+	switch o.Kind {
+	case fleet.OrderLoad:
+		return p.load(ctx, o)
+	case fleet.OrderUnload:
+		return p.unload(ctx, o.Target.Model)
+	case fleet.OrderLoadAdapter:
+		return p.loadAdapter(ctx, o)
+	case fleet.OrderUnloadAdapter:
+		return p.unloadAdapter(ctx, o.Target)
+	case fleet.OrderRole:
+		return p.setRole(o)
+	default:
+		return &refusal{reason: "unknown-order-kind"}
+	}
+}
+
+func (p *process) load(ctx context.Context, o fleet.Order) error {
+	id := o.Target.Model
+	p.mu.Lock()
+	if m := p.models[id]; m != nil {
+		same, state := m.Version == o.Version, m.State
+		p.mu.Unlock()
+		switch {
+		case state != fleet.ReplicaReady:
+			return &refusal{reason: "busy"}
+		case same:
+			return nil
+		}
+		if err := p.unload(ctx, id); err != nil {
+			return err
+		}
+		p.mu.Lock()
+	}
+	weights := p.weights(o)
+	if !p.take(weights) {
+		p.mu.Unlock()
+		return &refusal{reason: "memory-exceeded"}
+	}
+	m := &loadedModel{LoadedModel: fleet.LoadedModel{
+		Model: id, Version: o.Version, State: fleet.ReplicaLoading, Memory: weights, Role: o.Role, Order: o.ID,
+	}}
+	p.models[id] = m
+	p.settings.History.Add(history.LoadStarted{
+		Order: o.ID, Model: id, Backend: p.settings.ID, Incarnation: p.incarnation,
+	})
+	p.mu.Unlock()
+
+	err := p.transfer(ctx, id)
+	if err == nil {
+		p.engine.keepCheckpoint(id)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		delete(p.models, id)
+		p.used -= weights
+	} else {
+		m.State = fleet.ReplicaReady
+	}
+	if p.ctx.Err() == nil {
+		p.settings.History.Add(history.LoadEnded{
+			Order: o.ID, Model: id, Backend: p.settings.ID, Incarnation: p.incarnation, Ready: err == nil,
+		})
+	}
+	return err
+}
+
+// weights returns the memory that a model takes: what is declared for the stand-in, else what the order says.
+func (p *process) weights(o fleet.Order) fleet.Bytes {
+	m, ok := p.settings.Models[o.Target.Model]
+	switch {
+	case ok:
+		return m.Weights
+	case o.Memory > 0:
+		return o.Memory
+	default:
+		return DefaultModel().Weights
+	}
+}
+
+// transfer takes the time of a load from the tier where the checkpoint is.
+func (p *process) transfer(ctx context.Context, id fleet.ModelID) error {
+	tier := p.engine.tierOf(id)
+	f := p.engine.Faults.Get()
+	work := f.Scale(p.settings.model(id).Load[tier])
+	if f.CrashOnLoad {
+		if err := store.Sleep(ctx, work/2); err != nil {
+			return err
+		}
+		f.CrashOnLoad = false
+		p.engine.Faults.Set(f)
+		p.engine.crashed(p)
+		return errCrashed
+	}
+	if tier == fleet.TierRemote {
+		return p.settings.Store.Load(ctx, work)
+	}
+	return store.Sleep(ctx, work)
+}
+
+// unload waits for the model's runs to end and frees its memory and that of its adapters.
+func (p *process) unload(ctx context.Context, id fleet.ModelID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[id]
+	if m == nil {
+		return nil
+	}
+	if m.State != fleet.ReplicaReady {
+		return &refusal{reason: "busy"}
+	}
+	m.State = fleet.ReplicaUnloading
+	if err := p.drained(ctx, func() bool { return m.runs == 0 }); err != nil {
+		m.State = fleet.ReplicaReady
+		return err
+	}
+	delete(p.models, id)
+	p.used -= m.Memory
+	for t, a := range p.adapters {
+		if t.Model == id {
+			delete(p.adapters, t)
+			p.used -= a.Memory
+		}
+	}
+	p.prefix.drop(fleet.Target{Model: id})
+	p.settings.History.Add(history.Unloaded{Model: id, Backend: p.settings.ID, Incarnation: p.incarnation})
+	p.admit()
+	return nil
+}
+
+// drained waits until no run is left; it is called with the process locked and unlocks it while it waits.
+func (p *process) drained(ctx context.Context, empty func() bool) error {
+	for !empty() {
+		changed := p.changed
+		p.mu.Unlock()
+		var err error
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		p.mu.Lock()
+		if err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (p *process) loadAdapter(ctx context.Context, o fleet.Order) error {
+	t := o.Target
+	p.mu.Lock()
+	if m := p.models[t.Model]; m == nil || m.State != fleet.ReplicaReady {
+		p.mu.Unlock()
+		return &refusal{reason: "model-not-loaded"}
+	}
+	if a := p.adapters[t]; a != nil {
+		ready := a.ready && !a.unloading
+		p.mu.Unlock()
+		if !ready {
+			return &refusal{reason: "busy"}
+		}
+		return nil
+	}
+	memory := p.settings.model(t.Model).Adapter
+	if !p.take(memory) {
+		p.mu.Unlock()
+		return &refusal{reason: "memory-exceeded"}
+	}
+	a := &loadedAdapter{LoadedAdapter: fleet.LoadedAdapter{Target: t, Memory: memory}}
+	p.adapters[t] = a
+	span := p.settings.AdapterMax - p.settings.AdapterMin
+	work := p.settings.AdapterMin + time.Duration(p.random.Int64N(int64(span)+1))
+	p.mu.Unlock()
+
+	err := p.settings.Store.LoadAdapter(ctx, p.engine.Faults.Get().Scale(work))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.adapters[t] != a {
+		return &refusal{reason: "model-not-loaded"}
+	}
+	if err != nil {
+		delete(p.adapters, t)
+		p.used -= memory
+		return err
+	}
+	a.ready = true
+	return nil
+}
+
+func (p *process) unloadAdapter(ctx context.Context, t fleet.Target) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.adapters[t]
+	if a == nil {
+		return nil
+	}
+	if !a.ready || a.unloading {
+		return &refusal{reason: "busy"}
+	}
+	a.unloading = true
+	if err := p.drained(ctx, func() bool { return a.runs == 0 }); err != nil {
+		a.unloading = false
+		return err
+	}
+	if p.adapters[t] == a {
+		delete(p.adapters, t)
+		p.used -= a.Memory
+		p.prefix.drop(t)
+		p.admit()
+	}
+	return nil
+}
+
+func (p *process) setRole(o fleet.Order) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[o.Target.Model]
+	if m == nil || m.State != fleet.ReplicaReady {
+		return &refusal{reason: "model-not-loaded"}
+	}
+	m.Role = o.Role
+	return nil
+}
--- a/cmd/toucanway-lab/internal/store/store.go
+++ b/cmd/toucanway-lab/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -45,7 +46,7 @@
 
 // Load transfers a checkpoint that takes the given time at full speed, and waits for its start before.
 func (s *Store) Load(ctx context.Context, work time.Duration) error {
-	if err := sleep(ctx, time.Until(s.reserve())); err != nil {
+	if err := Sleep(ctx, time.Until(s.reserve())); err != nil {
 		return err
 	}
 	return s.models.Run(ctx, work)
@@ -168,8 +169,8 @@
 	for t := range s.running {
 		first = min(first, t.ends)
 	}
-	// One nanosecond more, since rounding down could leave the transfer unfinished when the timer fires.
-	wait := time.Duration(float64(first-s.progress)*s.pace()) + 1
+	// Rounded up, since the transfer would be unfinished when a timer fires early.
+	wait := time.Duration(math.Ceil(float64(first-s.progress) * s.pace()))
 	s.timer = time.AfterFunc(wait, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -178,7 +179,8 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
+// Sleep waits, or returns the error of the context when that ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
 	}
--- a/cmd/toucanway-lab/internal/tokens/tokens.go
+++ b/cmd/toucanway-lab/internal/tokens/tokens.go
@@ -16,6 +16,8 @@
 	BlockLength = 16
 	// outputMark in a prompt sets the length of its answer in tokens, as in "[out:200]".
 	outputMark = "[out:"
+	// keyMark names the caller's request, so that its runs can be counted across resends.
+	keyMark    = "[key:"
 	minOutput  = 8
 	spanOutput = 57
 )
@@ -63,6 +65,19 @@
 // Mark returns the part of a prompt that sets the length of its answer.
 func Mark(length int) string { return outputMark + strconv.Itoa(length) + "]" }
 
+// KeyMark returns the part of a prompt that names the caller's key of the request.
+func KeyMark(key string) string { return keyMark + key + "]" }
+
+// Key returns the caller's key in a prompt, empty if there is none.
+func Key(prompt string) string {
+	_, rest, ok := strings.Cut(prompt, keyMark)
+	if !ok {
+		return ""
+	}
+	key, _, _ := strings.Cut(rest, "]")
+	return key
+}
+
 // Length returns the length of the answer to a prompt in tokens, at most the limit if that is positive.
 func Length(prompt string, limit int) int {
 	n := minOutput + int(xxhash.Sum64String(prompt)%spanOutput)
--- /dev/null
+++ b/cmd/toucanway-lab/internal/wire/sse_test.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+func events(r io.Reader) ([]string, error) {
+	d := NewDecoder(r)
+	var out []string
+	for {
+		data, err := d.Next()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, string(data))
+	}
+}
+
+// Guards against events that are split, joined or invented, and against truncated streams that look complete.
+func TestDecoder(t *testing.T) {
+	cases := map[string]struct {
+		in   string
+		want []string
+		err  error
+	}{
+		"two events":       {in: "data: a\n\ndata: b\n\n", want: []string{"a", "b"}, err: io.EOF},
+		"carriage returns": {in: "data: a\r\n\r\n", want: []string{"a"}, err: io.EOF},
+		"several lines":    {in: "data: a\ndata:b\n\n", want: []string{"a\nb"}, err: io.EOF},
+		"other fields":     {in: ": ping\n\nid: 1\nevent: x\ndata:  a\n\n", want: []string{" a"}, err: io.EOF},
+		"empty data":       {in: "data\n\n", want: []string{""}, err: io.EOF},
+		"cut in an event":  {in: "data: a\n\ndata: b\n", want: []string{"a"}, err: io.ErrUnexpectedEOF},
+		"cut in a line":    {in: "data: a\n\ndat", want: []string{"a"}, err: io.ErrUnexpectedEOF},
+		"too long":         {in: "data: " + strings.Repeat("x", MaxEvent), err: ErrEventTooLong},
+		"nothing":          {err: io.EOF},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := events(iotest.HalfReader(strings.NewReader(c.in)))
+			require.ErrorIs(t, err, c.err)
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// Guards against panics and endless loops on arbitrary input, and against a result that depends on how it is split.
+func FuzzDecoder(f *testing.F) {
+	for _, seed := range []string{"data: a\n\n", "data:\r\n\r\n: c\n", "data: {\"id\":1}\n\ndata: [DONE]\n\n", "\n\n\n", "data"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, in string) {
+		whole, errWhole := events(strings.NewReader(in))
+		split, errSplit := events(iotest.OneByteReader(strings.NewReader(in)))
+		if !errors.Is(errWhole, errSplit) {
+			t.Fatalf("errors differ: %v and %v", errWhole, errSplit)
+		}
+		require.Equal(t, whole, split)
+	})
+}
