--- a/cmd/toucanway-lab/internal/backend/entries.go
+++ b/cmd/toucanway-lab/internal/backend/entries.go
@@ -91,18 +91,21 @@
 	return nil
 }
 
-// Every calls f at once and then at each interval until the context ends.
-func Every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
+// Announce calls f with a client of an entry host, at once and at each AnnounceInterval, until the context ends.
+func (l *Life) Announce(ctx context.Context, n network.Network, address string, f func(e *Entry)) {
+	l.Go(func(context.Context) {
+		e := NewEntry(n, address)
+		defer e.Close()
+		t := time.NewTicker(AnnounceInterval)
+		defer t.Stop()
+		for ctx.Err() == nil {
+			f(e)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
 		}
-	}
+	})
 }
 
 // LeaveAny tells the first of the entry hosts that answers that the backend server leaves.
--- a/cmd/toucanway-lab/internal/backend/faults.go
+++ b/cmd/toucanway-lab/internal/backend/faults.go
@@ -52,6 +52,24 @@
 	s.faults = f
 }
 
+// HandleLab serves the switches of a backend server, and returns false for requests that are not for them: GET and PUT
+// /lab/faults, and POST /lab/crash with restart-ms.
+func (v *Lives) HandleLab(ctx *fasthttp.RequestCtx, s *Switches) bool {
+	switch string(ctx.Path()) {
+	case "/lab/faults":
+		s.Handle(ctx)
+	case "/lab/crash":
+		if restart := ctx.QueryArgs().GetUintOrZero("restart-ms"); restart > 0 {
+			v.CrashFor(time.Duration(restart) * time.Millisecond)
+		} else {
+			v.Crash()
+		}
+	default:
+		return false
+	}
+	return true
+}
+
 // Handle serves GET and PUT of the faults as JSON.
 func (s *Switches) Handle(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPut() {
--- a/cmd/toucanway-lab/internal/backend/life.go
+++ b/cmd/toucanway-lab/internal/backend/life.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/fleet"
 	"toucanway/io/network"
 )
 
@@ -30,6 +31,8 @@
 	cancel   context.CancelFunc
 	listener *trackedListener
 	group    errgroup.Group
+
+	incarnation fleet.Incarnation
 }
 
 // Begin listens on the address.
@@ -57,6 +60,9 @@
 	l.group.Go(func() error { return server.Serve(l.listener) })
 }
 
+// Incarnation returns the incarnation of the backend server in this life.
+func (l *Life) Incarnation() fleet.Incarnation { return l.incarnation }
+
 // Context ends with the life.
 func (l *Life) Context() context.Context { return l.ctx }
 
--- a/cmd/toucanway-lab/internal/engine/announce.go
+++ b/cmd/toucanway-lab/internal/engine/announce.go
@@ -9,10 +9,8 @@
 
 // announce posts to one entry host until the engine leaves or its life ends.
 func (p *process) announce(address string, feed int) {
-	entry := backend.NewEntry(p.settings.Network, address)
-	defer entry.Close()
 	var reports []timedReport
-	backend.Every(p.quietCtx, backend.AnnounceInterval, func() {
+	p.life.Announce(p.quietCtx, p.settings.Network, address, func(entry *backend.Entry) {
 		now := time.Now()
 		reports = append(reports, timedReport{at: now, report: p.loadReport()})
 		// An announcement that fails is repeated by the next one.
--- a/cmd/toucanway-lab/internal/engine/orders.go
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -187,7 +187,7 @@
 		}
 		f.CrashOnLoad = false
 		p.engine.Faults.Set(f)
-		p.engine.crashed(p)
+		p.engine.End(p.life)
 		return errCrashed
 	}
 	if tier == fleet.TierRemote {
--- a/cmd/toucanway-lab/internal/engine/process.go
+++ b/cmd/toucanway-lab/internal/engine/process.go
@@ -58,10 +58,10 @@
 	runs      int
 }
 
-func newProcess(e *Engine, incarnation fleet.Incarnation) *process {
-	return &process{
-		engine: e, settings: &e.settings, incarnation: incarnation,
-		random:   rand.New(rand.NewPCG(e.settings.Seed, uint64(incarnation))),
+func newProcess(e *Engine, life *backend.Life) *process {
+	p := &process{
+		engine: e, settings: &e.settings, incarnation: life.Incarnation(), life: life, ctx: life.Context(),
+		random:   rand.New(rand.NewPCG(e.settings.Seed, uint64(life.Incarnation()))),
 		models:   map[fleet.ModelID]*loadedModel{},
 		adapters: map[fleet.Target]*loadedAdapter{},
 		orders:   map[fleet.OrderID]*orderRun{},
@@ -69,16 +69,15 @@
 		prefix:   newPrefixCache(e.settings.PrefixBlocks, len(e.settings.Entries)),
 		changed:  make(chan struct{}),
 	}
+	p.quietCtx, p.quiet = context.WithCancel(p.ctx)
+	return p
 }
 
 // begin serves and announces.
-func (p *process) begin(life *backend.Life) {
-	p.life = life
-	p.ctx = life.Context()
-	p.quietCtx, p.quiet = context.WithCancel(p.ctx)
-	life.Serve(p.handle)
+func (p *process) begin() {
+	p.life.Serve(p.handle)
 	for i, address := range p.settings.Entries {
-		life.Go(func(context.Context) { p.announce(address, i) })
+		p.announce(address, i)
 	}
 }
 
--- a/cmd/toucanway-lab/internal/engine/run.go
+++ b/cmd/toucanway-lab/internal/engine/run.go
@@ -132,7 +132,7 @@
 	})
 	f := p.engine.Faults.Get()
 	if f.CrashOnPrompt != "" && strings.Contains(r.prompt, f.CrashOnPrompt) {
-		p.engine.crashed(p)
+		p.engine.End(p.life)
 		return errCrashed
 	}
 	return store.Sleep(r.ctx, f.Late)
--- a/cmd/toucanway-lab/internal/engine/settings.go
+++ b/cmd/toucanway-lab/internal/engine/settings.go
@@ -82,7 +82,6 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	fill(&s.Incarnation, 1)
 	fill(&s.Memory, DefaultMemory)
 	fill(&s.Slots, DefaultSlots)
 	fill(&s.MemoryCheckpoints, 2)
--- /dev/null
+++ b/cmd/toucanway-lab/internal/service/service.go
@@ -0,0 +1,161 @@
+// Package service is a stand-in plain service. It counts what it ran by a key in the body and keeps the counts across
+// crashes, as the ledger or the order book behind a real service does.
+package service
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"toucanway/cmd/toucanway-lab/internal/backend"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/wire"
+	"toucanway/core/fleet"
+	"toucanway/io/network"
+)
+
+const (
+	// DefaultDelay is the time of one call.
+	DefaultDelay = 20 * time.Millisecond
+	// DefaultSlots is the announced number of calls at once.
+	DefaultSlots = 64
+)
+
+// Settings describe a service; zero fields mean the defaults above.
+type Settings struct {
+	ID      fleet.BackendID
+	Network network.Network
+	// Address is IP:PORT; port 0 takes a free one.
+	Address     string
+	Place       fleet.Place
+	Entries     []string
+	Services    []fleet.ServiceID
+	Incarnation fleet.Incarnation
+	Delay       time.Duration
+	Slots       int
+	History     *history.History
+}
+
+// Call is the part of a request's body that the service reads.
+type Call struct {
+	Key string `json:"key"`
+}
+
+// Answer is what the service answers; Count is how often it ran the key.
+type Answer struct {
+	Key   string `json:"key"`
+	Count int    `json:"count"`
+	Path  string `json:"path"`
+}
+
+// Service is a stand-in service through all its lives. It is safe for concurrent use.
+type Service struct {
+	backend.Lives
+	settings Settings
+	// Faults are kept across restarts.
+	Faults backend.Switches
+
+	mu     sync.Mutex
+	counts map[string]int
+	last   string
+}
+
+// New returns a service that is not started.
+func New(s Settings) *Service {
+	if s.Delay <= 0 {
+		s.Delay = DefaultDelay
+	}
+	if s.Slots <= 0 {
+		s.Slots = DefaultSlots
+	}
+	v := &Service{settings: s, counts: map[string]int{}}
+	v.ID, v.Network, v.Listen, v.First, v.History = s.ID, s.Network, s.Address, s.Incarnation, s.History
+	v.Begun = v.begin
+	return v
+}
+
+// Counts returns how often each key was run, over all lives.
+func (v *Service) Counts() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.counts)
+}
+
+// Leave tells the entry hosts that the service takes no more work.
+func (v *Service) Leave() error {
+	return backend.LeaveAny(v.settings.Network, v.settings.Entries,
+		wire.Leave{ID: v.settings.ID, Incarnation: v.Incarnation()})
+}
+
+func (v *Service) begin(life *backend.Life) {
+	life.Serve(func(ctx *fasthttp.RequestCtx) { v.handle(life, ctx) })
+	a := fleet.Announcement{
+		ID: v.settings.ID, Incarnation: life.Incarnation(), Kind: fleet.KindService, Address: life.Address(),
+		Place: v.settings.Place, Slots: v.settings.Slots, Services: v.settings.Services,
+	}
+	for _, address := range v.settings.Entries {
+		life.Announce(life.Context(), v.settings.Network, address, func(e *backend.Entry) {
+			// An announcement that fails is repeated by the next one.
+			_ = e.Announce(a)
+		})
+	}
+}
+
+func (v *Service) handle(life *backend.Life, ctx *fasthttp.RequestCtx) {
+	if v.HandleLab(ctx, &v.Faults) {
+		return
+	}
+	f := v.Faults.Get()
+	if f.Mute {
+		<-life.Context().Done()
+		return
+	}
+	var call Call
+	// A body that is no JSON has no key; its runs are counted under the idempotency key.
+	_ = json.Unmarshal(ctx.PostBody(), &call)
+	if call.Key == "" {
+		call.Key = string(ctx.Request.Header.Peek(wire.HeaderIdempotency))
+	}
+	answer := Answer{Key: call.Key, Count: v.count(call.Key), Path: string(ctx.Path())}
+	v.settings.History.Add(history.RequestRun{
+		Request: fleet.RequestID(ctx.Request.Header.Peek(wire.HeaderRequestID)), Key: history.Key(call.Key),
+		Backend: v.settings.ID, Incarnation: life.Incarnation(),
+	})
+	if f.CrashOnPrompt != "" && strings.Contains(string(ctx.PostBody()), f.CrashOnPrompt) {
+		v.End(life)
+		return
+	}
+	if err := store.Sleep(life.Context(), f.Scale(v.settings.Delay)+f.Late); err != nil {
+		return
+	}
+	if f.Swap {
+		answer.Key = v.other(call.Key)
+	}
+	backend.WriteJSON(ctx, fasthttp.StatusOK, answer)
+	ctx.Response.Header.SetBytesV(wire.HeaderRequestID, ctx.Request.Header.Peek(wire.HeaderRequestID))
+}
+
+func (v *Service) count(key string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.counts[key]++
+	n := v.counts[key]
+	return n
+}
+
+// other returns the key of another request than the one being answered, if there was one.
+func (v *Service) other(key string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	last := v.last
+	v.last = key
+	if last == "" || last == key {
+		return key + "-other"
+	}
+	return last
+}
