--- a/cmd/toucanway-lab/internal/engine/run.go
+++ b/cmd/toucanway-lab/internal/engine/run.go
@@ -39,6 +39,7 @@
 	cached       fleet.Tokens
 	memory       fleet.Bytes
 	admitted     bool
+	entered      time.Time
 	turn         chan struct{}
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -68,6 +69,7 @@
 	}
 	p.runSeq++
 	r.seq = p.runSeq
+	r.entered = time.Now()
 	r.turn = make(chan struct{})
 	r.ctx, r.cancel = context.WithCancel(p.ctx)
 	spec := p.settings.model(r.target.Model)
@@ -128,7 +130,7 @@
 	}
 	p.settings.History.Add(history.RequestRun{
 		Request: r.id, Key: history.Key(tokens.Key(r.prompt)), Backend: p.settings.ID, Incarnation: p.incarnation,
-		Resumed: r.from > 0,
+		Waited: time.Since(r.entered), Resumed: r.from > 0,
 	})
 	f := p.engine.Faults.Get()
 	if f.CrashOnPrompt != "" && strings.Contains(r.prompt, f.CrashOnPrompt) {
--- a/cmd/toucanway-lab/internal/history/event.go
+++ b/cmd/toucanway-lab/internal/history/event.go
@@ -41,6 +41,8 @@
 	Key         Key
 	Backend     fleet.BackendID
 	Incarnation fleet.Incarnation
+	// Waited is the time since the backend server received the request.
+	Waited time.Duration
 	// Resumed says that the run continues an answer of which the caller has the beginning.
 	Resumed bool
 }
@@ -153,7 +155,13 @@
 // HostSuspended says that a host takes no new work until it next applies a document.
 type HostSuspended struct{ Host fleet.HostID }
 
-// HostStopped says that a host's process ended.
+// HostUnreachable says that callers lost their links to a host, until HostReachable.
+type HostUnreachable struct{ Host fleet.HostID }
+
+// HostReachable says that callers have their links to a host again.
+type HostReachable struct{ Host fleet.HostID }
+
+// HostStopped says that a host's process was ended without a graceful shutdown.
 type HostStopped struct{ Host fleet.HostID }
 
 // ShutdownBegan says that a host was asked to shut down gracefully.
@@ -181,6 +189,8 @@
 func (DocumentAccepted) isEvent()  {}
 func (DocumentInForce) isEvent()   {}
 func (HostSuspended) isEvent()     {}
+func (HostUnreachable) isEvent()   {}
+func (HostReachable) isEvent()     {}
 func (HostStopped) isEvent()       {}
 func (ShutdownBegan) isEvent()     {}
 func (ShutdownEnded) isEvent()     {}
