--- /dev/null
+++ b/cmd/toucanway-lab/internal/caller/request.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"time"
+
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/tokens"
+	"toucanway/cmd/toucanway-lab/internal/wire"
+	"toucanway/core/fleet"
+)
+
+// Request is what a caller wants done. Service requests have a Service, the others a Target.
+type Request struct {
+	// Key is unique among all requests of a run; resends have the same key.
+	Key history.Key
+	// Label groups requests in results.
+	Label string
+	// Once says that the request must not run twice; it is sent with its key as Idempotency-Key.
+	Once bool
+	// Deadline is the time that the caller waits for the beginning of the answer, counted from the intended send time.
+	Deadline time.Duration
+
+	Target    fleet.Target
+	Prompt    string
+	Messages  []tokens.Message
+	MaxTokens int
+	Stream    bool
+
+	Service fleet.ServiceID
+	Path    string
+	// Body is the body of a service request, with the key in its field "key".
+	Body []byte
+}
+
+func (r *Request) completion() wire.Completion {
+	return wire.Completion{
+		Model: r.Target.String(), Prompt: r.Prompt, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: r.Stream,
+	}
+}
+
+// prompt returns the prompt as the engine sees it.
+func (r *Request) prompt() string {
+	c := r.completion()
+	return c.Text()
+}
+
+func (r *Request) path() string {
+	switch {
+	case r.Service != "":
+		return "/v1/services/" + string(r.Service) + r.Path
+	case len(r.Messages) > 0:
+		return "/v1/chat/completions"
+	default:
+		return "/v1/completions"
+	}
+}
+
+// Outcome is how a request ended for its caller, after all resends.
+type Outcome struct {
+	// Answered says that a whole answer came; Wrong says why it is not the right one.
+	Answered bool
+	Wrong    string
+	// Refusal is the last refusal of a request that was not answered; nil if its last attempt was lost.
+	Refusal *wire.ErrorDetail
+	// Err is the error of the last attempt that was lost.
+	Err      error
+	Attempts int
+	// FirstToken and Total are counted from the intended send time.
+	FirstToken, Total time.Duration
+	// Gaps are the times between the tokens of a streamed answer.
+	Gaps         []time.Duration
+	Tokens       int
+	CachedTokens int
+}
