--- /dev/null
+++ b/cmd/toucanway-lab/internal/load/load_test.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/wire"
+)
+
+// stalled answers nothing before a time of its own, and everything at once from then on.
+type stalled struct {
+	until   time.Time
+	outcome func(*caller.Request) caller.Outcome
+}
+
+func (s *stalled) DoFrom(ctx context.Context, r *caller.Request, intended time.Time) caller.Outcome {
+	sleepUntil(ctx, s.until)
+	o := s.outcome(r)
+	o.Attempts = 1
+	o.FirstToken, o.Total = time.Since(intended), time.Since(intended)
+	return o
+}
+
+func plan(n int, every time.Duration) []Planned {
+	var out []Planned
+	for i := range n {
+		out = append(out, Planned{At: time.Duration(i) * every, Caller: i, Request: &caller.Request{Label: "chat"}})
+	}
+	return out
+}
+
+func answered(*caller.Request) caller.Outcome { return caller.Outcome{Answered: true, Tokens: 2} }
+
+// Guards against coordinated omission: a system that stalls for a second is charged for all requests of that second.
+func TestLatencyFromIntendedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &stalled{until: time.Now().Add(time.Second), outcome: answered}
+		r := Run(t.Context(), Settings{Callers: []Sender{s}}, slices.Values(plan(200, 10*time.Millisecond)))
+		sum := r.Summaries()
+		require.Len(t, sum, 2)
+		require.Equal(t, AllLabel, sum[1].Label)
+		got := sum[0].FirstToken
+		require.EqualValues(t, 200, got.Count)
+		require.InDelta(t, 0, got.P50, 10)
+		require.InEpsilon(t, 900, got.P95, 0.02)
+		require.InEpsilon(t, 1000, got.Max, 0.001)
+		require.EqualValues(t, 400, sum[0].Counts.Tokens)
+		require.InEpsilon(t, 200/1.99, sum[0].Rate, 0.001)
+	})
+}
+
+// Guards against outcomes that are counted twice, not at all, or with the wrong ones.
+func TestCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outcomes := []caller.Outcome{
+			{Answered: true, Gaps: []time.Duration{time.Millisecond}}, {Answered: true, Wrong: "repeated"},
+			{Refusal: &wire.ErrorDetail{Code: "queue-full"}}, {Err: errors.New("reset")},
+		}
+		s := &stalled{until: time.Now().Add(time.Second)}
+		s.outcome = func(*caller.Request) caller.Outcome {
+			o := outcomes[0]
+			outcomes = outcomes[1:]
+			return o
+		}
+		p := plan(5, 0)
+		for i := range p {
+			p[i].At = time.Duration(i)
+		}
+		r := Run(t.Context(), Settings{Callers: []Sender{lockstep(s)}, MaxInFlight: 4}, slices.Values(p))
+		c := r.Summaries()[0].Counts
+		require.Equal(t, Counts{
+			Answered: 1, Wrong: 1, Refused: map[string]int64{"queue-full": 1}, Lost: 1, NotSent: 1, Attempts: 4,
+		}, c)
+		require.EqualValues(t, 5, c.Sum())
+		require.EqualValues(t, 1, r.Summaries()[0].TokenGap.Count)
+	})
+}
+
+// lockstep lets one request at a time through.
+func lockstep(s Sender) Sender { return &serial{s: s, turn: make(chan struct{}, 1)} }
+
+type serial struct {
+	s    Sender
+	turn chan struct{}
+}
+
+func (s *serial) DoFrom(ctx context.Context, r *caller.Request, intended time.Time) caller.Outcome {
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
+	return s.s.DoFrom(ctx, r, intended)
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/load/results.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"toucanway/cmd/toucanway-lab/internal/caller"
+)
+
+const (
+	lowestLatency  = time.Microsecond
+	highestLatency = 10 * time.Minute
+	// significantDigits keeps each recorded value within 0.1% of the measured one.
+	significantDigits = 3
+)
+
+// AllLabel is the label of the summary of all requests.
+const AllLabel = "all"
+
+// Results collect the outcomes of a run by label. They are safe for concurrent use.
+type Results struct {
+	mu     sync.Mutex
+	series map[string]*series
+	took   time.Duration
+}
+
+type series struct {
+	counts            Counts
+	first, total, gap *hdrhistogram.Histogram
+}
+
+// Counts are how requests ended; each request is counted once, except in Attempts and Tokens.
+type Counts struct {
+	Answered int64            `json:"answered"`
+	Wrong    int64            `json:"wrong"`
+	Refused  map[string]int64 `json:"refused,omitempty"`
+	Lost     int64            `json:"lost"`
+	NotSent  int64            `json:"not-sent"`
+	Attempts int64            `json:"attempts"`
+	Tokens   int64            `json:"tokens"`
+	Cached   int64            `json:"cached-tokens"`
+}
+
+// Sum returns the number of requests.
+func (c *Counts) Sum() int64 {
+	n := c.Answered + c.Wrong + c.Lost + c.NotSent
+	for _, v := range c.Refused {
+		n += v
+	}
+	return n
+}
+
+// Percentiles are times in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+// Summary is the result of one label. Latencies are those of requests that were answered rightly.
+type Summary struct {
+	Label      string      `json:"label"`
+	Counts     Counts      `json:"counts"`
+	FirstToken Percentiles `json:"first-token-ms"`
+	Total      Percentiles `json:"total-ms"`
+	TokenGap   Percentiles `json:"token-gap-ms"`
+	// Rate is the number of rightly answered requests a second.
+	Rate float64 `json:"rate"`
+}
+
+// NewResults returns empty results.
+func NewResults() *Results { return &Results{series: map[string]*series{}} }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency.Microseconds(), highestLatency.Microseconds(), significantDigits)
+}
+
+// of returns the series of a label; it is called with the results locked.
+func (r *Results) of(label string) *series {
+	s, ok := r.series[label]
+	if !ok {
+		s = &series{counts: Counts{Refused: map[string]int64{}}, first: newHistogram(), total: newHistogram(), gap: newHistogram()}
+		r.series[label] = s
+	}
+	return s
+}
+
+// NotSent counts a request that was planned and not sent.
+func (r *Results) NotSent(label string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range []string{label, AllLabel} {
+		r.of(l).counts.NotSent++
+	}
+}
+
+// Add counts the outcome of a request.
+func (r *Results) Add(label string, o *caller.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range []string{label, AllLabel} {
+		r.of(l).add(o)
+	}
+}
+
+// Took sets the duration of the run.
+func (r *Results) Took(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.took = d
+}
+
+func (s *series) add(o *caller.Outcome) {
+	c := &s.counts
+	c.Attempts += int64(o.Attempts)
+	switch {
+	case o.Answered && o.Wrong == "":
+		c.Answered++
+		c.Tokens += int64(o.Tokens)
+		c.Cached += int64(o.CachedTokens)
+		record(s.first, o.FirstToken)
+		record(s.total, o.Total)
+		for _, g := range o.Gaps {
+			record(s.gap, g)
+		}
+	case o.Answered:
+		c.Wrong++
+	case o.Refusal != nil:
+		c.Refused[string(o.Refusal.Code)]++
+	default:
+		c.Lost++
+	}
+}
+
+// record rounds times outside of the histogram's range to its ends.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	d = min(max(d, lowestLatency), highestLatency)
+	_ = h.RecordValue(d.Microseconds())
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Percentiles{
+		Count: h.TotalCount(), Mean: h.Mean() / 1000,
+		P50: ms(50), P90: ms(90), P95: ms(95), P99: ms(99), P999: ms(99.9), Max: float64(h.Max()) / 1000,
+	}
+}
+
+// Summaries returns the result of each label, ordered by label with that of all requests last.
+func (r *Results) Summaries() []Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	labels := slices.DeleteFunc(slices.Sorted(maps.Keys(r.series)), func(l string) bool { return l == AllLabel })
+	if _, ok := r.series[AllLabel]; ok {
+		labels = append(labels, AllLabel)
+	}
+	var out []Summary
+	for _, l := range labels {
+		s := r.series[l]
+		sum := Summary{
+			Label: l, Counts: s.counts, FirstToken: percentiles(s.first), Total: percentiles(s.total), TokenGap: percentiles(s.gap),
+		}
+		sum.Counts.Refused = maps.Clone(s.counts.Refused)
+		if r.took > 0 {
+			sum.Rate = float64(s.counts.Answered) / r.took.Seconds()
+		}
+		out = append(out, sum)
+	}
+	return out
+}
