--- a/cmd/toucanway-lab/internal/caller/attempt.go
+++ b/cmd/toucanway-lab/internal/caller/attempt.go
@@ -18,6 +18,9 @@
 	"toucanway/core/fleet"
 )
 
+// maxNumber separates the attempts of one sending of a key from those of the next.
+const maxNumber = 1000
+
 // maxAnswer bounds an answer that is not streamed.
 const maxAnswer = 16 << 20
 
@@ -25,7 +28,7 @@
 func (c *Client) attempt(
 	ctx context.Context, r *Request, host string, n int, remaining time.Duration, intended time.Time, o *Outcome,
 ) {
-	id := history.Attempt{Key: r.Key, Number: n}
+	id := history.Attempt{Key: r.Key, Number: r.Resend*maxNumber + n}
 	h := c.settings.History
 	h.Add(history.RequestInvoked{Attempt: id, Host: c.hostID(host), Deadline: remaining, Once: r.Once})
 	a := &answer{request: r, began: time.Now(), outcome: o}
@@ -106,7 +109,7 @@
 	}
 	// Without a way to read the body again net/http never resends a request by itself, which would hide a second run.
 	req.GetBody = nil
-	c.authorize(req)
+	c.authorize(req, r.Credential)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	if r.Once {
--- a/cmd/toucanway-lab/internal/caller/client.go
+++ b/cmd/toucanway-lab/internal/caller/client.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -189,7 +190,7 @@
 		if tried[host] {
 			continue
 		}
-		a, err := c.ask(ctx, host, query)
+		a, err := c.ask(ctx, host, query, r)
 		if err != nil {
 			tried[host] = true
 			continue
@@ -209,14 +210,14 @@
 	return nil
 }
 
-func (c *Client) ask(ctx context.Context, host, query string) (wire.Advice, error) {
+func (c *Client) ask(ctx context.Context, host, query string, r *Request) (wire.Advice, error) {
 	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/v1/hosts?"+query, http.NoBody)
 	if err != nil {
 		return wire.Advice{}, err
 	}
-	c.authorize(req)
+	c.authorize(req, r.Credential)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return wire.Advice{}, err
@@ -232,9 +233,9 @@
 	return a, nil
 }
 
-func (c *Client) authorize(req *http.Request) {
-	if c.settings.Credential != "" {
-		req.Header.Set("Authorization", "Bearer "+c.settings.Credential)
+func (c *Client) authorize(req *http.Request, credential string) {
+	if credential = cmp.Or(credential, c.settings.Credential); credential != "" {
+		req.Header.Set("Authorization", "Bearer "+credential)
 	}
 }
 
--- a/cmd/toucanway-lab/internal/caller/request.go
+++ b/cmd/toucanway-lab/internal/caller/request.go
@@ -17,6 +17,10 @@
 	Label string
 	// Once says that the request must not run twice; it is sent with its key as Idempotency-Key.
 	Once bool
+	// Resend numbers the times that the person behind the caller sends the same key again; it tells their attempts apart.
+	Resend int
+	// Credential replaces that of the caller when it is not empty.
+	Credential string
 	// Deadline is the time that the caller waits for the beginning of the answer, counted from the intended send time.
 	Deadline time.Duration
 
--- /dev/null
+++ b/cmd/toucanway-lab/internal/workload/workload_test.go
@@ -0,0 +1,68 @@
+package workload
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/load"
+	"toucanway/core/fleet"
+)
+
+const seed = 7
+
+// Guards against plans that differ between runs, are out of order, or miss what makes the workload hard: stragglers,
+// resends, bursts for idle models from many callers, and swings.
+func TestPlan(t *testing.T) {
+	t.Log("seed", seed)
+	for _, org := range []Organisation{KopiLintasData(), Auditoria()} {
+		t.Run(org.Name, func(t *testing.T) {
+			s := Settings{Seed: seed, Duration: 2 * time.Minute, Rate: 50}
+			got := slices.Collect(org.Plan(s))
+			require.True(t, reflect.DeepEqual(got, slices.Collect(org.Plan(s))), "same seed, same plan")
+			require.True(t, slices.IsSortedFunc(got, func(a, b load.Planned) int { return int(a.At - b.At) }))
+			labels := map[string]int{}
+			keys := map[history.Key]int{}
+			callers := map[int]bool{}
+			models := map[fleet.ModelID]int{}
+			for _, p := range got {
+				labels[p.Request.Label]++
+				keys[p.Request.Key]++
+				models[p.Request.Target.Model]++
+				if p.Request.Label == "burst" {
+					callers[p.Caller] = true
+				}
+				require.Equal(t, keys[p.Request.Key] > 1, p.Request.Resend > 0)
+			}
+			require.Equal(t, 6*30, labels["burst"]+labels["burst-straggler"])
+			require.Greater(t, len(callers), 80)
+			// The number of Poisson arrivals is within five standard deviations of its mean.
+			require.InDelta(t, 50*120, len(keys)-6*30, 5*78)
+			for _, c := range org.Calls {
+				require.Positive(t, labels[c.Label], c.Label)
+				if c.Service == "" {
+					require.Positive(t, labels[c.Label+"-straggler"], c.Label)
+				}
+				if c.Once {
+					require.Positive(t, labels[c.Label+"-resend"], c.Label)
+				}
+			}
+			require.Greater(t, models[org.Model(0)], 10*models[org.Model(org.Models/2)])
+		})
+	}
+}
+
+// Guards against swings that are too slow or do not reach a multiple of the low level.
+func TestSwing(t *testing.T) {
+	w := newSwing(Settings{Seed: seed, Duration: 5 * time.Minute})
+	low, high := w.factor(0), w.factor(0)
+	for at := time.Duration(0); at < 5*time.Minute; at += time.Second {
+		low, high = min(low, w.factor(at)), max(high, w.factor(at))
+	}
+	require.Greater(t, high/low, 4.0)
+	require.Equal(t, 1.0, newSwing(Settings{Steady: true}).factor(time.Hour))
+}
