--- /dev/null
+++ b/cmd/toucanway-lab/internal/experiment/experiment.go
@@ -0,0 +1,111 @@
+// Package experiment compares variants of the system under the same seeded load. How a variant is run is plugged in.
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"toucanway/cmd/toucanway-lab/internal/load"
+	"toucanway/cmd/toucanway-lab/internal/report"
+)
+
+// Variant names one way to run the system.
+type Variant string
+
+// Runner starts the system and stand-ins as a variant, puts the load of the seed on it, and returns what was measured.
+type Runner interface {
+	Run(ctx context.Context, v Variant, seed uint64) (report.Side, error)
+}
+
+// Experiment is a baseline and a change whose difference is measured.
+type Experiment struct {
+	Name string
+	// Question is what the experiment answers, as one sentence.
+	Question         string
+	Baseline, Change Variant
+	Runner           Runner
+}
+
+// ErrUnknown reports a name without an experiment.
+var ErrUnknown = errors.New("no such experiment")
+
+// Find returns the experiment of a name.
+func Find(all []Experiment, name string) (Experiment, error) {
+	for _, e := range all {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	names := make([]string, 0, len(all))
+	for _, e := range all {
+		names = append(names, e.Name)
+	}
+	return Experiment{}, fmt.Errorf("%w: %q; choose one of: %s", ErrUnknown, name, strings.Join(names, ", "))
+}
+
+// Run runs both variants once for each seed, alternating which goes first, and returns a comparison for each seed.
+func (e *Experiment) Run(ctx context.Context, seeds []uint64) ([]report.Comparison, error) {
+	var out []report.Comparison
+	for i, seed := range seeds {
+		order := []Variant{e.Baseline, e.Change}
+		if i%2 == 1 {
+			slices.Reverse(order)
+		}
+		sides := map[Variant]report.Side{}
+		for _, v := range order {
+			side, err := e.Runner.Run(ctx, v, seed)
+			if err != nil {
+				return out, fmt.Errorf("experiment %s, variant %s, seed %d: %w", e.Name, v, seed, err)
+			}
+			side.Name = string(v)
+			sides[v] = side
+		}
+		out = append(out, report.Comparison{
+			Title: fmt.Sprintf("%s, seed %d", e.Name, seed), Baseline: sides[e.Baseline], Change: sides[e.Change],
+		})
+	}
+	return out, nil
+}
+
+// Write writes the tables to w and, unless the directory is empty, the results as JSON and plots into it.
+func (e *Experiment) Write(w io.Writer, directory string, results []report.Comparison) error {
+	for i := range results {
+		if err := results[i].Table().WriteText(w); err != nil {
+			return err
+		}
+	}
+	if directory == "" {
+		return nil
+	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
+	err := create(filepath.Join(directory, e.Name+".json"), func(w io.Writer) error { return report.WriteJSON(w, results) })
+	if err != nil {
+		return err
+	}
+	for i := range results {
+		name := fmt.Sprintf("%s-%d-first-token-p99.png", e.Name, i+1)
+		err := create(filepath.Join(directory, name), func(w io.Writer) error {
+			return results[i].LatencyBars(w, "first token p99", func(s load.Summary) float64 { return s.FirstToken.P99 })
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func create(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/report/compare.go
@@ -0,0 +1,97 @@
+package report
+
+import (
+	"maps"
+	"slices"
+
+	"toucanway/cmd/toucanway-lab/internal/load"
+)
+
+// Side is one variant of an experiment: its load results by label and its other values by name.
+type Side struct {
+	Name      string             `json:"name"`
+	Summaries []load.Summary     `json:"summaries,omitempty"`
+	Values    map[string]float64 `json:"values,omitempty"`
+}
+
+// Comparison is a baseline and a change under the same load.
+type Comparison struct {
+	Title    string `json:"title"`
+	Baseline Side   `json:"baseline"`
+	Change   Side   `json:"change"`
+}
+
+// Measure is one value of both sides.
+type Measure struct {
+	Name             string
+	Baseline, Change float64
+}
+
+// Ratio returns the change divided by the baseline, and false when the baseline is zero.
+func (m Measure) Ratio() (float64, bool) {
+	if m.Baseline == 0 {
+		return 0, false
+	}
+	return m.Change / m.Baseline, true
+}
+
+// Measures returns the values that both sides have, by label and then by name.
+func (c *Comparison) Measures() []Measure {
+	var out []Measure
+	for _, b := range c.Baseline.Summaries {
+		i := slices.IndexFunc(c.Change.Summaries, func(s load.Summary) bool { return s.Label == b.Label })
+		if i < 0 {
+			continue
+		}
+		before, after := summaryValues(b), summaryValues(c.Change.Summaries[i])
+		for j, name := range summaryNames {
+			out = append(out, Measure{Name: b.Label + " " + name, Baseline: before[j], Change: after[j]})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Baseline.Values)) {
+		if v, ok := c.Change.Values[name]; ok {
+			out = append(out, Measure{Name: name, Baseline: c.Baseline.Values[name], Change: v})
+		}
+	}
+	return out
+}
+
+// summaryNames name what summaryValues returns.
+var summaryNames = [...]string{
+	"answered", "not answered", "wrong", "answered/s", "first token p50 ms", "first token p95 ms", "first token p99 ms",
+	"total p50 ms", "total p99 ms", "token gap p95 ms",
+}
+
+func summaryValues(s load.Summary) [len(summaryNames)]float64 {
+	c := s.Counts
+	return [...]float64{
+		float64(c.Answered), float64(c.Sum() - c.Answered - c.Wrong), float64(c.Wrong), s.Rate,
+		s.FirstToken.P50, s.FirstToken.P95, s.FirstToken.P99, s.Total.P50, s.Total.P99, s.TokenGap.P95,
+	}
+}
+
+// Table returns both sides with the ratio of the change to the baseline.
+func (c *Comparison) Table() *Table {
+	t := &Table{Title: c.Title, Columns: []string{"measure", c.Baseline.Name, c.Change.Name, "ratio"}}
+	for _, m := range c.Measures() {
+		ratio := "-"
+		if r, ok := m.Ratio(); ok {
+			ratio = Cell(r)
+		}
+		t.Add(m.Name, m.Baseline, m.Change, ratio)
+	}
+	return t
+}
+
+// Summaries returns load results as a table.
+func Summaries(title string, summaries []load.Summary) *Table {
+	t := &Table{Title: title, Columns: append([]string{"label"}, summaryNames[:]...)}
+	for _, s := range summaries {
+		row := []any{s.Label}
+		for _, v := range summaryValues(s) {
+			row = append(row, v)
+		}
+		t.Add(row...)
+	}
+	return t
+}
