--- a/cmd/toucanway-lab/internal/caller/client.go
+++ b/cmd/toucanway-lab/internal/caller/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
 	"toucanway/io/network"
@@ -107,7 +108,7 @@
 		if o.Refusal == nil {
 			tried[host] = true
 		}
-		if !pause(ctx, wait) {
+		if pause.For(ctx, wait) != nil {
 			break
 		}
 	}
@@ -246,17 +247,6 @@
 	return c.settings.HostID(address)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 var (
 	errIdle   = errors.New("no part of the answer came in time")
 	errNoTime = errors.New("no entry host was found before the deadline")
--- a/cmd/toucanway-lab/internal/commands/commands.go
+++ b/cmd/toucanway-lab/internal/commands/commands.go
@@ -1,4 +1,3 @@
-// Package commands is the command tree of toucanway-lab; it parses, calls and prints.
 package commands
 
 import (
--- a/cmd/toucanway-lab/internal/engine/engine_test.go
+++ b/cmd/toucanway-lab/internal/engine/engine_test.go
@@ -325,3 +325,26 @@
 		require.Contains(t, body, "refused")
 	})
 }
+
+// Guards against runs that hold their slot and memory after their client is gone.
+func TestClientLeaves(t *testing.T) {
+	withEngine(t, nil, func(r *rig) {
+		t := r.T
+		r.load(1, "m")
+		body, err := json.Marshal(wire.Completion{Model: "m", Prompt: tokens.Mark(1000), Stream: true})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.engine.Address()+"/v1/completions", bytes.NewReader(body))
+		require.NoError(t, err)
+		resp, err := r.client.Do(req)
+		require.NoError(t, err)
+		_, err = wire.NewDecoder(resp.Body).Next()
+		require.NoError(t, err)
+		require.Len(t, r.engine.Inventory().Running, 1)
+		cancel()
+		require.NoError(t, resp.Body.Close())
+		time.Sleep(5 * DefaultTokenInterval)
+		synctest.Wait()
+		require.Empty(t, r.engine.Inventory().Running)
+	})
+}
--- a/cmd/toucanway-lab/internal/engine/orders.go
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -10,7 +10,7 @@
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
 )
@@ -182,7 +182,7 @@
 	f := p.engine.Faults.Get()
 	work := f.Scale(p.settings.model(id).Load[tier])
 	if f.CrashOnLoad {
-		if err := store.Sleep(ctx, work/2); err != nil {
+		if err := pause.For(ctx, work/2); err != nil {
 			return err
 		}
 		f.CrashOnLoad = false
@@ -193,7 +193,7 @@
 	if tier == fleet.TierRemote {
 		return p.settings.Store.Load(ctx, work)
 	}
-	return store.Sleep(ctx, work)
+	return pause.For(ctx, work)
 }
 
 // unload waits for the model's runs to end and frees its memory and that of its adapters.
--- a/cmd/toucanway-lab/internal/engine/run.go
+++ b/cmd/toucanway-lab/internal/engine/run.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
 	"toucanway/core/fleet"
 )
@@ -137,7 +137,7 @@
 		p.engine.End(p.life)
 		return errCrashed
 	}
-	return store.Sleep(r.ctx, f.Late)
+	return pause.For(r.ctx, f.Late)
 }
 
 // generate emits the tokens of an answer in their time.
@@ -146,7 +146,7 @@
 	delay := time.Duration(prefill) * p.settings.PrefillPerToken
 	for i := r.from; i < r.length; i++ {
 		f := p.engine.Faults.Get()
-		if err := store.Sleep(r.ctx, f.Scale(delay)); err != nil {
+		if err := pause.For(r.ctx, f.Scale(delay)); err != nil {
 			return err
 		}
 		if p.engine.Faults.Get().Mute {
--- /dev/null
+++ b/cmd/toucanway-lab/internal/history/doc.go
@@ -0,0 +1,3 @@
+// Package history records what callers, entry hosts, backend servers and operators did in one run, as the checker reads
+// it afterwards.
+package history
--- a/cmd/toucanway-lab/internal/load/load_test.go
+++ b/cmd/toucanway-lab/internal/load/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 }
 
 func (s *stalled) DoFrom(ctx context.Context, r *caller.Request, intended time.Time) caller.Outcome {
-	sleepUntil(ctx, s.until)
+	_ = pause.Until(ctx, s.until)
 	o := s.outcome(r)
 	o.Attempts = 1
 	o.FirstToken, o.Total = time.Since(intended), time.Since(intended)
--- a/cmd/toucanway-lab/internal/load/run.go
+++ b/cmd/toucanway-lab/internal/load/run.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 )
 
 // DefaultMaxInFlight bounds the requests under way; those planned beyond are counted as not sent.
@@ -47,7 +48,7 @@
 	var g errgroup.Group
 	for p := range plan {
 		intended := begin.Add(p.At)
-		if !sleepUntil(ctx, intended) {
+		if pause.Until(ctx, intended) != nil {
 			break
 		}
 		if inFlight.Load() >= int64(s.MaxInFlight) {
@@ -66,18 +67,3 @@
 	results.Took(time.Since(begin))
 	return results
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time or for the end of a context, whichever comes first.
+package pause
--- /dev/null
+++ b/cmd/toucanway-lab/internal/pause/pause.go
@@ -0,0 +1,24 @@
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a duration, or returns the error of the context when that ends first.
+func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Until waits until a time, or returns the error of the context when that ends first.
+func Until(ctx context.Context, at time.Time) error { return For(ctx, time.Until(at)) }
--- a/cmd/toucanway-lab/internal/service/service.go
+++ b/cmd/toucanway-lab/internal/service/service.go
@@ -1,5 +1,3 @@
-// Package service is a stand-in plain service. It counts what it ran by a key in the body and keeps the counts across
-// crashes, as the ledger or the order book behind a real service does.
 package service
 
 import (
@@ -13,7 +11,7 @@
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
 	"toucanway/io/network"
@@ -130,7 +128,7 @@
 		v.End(life)
 		return
 	}
-	if err := store.Sleep(life.Context(), f.Scale(v.settings.Delay)+f.Late); err != nil {
+	if err := pause.For(life.Context(), f.Scale(v.settings.Delay)+f.Late); err != nil {
 		return
 	}
 	if f.Swap {
--- a/cmd/toucanway-lab/internal/store/store.go
+++ b/cmd/toucanway-lab/internal/store/store.go
@@ -1,5 +1,3 @@
-// Package store stands in for the weight store that backend servers load checkpoints and adapters from. It allows a
-// number of starts a second and a number of transfers at full speed; more transfers share that speed.
 package store
 
 import (
@@ -7,6 +5,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"toucanway/cmd/toucanway-lab/internal/pause"
 )
 
 // Settings describe a weight store. Zero fields mean no limit.
@@ -46,7 +46,7 @@
 
 // Load transfers a checkpoint that takes the given time at full speed, and waits for its start before.
 func (s *Store) Load(ctx context.Context, work time.Duration) error {
-	if err := Sleep(ctx, time.Until(s.reserve())); err != nil {
+	if err := pause.Until(ctx, s.reserve()); err != nil {
 		return err
 	}
 	return s.models.Run(ctx, work)
@@ -178,18 +178,3 @@
 		s.schedule()
 	})
 }
-
-// Sleep waits, or returns the error of the context when that ends first.
-func Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
