ledger: at-most-once records; hosts: connect-go client and server

Cause: non-idempotent requests need a commit at dispatch and one with the answer; hosts need a call path. Change: core/ledger state machine with abandon and unknown outcomes; io/hosts with a CBOR codec over HTTP/2. Result: rapid test of command orders finds no second dispatch right; no cost figures yet.

--- /dev/null
+++ b/core/ledger/doc.go
@@ -0,0 +1,5 @@
+// Package ledger is the replicated state machine that makes non-idempotent requests run at most once.
+//
+// A request is dispatched only after its dispatch record is committed, and its answer is committed before it is given.
+// Apply is deterministic and reads no clock: age is counted by Advance commands of the group's leader.
+package ledger
--- /dev/null
+++ b/core/ledger/machine_test.go
@@ -0,0 +1,109 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/fleet"
+)
+
+func attempt(host string, n uint64) Attempt {
+	return Attempt{Host: fleet.HostID(host), Incarnation: 1, Number: n}
+}
+
+func apply(t require.TestingT, m *Machine, c Command) Result {
+	data, err := Encode(c)
+	require.NoError(t, err)
+	res, err := DecodeResult(m.Apply(1, data))
+	require.NoError(t, err)
+	return res
+}
+
+func TestRecordTransitions(t *testing.T) {
+	key := Key{Tenant: "t", Key: "k"}
+	a, b := attempt("h1", 1), attempt("h2", 1)
+	dispatchA := &Dispatch{Key: key, Fingerprint: 7, Attempt: a}
+	dispatchB := &Dispatch{Key: key, Fingerprint: 7, Attempt: b}
+	answer := Answer{Status: 200, Body: []byte("ok")}
+	tests := map[string]struct {
+		before []Command
+		last   Command
+		want   Verdict
+	}{
+		"first dispatch runs":                        {nil, dispatchA, VerdictAccepted},
+		"resend at another host does not run":        {[]Command{dispatchA}, dispatchB, VerdictRunning},
+		"resent commit of one attempt is accepted":   {[]Command{dispatchA}, dispatchA, VerdictAccepted},
+		"other body under the key is refused":        {[]Command{dispatchA}, &Dispatch{Key: key, Fingerprint: 8, Attempt: b}, VerdictMismatch},
+		"resend gets the answer":                     {[]Command{dispatchA, &Complete{key, a, answer}}, dispatchB, VerdictAnswered},
+		"unknown outcome never runs again":           {[]Command{dispatchA, &MarkUnknown{key, a}}, dispatchB, VerdictUnknown},
+		"late answer settles an unknown outcome":     {[]Command{dispatchA, &MarkUnknown{key, a}}, &Complete{key, a, answer}, VerdictAccepted},
+		"abandoned attempt cannot be dispatched":     {[]Command{&Abandon{key, 7, a}}, dispatchA, VerdictAbandoned},
+		"resend after a refusal runs":                {[]Command{&Abandon{key, 7, a}}, dispatchB, VerdictAccepted},
+		"abandon of a running resend's rival":        {[]Command{dispatchB, &Abandon{key, 7, a}, &Abandon{key, 7, b}}, dispatchA, VerdictAbandoned},
+		"abandon after the answer tells the answer":  {[]Command{dispatchA, &Complete{key, a, answer}}, &Abandon{key, 7, a}, VerdictAnswered},
+		"death of the dispatching host is unknown":   {[]Command{dispatchA, &CloseHost{"h1", 1}}, dispatchB, VerdictUnknown},
+		"death of another host changes nothing":      {[]Command{dispatchA, &CloseHost{"h2", 1}}, dispatchB, VerdictRunning},
+		"answer of another attempt is not stored":    {[]Command{dispatchA}, &Complete{key, b, answer}, VerdictStale},
+		"running request is kept past the retention": {[]Command{dispatchA, &Advance{time.Hour, time.Minute}}, dispatchB, VerdictRunning},
+		"record is kept inside the retention":        {[]Command{dispatchA, &Complete{key, a, answer}, &Advance{time.Minute, time.Minute}}, dispatchB, VerdictAnswered},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var m Machine
+			for _, c := range tc.before {
+				apply(t, &m, c)
+			}
+			require.Equal(t, tc.want, apply(t, &m, tc.last).Verdict)
+		})
+	}
+}
+
+// Guards against forgetting a key inside its retention, or running a new one, when the ledger is full.
+func TestFullLedgerRefusesNewKeys(t *testing.T) {
+	m := Machine{MaxRecords: 1}
+	apply(t, &m, &Dispatch{Key: Key{Key: "a"}, Attempt: attempt("h", 1)})
+	require.Equal(t, VerdictFull, apply(t, &m, &Dispatch{Key: Key{Key: "b"}, Attempt: attempt("h", 2)}).Verdict)
+	require.Equal(t, VerdictRunning, apply(t, &m, &Dispatch{Key: Key{Key: "a"}, Attempt: attempt("h", 3)}).Verdict)
+}
+
+// Guards against two dispatch rights for one key, and a dispatch of an abandoned attempt, in any order of commands with
+// a snapshot taken at any point.
+func TestAtMostOneDispatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Machine{}
+		key := Key{Tenant: "t", Key: "k"}
+		granted := map[Attempt]bool{}
+		abandoned := map[Attempt]bool{}
+		gen := rapid.Custom(func(t *rapid.T) Attempt {
+			return attempt(rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "host"), rapid.Uint64Range(1, 2).Draw(t, "n"))
+		})
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			a := gen.Draw(t, "attempt")
+			switch rapid.IntRange(0, 5).Draw(t, "command") {
+			case 0, 1:
+				if apply(t, m, &Dispatch{Key: key, Fingerprint: 7, Attempt: a}).Verdict == VerdictAccepted {
+					require.False(t, abandoned[a], "abandoned attempt %v was dispatched", a)
+					granted[a] = true
+				}
+			case 2:
+				if apply(t, m, &Abandon{key, 7, a}).Verdict == VerdictAccepted {
+					abandoned[a] = true
+					delete(granted, a)
+				}
+			case 3:
+				apply(t, m, &Complete{key, a, Answer{Status: 200}})
+			case 4:
+				apply(t, m, &MarkUnknown{key, a})
+			case 5:
+				data, err := m.Snapshot()
+				require.NoError(t, err)
+				m = &Machine{}
+				require.NoError(t, m.Restore(1, data))
+			}
+			require.LessOrEqual(t, len(granted), 1, "two attempts may run: %v", granted)
+		}
+	})
+}
--- /dev/null
+++ b/io/hosts/client.go
@@ -0,0 +1,101 @@
+package hosts
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"toucanway/core/fleet"
+	"toucanway/io/network"
+)
+
+// Bounds of calls between hosts.
+const (
+	// HeartbeatInterval and HeartbeatTimeout bound how long a silent connection is trusted.
+	HeartbeatInterval = 500 * time.Millisecond
+	HeartbeatTimeout  = time.Second
+	// MaxMessageBytes holds a whole configuration document in a snapshot chunk.
+	MaxMessageBytes = 8 << 20
+
+	headerHost = "X-Toucanway-Host"
+)
+
+// Client calls procedures of other hosts; it is safe for concurrent use.
+type Client struct {
+	self      fleet.HostID
+	scheme    string
+	transport *http.Transport
+
+	mu      sync.Mutex
+	clients map[string]any
+}
+
+// NewClient returns a client that dials by the network; without TLS settings it speaks cleartext HTTP/2.
+func NewClient(self fleet.HostID, n network.Network, tlsConfig *tls.Config) *Client {
+	var protocols http.Protocols
+	scheme := "http"
+	if tlsConfig != nil {
+		scheme = "https"
+		protocols.SetHTTP2(true)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	return &Client{
+		self:   self,
+		scheme: scheme,
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return n.Dial(ctx, address)
+			},
+			TLSClientConfig:     tlsConfig,
+			TLSHandshakeTimeout: network.DialTimeout,
+			Protocols:           &protocols,
+			IdleConnTimeout:     time.Minute,
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout:  HeartbeatInterval,
+				PingTimeout:      HeartbeatTimeout,
+				WriteByteTimeout: HeartbeatTimeout,
+			},
+		},
+		clients: map[string]any{},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Call carries out one procedure on the host at an address, IP:PORT; the context must have a deadline.
+func Call[Req, Res any](ctx context.Context, c *Client, address, procedure string, req *Req) (*Res, error) {
+	r := connect.NewRequest(req)
+	r.Header().Set(headerHost, string(c.self))
+	res, err := clientFor[Req, Res](c, address, procedure).CallUnary(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+func clientFor[Req, Res any](c *Client, address, procedure string) *connect.Client[Req, Res] {
+	url := c.scheme + "://" + address + procedure
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v, ok := c.clients[url]; ok {
+		return v.(*connect.Client[Req, Res])
+	}
+	v := connect.NewClient[Req, Res](&http.Client{Transport: c.transport}, url,
+		connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(MaxMessageBytes))
+	c.clients[url] = v
+	return v
+}
+
+// Unreachable reports whether a call failed before the other host can have carried it out.
+func Unreachable(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/io/hosts/codec.go
@@ -0,0 +1,17 @@
+package hosts
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// cborCodec encodes the messages of all procedures; it implements connect.Codec.
+type cborCodec struct{}
+
+// Name returns the codec's name in content types.
+func (cborCodec) Name() string { return "cbor" }
+
+// Marshal returns a message's CBOR form.
+func (cborCodec) Marshal(msg any) ([]byte, error) { return cbor.Marshal(msg) }
+
+// Unmarshal fills a message from its CBOR form.
+func (cborCodec) Unmarshal(data []byte, msg any) error { return cbor.Unmarshal(data, msg) }
--- /dev/null
+++ b/io/hosts/server.go
@@ -0,0 +1,78 @@
+package hosts
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/core/fleet"
+)
+
+// drainTimeout bounds how long calls under way may go on when the server stops.
+const drainTimeout = 2 * time.Second
+
+// maxConcurrentCalls bounds the calls under way on one connection; waiting capacity requests hold one each.
+const maxConcurrentCalls = 10000
+
+// Server answers calls of other hosts; register procedures with Handle before Run.
+type Server struct {
+	mux http.ServeMux
+}
+
+// Handle registers the function that answers a procedure; from is the calling host.
+func Handle[Req, Res any](s *Server, procedure string, f func(ctx context.Context, from fleet.HostID, req *Req) (*Res, error)) {
+	h := connect.NewUnaryHandler(procedure, func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+		res, err := f(ctx, fleet.HostID(r.Header().Get(headerHost)), r.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(res), nil
+	}, connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(MaxMessageBytes))
+	s.mux.Handle(procedure, h)
+}
+
+// Run serves the listener until the context ends, then lets calls under way finish within a bound.
+func (s *Server) Run(ctx context.Context, l net.Listener, tlsConfig *tls.Config) error {
+	var protocols http.Protocols
+	if tlsConfig != nil {
+		l = tls.NewListener(l, tlsConfig)
+		protocols.SetHTTP2(true)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	srv := &http.Server{
+		Handler:           &s.mux,
+		ReadHeaderTimeout: HeartbeatTimeout,
+		IdleTimeout:       time.Minute,
+		Protocols:         &protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxConcurrentCalls,
+			SendPingTimeout:      HeartbeatInterval,
+			PingTimeout:          HeartbeatTimeout,
+			WriteByteTimeout:     HeartbeatTimeout,
+		},
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+		defer cancel()
+		if err := srv.Shutdown(stop); err != nil {
+			return srv.Close()
+		}
+		return nil
+	})
+	return g.Wait()
+}
