--- a/core/fleet/backend.go
+++ b/core/fleet/backend.go
@@ -11,14 +11,6 @@
 	KindService
 )
 
-// String returns the kind as backend servers announce it.
-func (k Kind) String() string {
-	if k == KindService {
-		return "service"
-	}
-	return "engine"
-}
-
 // Announcement is what a backend server says of itself, repeated once a second.
 type Announcement struct {
 	ID          BackendID   `cbor:"1,keyasint" json:"id"`
@@ -52,18 +44,6 @@
 	TierRemote
 )
 
-// String returns the tier's name.
-func (t Tier) String() string {
-	switch t {
-	case TierMemory:
-		return "memory"
-	case TierDisk:
-		return "disk"
-	default:
-		return "remote"
-	}
-}
-
 // Role is the part of serving that a replica takes.
 type Role int
 
@@ -123,7 +103,7 @@
 	Running     int           `json:"running"`
 	Queued      int           `json:"queued"`
 	KVUsed      Bytes         `json:"kv-used"`
-	Age         time.Duration `json:"age"`
+	Age         time.Duration `json:"age-ns"`
 }
 
 // CacheEvent says that a prompt prefix was cached or evicted; events arrive late and with gaps in Seq.
@@ -158,7 +138,7 @@
 	Role     Role          `json:"role,omitempty"`
 	Memory   Bytes         `json:"memory"`
 	Fence    Fence         `json:"fence"`
-	Deadline time.Duration `json:"deadline"`
+	Deadline time.Duration `json:"deadline-ns"`
 }
 
 // OrderOutcome is how an order ended, as far as its sender knows.
