--- a/io/callers/watch.go
+++ b/io/callers/watch.go
@@ -17,7 +17,6 @@
 	mu      sync.Mutex
 	pending []byte
 	readErr error
-	done    chan struct{}
 }
 
 // Read returns the byte that the background read took before it reads the connection.
