--- a/core/config/document.go
+++ b/core/config/document.go
@@ -81,7 +81,12 @@
 )
 
 // String returns the way as written in the document.
-func (s Spread) String() string { return nameOf(spreadNames, int(s)) }
+func (s Spread) String() string {
+	if s < 0 || int(s) >= len(spreadNames) {
+		return "unknown"
+	}
+	return spreadNames[s]
+}
 
 // Model is a base model that engines can load.
 type Model struct {
--- /dev/null
+++ b/core/schema/problem.go
@@ -0,0 +1,61 @@
+package schema
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// MaxProblems bounds the problems reported of one text; the last one says that there are more.
+const MaxProblems = 200
+
+// Problem is one fault of a text and what to do about it.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Section string `json:"section,omitempty"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// String returns the problem as one line that editors can jump to.
+func (p Problem) String() string {
+	at := fmt.Sprintf("%s:%d: ", p.File, p.Line)
+	if p.Section != "" {
+		at += "section " + p.Section + ": "
+	}
+	return at + p.Message + "; " + p.Remedy
+}
+
+// Problems are all faults of a text in the order of its lines.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, x := range p {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns nil when there is no problem.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// sorted orders problems by line and drops those beyond the bound.
+func (p Problems) sorted() Problems {
+	slices.SortStableFunc(p, func(a, b Problem) int { return a.Line - b.Line })
+	if over := len(p) - MaxProblems; over > 0 {
+		p = p[:MaxProblems]
+		p = append(p, Problem{
+			File: p[0].File, Line: p[MaxProblems-1].Line,
+			Message: fmt.Sprintf("%d more problems are not shown", over), Remedy: "correct those above first",
+		})
+	}
+	return p
+}
