--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"toucanway/core/control"
 	"toucanway/core/fleet"
@@ -200,6 +201,19 @@
 	require.Len(t, Diff("", sample()).Sections, 6)
 }
 
+// Guards against hunks that do not give the new text when lines repeat, move, vanish and change; rapid prints its seed.
+func TestHunksGiveNewText(t *testing.T) {
+	text := rapid.Custom(func(t *rapid.T) string {
+		return strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"a\n", "b\n", "c\n", "d\n", "e\n", "  x\n", "\n"}), 0, 40).Draw(t, "lines"), "")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := text.Draw(t, "before"), text.Draw(t, "after")
+		got, ok := control.ApplyHunks(before, hunks(before, after))
+		require.True(t, ok)
+		require.Equal(t, after, got)
+	})
+}
+
 // Guards against a merge that loses a side's change, or that hides a conflict.
 func TestRebase(t *testing.T) {
 	models := strings.Replace(sample(), "14GiB", "15GiB", 1)
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/pmezard/go-difflib/difflib"
-
 	"toucanway/core/control"
 )
 
@@ -127,29 +125,6 @@
 	return out
 }
 
-// hunks returns the changed lines. Lines equal at both ends are left out before matching, whose time grows with the square
-// of the lines that repeat.
-func hunks(before, after string) []control.Hunk {
-	a, b := control.SplitLines(before), control.SplitLines(after)
-	head := 0
-	for head < len(a) && head < len(b) && a[head] == b[head] {
-		head++
-	}
-	tail := 0
-	for tail < len(a)-head && tail < len(b)-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
-		tail++
-	}
-	a, b = a[head:len(a)-tail], b[head:len(b)-tail]
-	var out []control.Hunk
-	for _, op := range difflib.NewMatcher(a, b).GetOpCodes() {
-		if op.Tag == 'e' {
-			continue
-		}
-		out = append(out, control.Hunk{Start: head + op.I1, End: head + op.I2, Lines: slices.Clone(b[op.J1:op.J2])})
-	}
-	return out
-}
-
 // Strings returns the names of sections as commands carry them.
 func Strings(sections []Section) []string {
 	out := make([]string, len(sections))
--- a/core/schema/decode.go
+++ b/core/schema/decode.go
@@ -340,13 +340,13 @@
 // bounds checks min, max and pattern; plain strings without a pattern must be names.
 func (d *decoder) bounds(n *yaml.Node, v reflect.Value, f *field) {
 	if v.Kind() == reflect.String {
-		pattern, remedy := d.planner.defaults, "use up to 96 letters, digits, dots, dashes and underscores, with a letter or digit at both ends"
+		matches, remedy := isName, "use up to 96 letters, digits, dots, dashes and underscores, with a letter or digit at both ends"
 		if f != nil && f.pattern != nil {
-			pattern, remedy = f.pattern, "write it in the form "+f.pattern.String()
+			matches, remedy = f.pattern.MatchString, "write it in the form "+f.pattern.String()
 		} else if _, own := d.planner.kinds[v.Type()]; own {
 			return
 		}
-		if !pattern.MatchString(n.Value) {
+		if !matches(n.Value) {
 			d.problem(n, fmt.Sprintf("%s: %s is not in the expected form", d.what(), quote(n.Value)), remedy)
 		}
 		return
--- a/core/schema/plan.go
+++ b/core/schema/plan.go
@@ -12,8 +12,25 @@
 	valueKey = "@value"
 )
 
-// namePattern is the form of names without a pattern of their own; a colon would make MODEL:ADAPTER ambiguous.
-const namePattern = `[A-Za-z0-9]([A-Za-z0-9._-]{0,94}[A-Za-z0-9])?`
+const maxNameBytes = 96
+
+// isName reports whether a text has the form of names without a pattern of their own. A colon would make MODEL:ADAPTER
+// ambiguous.
+func isName(s string) bool {
+	if s == "" || len(s) > maxNameBytes || !isAlphanumeric(s[0]) || !isAlphanumeric(s[len(s)-1]) {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; !isAlphanumeric(c) && c != '.' && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+}
 
 // field is one key of a struct as its tags describe it.
 type field struct {
@@ -41,15 +58,12 @@
 
 // planner builds each struct's plan once for one decoding.
 type planner struct {
-	kinds    Kinds
-	plans    map[reflect.Type]*plan
-	defaults *regexp.Regexp
+	kinds Kinds
+	plans map[reflect.Type]*plan
 }
 
 func newPlanner(kinds Kinds) *planner {
-	return &planner{
-		kinds: kinds, plans: map[reflect.Type]*plan{}, defaults: regexp.MustCompile("^(?:" + namePattern + ")$"),
-	}
+	return &planner{kinds: kinds, plans: map[reflect.Type]*plan{}}
 }
 
 func (p *planner) of(t reflect.Type) *plan {
