--- /dev/null
+++ b/core/raft/errors.go
@@ -0,0 +1,41 @@
+package raft
+
+import (
+	"fmt"
+
+	"github.com/joomcode/errorx"
+
+	"toucanway/core/fleet"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("raft")
+
+// Types of errors.
+var (
+	// ErrSettings reports settings that no group can run with.
+	ErrSettings = Errors.NewType("settings")
+	// ErrCorrupt reports a saved state that contradicts itself.
+	ErrCorrupt = Errors.NewType("corrupt")
+	// ErrBusy reports a request that has to wait for an earlier one; nothing was logged.
+	ErrBusy = Errors.NewType("busy")
+	// ErrMember reports a membership change that doesn't fit the present members; nothing was logged.
+	ErrMember = Errors.NewType("member")
+)
+
+// NotLeader refuses a request that only the leader carries out; nothing was logged.
+type NotLeader struct {
+	// Leader is the leader as far as known, else empty.
+	Leader fleet.HostID
+}
+
+// Error returns the message with the hint.
+func (e *NotLeader) Error() string {
+	if e.Leader == "" {
+		return "raft: this host is not the leader and knows none; try again after an election"
+	}
+	return fmt.Sprintf("raft: this host is not the leader; send the request to host %s", e.Leader)
+}
+
+// IsBusy says whether a request was refused only because it has to wait for an earlier one.
+func IsBusy(err error) bool { return errorx.IsOfType(err, ErrBusy) }
--- /dev/null
+++ b/core/raft/log.go
@@ -0,0 +1,88 @@
+package raft
+
+import "toucanway/core/fleet"
+
+// entryLog holds the entries after an offset in memory; entries given out are never overwritten in place.
+type entryLog struct {
+	// offset is the index of the entry before the first one held.
+	offset     fleet.Index
+	offsetTerm Term
+	entries    []Entry
+}
+
+func (l *entryLog) last() fleet.Index { return l.offset + fleet.Index(len(l.entries)) }
+
+func (l *entryLog) lastTerm() Term {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of an entry; false if it is compacted or not there yet.
+func (l *entryLog) term(i fleet.Index) (Term, bool) {
+	switch {
+	case i == l.offset:
+		return l.offsetTerm, true
+	case i < l.offset || i > l.last():
+		return 0, false
+	default:
+		return l.entries[i-l.offset-1].Term, true
+	}
+}
+
+// slice returns the entries from lo up to hi inclusive, at least one and further ones while they fit into maxBytes.
+func (l *entryLog) slice(lo, hi fleet.Index, maxBytes fleet.Bytes) []Entry {
+	hi = min(hi, l.last())
+	if lo <= l.offset || lo > hi {
+		return nil
+	}
+	es := l.entries[lo-l.offset-1 : hi-l.offset]
+	var size fleet.Bytes
+	for i := range es {
+		size += entrySize(&es[i])
+		if size > maxBytes && i > 0 {
+			return es[:i:i]
+		}
+	}
+	return es[:len(es):len(es)]
+}
+
+// entryOverhead is about what index, term and kind take in a message.
+const entryOverhead = 16
+
+func entrySize(e *Entry) fleet.Bytes { return fleet.Bytes(len(e.Data) + entryOverhead) }
+
+func (l *entryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
+
+// truncate drops the entries from i on.
+func (l *entryLog) truncate(i fleet.Index) {
+	k := i - l.offset - 1
+	l.entries = l.entries[:k:k]
+}
+
+// compact drops the entries up to i.
+func (l *entryLog) compact(i fleet.Index) {
+	t, ok := l.term(i)
+	if !ok || i == l.offset {
+		return
+	}
+	l.entries = append([]Entry(nil), l.entries[i-l.offset:]...)
+	l.offset, l.offsetTerm = i, t
+}
+
+// reset empties the log after a snapshot.
+func (l *entryLog) reset(i fleet.Index, t Term) { *l = entryLog{offset: i, offsetTerm: t} }
+
+// upToDate says whether a log that ends at (i, t) holds all that this one may have committed.
+func (l *entryLog) upToDate(i fleet.Index, t Term) bool {
+	return t > l.lastTerm() || t == l.lastTerm() && i >= l.last()
+}
+
+// lastBefore returns the last entry at or before i whose term is at most t.
+func (l *entryLog) lastBefore(i fleet.Index, t Term) (fleet.Index, Term) {
+	for i = min(i, l.last()); i > l.offset; i-- {
+		if et, _ := l.term(i); et <= t {
+			return i, et
+		}
+	}
+	return min(i, l.offset), l.offsetTerm
+}
--- /dev/null
+++ b/core/raft/message.go
@@ -0,0 +1,125 @@
+package raft
+
+import (
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// Term counts elections; a term has at most one leader.
+type Term uint64
+
+// StorageID is the random number of one data folder; a host whose disk was lost comes back with another one.
+type StorageID uint64
+
+// EntryKind tells what the data of an entry holds.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	// EntryCommand holds a command of the state machine.
+	EntryCommand EntryKind = iota
+	// EntryNoop is the first entry of a term.
+	EntryNoop
+	// EntryMembers holds an encoded Membership, in force as soon as it is in the log.
+	EntryMembers
+)
+
+// Entry is one entry of the log.
+type Entry struct {
+	Index fleet.Index `cbor:"1,keyasint"`
+	Term  Term        `cbor:"2,keyasint"`
+	Kind  EntryKind   `cbor:"3,keyasint,omitempty"`
+	Data  []byte      `cbor:"4,keyasint,omitempty"`
+}
+
+// HardState is what a voter must have on disk before it sends the messages that depend on it.
+type HardState struct {
+	Term Term         `cbor:"1,keyasint"`
+	Vote fleet.HostID `cbor:"2,keyasint,omitempty"`
+	// Admitted says that the group accepted this folder as that of a voter.
+	Admitted bool `cbor:"3,keyasint,omitempty"`
+	// Known holds the folder under which each voter introduced itself first.
+	Known []Member `cbor:"4,keyasint,omitempty"`
+}
+
+// Snapshot is the state machine's state at an index.
+type Snapshot struct {
+	Index   fleet.Index `cbor:"1,keyasint"`
+	Term    Term        `cbor:"2,keyasint"`
+	Members Membership  `cbor:"3,keyasint"`
+	Data    []byte      `cbor:"4,keyasint,omitempty"`
+}
+
+// Saved is what a storage holds of a group.
+type Saved struct {
+	Storage  StorageID
+	State    HardState
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// MessageKind is the kind of a Message.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	// MsgHello introduces a voter whose folder is new.
+	MsgHello MessageKind = iota + 1
+	// MsgHelloReply accepts or rejects a folder.
+	MsgHelloReply
+	// MsgPreVote asks whether an election could succeed; it changes no state.
+	MsgPreVote
+	// MsgPreVoteReply answers MsgPreVote.
+	MsgPreVoteReply
+	// MsgVote asks for a vote.
+	MsgVote
+	// MsgVoteReply answers MsgVote.
+	MsgVoteReply
+	// MsgAppend carries entries, or none as a heartbeat.
+	MsgAppend
+	// MsgAppendReply answers MsgAppend.
+	MsgAppendReply
+	// MsgSnapshot carries one chunk of a snapshot.
+	MsgSnapshot
+	// MsgSnapshotReply names the offset of the chunk wanted next.
+	MsgSnapshotReply
+	// MsgTimeoutNow asks the receiver to start an election at once.
+	MsgTimeoutNow
+)
+
+// Chunk is a part of a snapshot's data.
+type Chunk struct {
+	Members Membership `cbor:"1,keyasint,omitempty"`
+	Offset  int        `cbor:"2,keyasint,omitempty"`
+	Total   int        `cbor:"3,keyasint,omitempty"`
+	Data    []byte     `cbor:"4,keyasint,omitempty"`
+}
+
+// Message is exchanged between the hosts of a group.
+type Message struct {
+	Kind MessageKind  `cbor:"1,keyasint"`
+	To   fleet.HostID `cbor:"2,keyasint"`
+	From fleet.HostID `cbor:"3,keyasint"`
+	Term Term         `cbor:"4,keyasint,omitempty"`
+	// Storage is the sender's folder, Admitted its HardState.Admitted.
+	Storage  StorageID `cbor:"5,keyasint,omitempty"`
+	Admitted bool      `cbor:"6,keyasint,omitempty"`
+	// Expect is the folder that the sender's membership names for the receiver; 0 if it names none.
+	Expect StorageID `cbor:"7,keyasint,omitempty"`
+	// Index is the entry before Entries, the candidate's last entry, the last entry known to match, or the snapshot's.
+	Index   fleet.Index `cbor:"8,keyasint,omitempty"`
+	LogTerm Term        `cbor:"9,keyasint,omitempty"`
+	Commit  fleet.Index `cbor:"10,keyasint,omitempty"`
+	Entries []Entry     `cbor:"11,keyasint,omitempty"`
+	Reject  bool        `cbor:"12,keyasint,omitempty"`
+	// Hint and HintTerm name the last entry that may match, in a rejected append.
+	Hint     fleet.Index `cbor:"13,keyasint,omitempty"`
+	HintTerm Term        `cbor:"14,keyasint,omitempty"`
+	// Sent is the leader's time of sending since its start, and Round its number; replies return both.
+	Sent  time.Duration `cbor:"15,keyasint,omitempty"`
+	Round uint64        `cbor:"16,keyasint,omitempty"`
+	Chunk *Chunk        `cbor:"17,keyasint,omitempty"`
+	// Transfer marks an election that the leader asked for, so that its lease doesn't stand in the way.
+	Transfer bool `cbor:"18,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/raft/replication.go
@@ -0,0 +1,269 @@
+package raft
+
+import (
+	"sort"
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// phase is how a leader sends to one member.
+type phase uint8
+
+const (
+	// probing sends one message at a time until the log's common part is found.
+	probing phase = iota
+	// streaming sends without waiting for answers.
+	streaming
+	// snapshotting sends the chunks of a snapshot.
+	snapshotting
+)
+
+// progress is what a leader knows of one member.
+type progress struct {
+	phase phase
+	match fleet.Index
+	next  fleet.Index
+	// waiting stops a probe until its answer or the next heartbeat.
+	waiting  bool
+	inflight []fleet.Index
+	// commit is the commit index last sent.
+	commit fleet.Index
+	// lastAck is when the last answer came, ackSent when the message it answers was sent.
+	lastAck  time.Time
+	ackSent  time.Time
+	ackRound uint64
+	storage  StorageID
+	offset   int
+	chunkAt  time.Time
+	snapshot fleet.Index
+}
+
+// Propose appends commands to the log and returns the index and term of the first one.
+func (n *Node) Propose(now time.Time, commands ...[]byte) (fleet.Index, Term, error) {
+	n.setNow(now)
+	if n.role != Leader || n.halted || n.transferee != "" {
+		leader := n.leader
+		if n.transferee != "" {
+			leader = n.transferee
+		}
+		return 0, 0, &NotLeader{Leader: leader}
+	}
+	if n.pending > n.set.MaxPending {
+		return 0, 0, ErrBusy.New("%d bytes wait for a quorum; try again later", n.pending)
+	}
+	first := n.log.last() + 1
+	for _, c := range commands {
+		n.appendOwn(Entry{Kind: EntryCommand, Data: c})
+	}
+	return first, n.state.Term, nil
+}
+
+// appendOwn appends an entry of the leader's own term.
+func (n *Node) appendOwn(e Entry) fleet.Index {
+	e.Index, e.Term = n.log.last()+1, n.state.Term
+	n.log.append(e)
+	n.pending += entrySize(&e)
+	n.noteMembers([]Entry{e})
+	return e.Index
+}
+
+// replicateAll queues what each member lacks, and the heartbeats that are due.
+func (n *Node) replicateAll() {
+	for _, m := range n.members() {
+		if p := n.peers[m.Host]; p != nil {
+			n.replicate(m.Host, p)
+		}
+	}
+	n.heartbeatDue = false
+}
+
+func (n *Node) replicate(to fleet.HostID, p *progress) {
+	if n.heartbeatDue {
+		p.waiting = false
+	}
+	if p.phase != snapshotting && p.next <= n.log.offset {
+		n.startSnapshot(p)
+	}
+	if p.phase == snapshotting {
+		n.sendChunk(to, p)
+		return
+	}
+	sent := false
+	for p.next <= n.log.last() && len(p.inflight) < n.set.MaxInflight && !p.waiting {
+		es := n.log.slice(p.next, n.log.last(), n.set.MaxBatch)
+		n.sendAppend(to, p, es)
+		sent = true
+		if p.phase == probing {
+			p.waiting = true
+			break
+		}
+		p.next = es[len(es)-1].Index + 1
+		p.inflight = append(p.inflight, p.next-1)
+	}
+	if !sent && (n.heartbeatDue || p.phase == streaming && p.commit < n.commit) {
+		n.sendAppend(to, p, nil)
+	}
+}
+
+func (n *Node) sendAppend(to fleet.HostID, p *progress, es []Entry) {
+	prev := p.next - 1
+	t, _ := n.log.term(prev)
+	p.commit = n.commit
+	n.send(Message{
+		Kind: MsgAppend, To: to, Index: prev, LogTerm: t, Entries: es, Commit: n.commit,
+		Sent: n.now.Sub(n.epoch), Round: n.round,
+	})
+}
+
+// follow accepts the sender of a message as the leader of the present term.
+func (n *Node) follow(m *Message) {
+	if n.role != Follower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.contact = n.now
+	n.resetElection()
+}
+
+func (n *Node) stepAppend(m *Message) {
+	n.follow(m)
+	reply := Message{Kind: MsgAppendReply, To: m.From, Sent: m.Sent, Round: m.Round}
+	prev, es := m.Index, m.Entries
+	if prev < n.commit {
+		// All up to the commit index matches the leader's log.
+		skip := min(n.commit-prev, fleet.Index(len(es)))
+		prev, es = prev+skip, es[skip:]
+		if prev < n.commit {
+			reply.Index = n.commit
+			n.sendSaved(reply)
+			return
+		}
+	} else if t, ok := n.log.term(prev); !ok || t != m.LogTerm {
+		reply.Reject, reply.Index = true, prev
+		reply.Hint, reply.HintTerm = n.log.lastBefore(prev, m.LogTerm)
+		n.sendSaved(reply)
+		return
+	}
+	n.merge(es)
+	reply.Index = prev + fleet.Index(len(es))
+	n.commit = max(n.commit, min(m.Commit, reply.Index))
+	n.sendSaved(reply)
+}
+
+// merge appends the entries that this host lacks and drops its own ones that conflict.
+func (n *Node) merge(es []Entry) {
+	for i, e := range es {
+		t, ok := n.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			if e.Index <= n.commit {
+				panic("raft: a leader's entry conflicts with a committed one")
+			}
+			n.log.truncate(e.Index)
+			n.dropMembers(e.Index)
+			n.unsaved, n.stable = min(n.unsaved, e.Index), min(n.stable, e.Index-1)
+		}
+		n.log.append(es[i:]...)
+		n.noteMembers(es[i:])
+		return
+	}
+}
+
+// stepReply takes in a member's answer to an append or a chunk.
+func (n *Node) stepReply(m *Message) {
+	p := n.peers[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	if !n.counts(m) {
+		n.send(Message{Kind: MsgHelloReply, To: m.From, Expect: m.Storage, Reject: true})
+		return
+	}
+	if p.storage != m.Storage {
+		if m.Round <= p.ackRound {
+			// A late answer from before the member's folder was replaced.
+			return
+		}
+		*p = progress{next: n.log.last() + 1, storage: m.Storage}
+	}
+	p.lastAck = n.now
+	if sent := n.epoch.Add(m.Sent); sent.After(p.ackSent) {
+		p.ackSent = sent
+	}
+	p.ackRound = max(p.ackRound, m.Round)
+	n.confirmReads()
+	switch {
+	case m.Kind == MsgSnapshotReply:
+		n.chunkAnswered(m, p)
+	case m.Reject:
+		n.rejected(m, p)
+	default:
+		n.matched(m, p)
+	}
+}
+
+func (n *Node) rejected(m *Message, p *progress) {
+	if p.phase == snapshotting || m.Index <= p.match || m.Index >= p.next {
+		return
+	}
+	i, _ := n.log.lastBefore(m.Hint, m.HintTerm)
+	p.next = max(p.match, min(i, m.Index-1)) + 1
+	p.phase, p.waiting, p.inflight = probing, false, nil
+}
+
+func (n *Node) matched(m *Message, p *progress) {
+	if m.Index > n.log.last() {
+		return
+	}
+	if p.phase == snapshotting && m.Index < p.snapshot {
+		return
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	p.phase, p.waiting = streaming, false
+	k := sort.Search(len(p.inflight), func(i int) bool { return p.inflight[i] > p.match })
+	p.inflight = p.inflight[k:]
+	n.maybeCommit()
+	if n.role == Leader && m.From == n.transferee {
+		n.tryTransfer()
+	}
+}
+
+// maybeCommit advances the commit index to the last entry of the leader's own term that a quorum has on disk.
+func (n *Node) maybeCommit() {
+	if n.role != Leader {
+		return
+	}
+	voters := n.members().Voters()
+	match := make([]fleet.Index, 0, len(voters))
+	for _, h := range voters {
+		if h == n.set.Self {
+			match = append(match, n.stable)
+		} else if p := n.peers[h]; p != nil {
+			match = append(match, p.match)
+		}
+	}
+	q := quorum(len(voters))
+	if len(match) < q {
+		return
+	}
+	sort.Slice(match, func(i, j int) bool { return match[i] > match[j] })
+	i := match[q-1]
+	if t, ok := n.log.term(i); i <= n.commit || !ok || t != n.state.Term {
+		return
+	}
+	for _, e := range n.log.slice(n.commit+1, i, 1<<62) {
+		n.pending -= entrySize(&e)
+	}
+	n.pending = max(n.pending, 0)
+	n.commit = i
+	n.confirmReads()
+	if _, ok := n.members().find(n.set.Self); !ok && n.history[len(n.history)-1].index <= n.commit {
+		// Removed by a change that is now committed: tell the others, then leave.
+		n.heartbeatDue = true
+		n.replicateAll()
+		n.becomeFollower(n.state.Term, "")
+	}
+}
--- /dev/null
+++ b/io/voters/run.go
@@ -0,0 +1,262 @@
+package voters
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+)
+
+// Log messages of state changes.
+const (
+	logRole     = "raft role changed"
+	logLeader   = "raft leader changed"
+	logRefused  = "raft group knows this host under another data folder; remove it and add it again as a learner"
+	logFailed   = "raft storage or state machine failed; this host no longer votes"
+	logSnapshot = "raft snapshot taken"
+)
+
+// Run carries out the host's part until ctx ends, then closes the storage. A failed storage doesn't end it: the host
+// stops voting and acknowledging, and Status names the error.
+func (g *Group) Run(ctx context.Context) error {
+	eg, ctx := errgroup.WithContext(ctx)
+	senders := &senders{g: g, ctx: ctx, eg: eg, queues: map[fleet.HostID]*queue{}}
+	g.mu.Lock()
+	g.running = true
+	g.mu.Unlock()
+	eg.Go(func() error {
+		g.loop(ctx, senders)
+		return nil
+	})
+	err := eg.Wait()
+	g.mu.Lock()
+	g.running = false
+	g.abandon(ErrStopped.New("the group was stopped on this host"))
+	g.mu.Unlock()
+	if cerr := g.set.Storage.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// abandon ends all waiting calls with an unknown outcome; g.mu is held.
+func (g *Group) abandon(cause error) {
+	for i, w := range g.waiters {
+		w.done <- outcome{err: &Uncertain{MayCommit: true, Cause: cause}}
+		delete(g.waiters, i)
+	}
+	for id, ch := range g.reads {
+		close(ch)
+		delete(g.reads, id)
+	}
+}
+
+func (g *Group) loop(ctx context.Context, s *senders) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.wake:
+		}
+		g.mu.Lock()
+		now := time.Now()
+		inbox := g.inbox
+		g.inbox = nil
+		for _, m := range inbox {
+			g.node.Step(now, m)
+		}
+		if !now.Before(g.node.NextTick()) {
+			g.node.Tick(now)
+		}
+		g.mu.Unlock()
+		for g.work(ctx, s) {
+		}
+		g.mu.Lock()
+		timer.Reset(max(time.Until(g.node.NextTick()), 0))
+		if g.failed != nil {
+			timer.Stop()
+		}
+		g.mu.Unlock()
+	}
+}
+
+// work carries out one output of the node and says whether there may be more.
+func (g *Group) work(ctx context.Context, s *senders) bool {
+	g.mu.Lock()
+	o, ok := g.node.Ready()
+	g.mu.Unlock()
+	if !ok || ctx.Err() != nil {
+		g.publish()
+		return false
+	}
+	s.send(o.Send)
+	if err := g.save(&o); err != nil {
+		g.fail(err)
+		return false
+	}
+	s.send(o.SendSaved)
+	if err := g.apply(&o); err != nil {
+		g.fail(err)
+		return false
+	}
+	g.mu.Lock()
+	g.node.Done(o)
+	for _, r := range o.Reads {
+		if ch, ok := g.reads[r.ID]; ok {
+			ch <- r.Index
+			delete(g.reads, r.ID)
+		}
+	}
+	g.mu.Unlock()
+	if err := g.maybeSnapshot(); err != nil {
+		g.fail(err)
+		return false
+	}
+	g.publish()
+	return true
+}
+
+func (g *Group) save(o *raft.Output) error {
+	if o.Snapshot != nil {
+		if o.State != nil {
+			if err := g.set.Storage.Save(o.State, nil); err != nil {
+				return err
+			}
+		}
+		if err := g.set.Storage.Install(*o.Snapshot); err != nil {
+			return err
+		}
+		if len(o.Entries) == 0 {
+			return nil
+		}
+	}
+	if o.State == nil && len(o.Entries) == 0 {
+		return nil
+	}
+	return g.set.Storage.Save(o.State, o.Entries)
+}
+
+func (g *Group) apply(o *raft.Output) error {
+	if o.Snapshot == nil && len(o.Committed) == 0 {
+		return nil
+	}
+	g.applyMu.Lock()
+	defer g.applyMu.Unlock()
+	if s := o.Snapshot; s != nil {
+		if err := g.set.Machine.Restore(s.Index, s.Data); err != nil {
+			return err
+		}
+		g.mu.Lock()
+		g.applied, g.appliedBytes = s.Index, 0
+		g.mu.Unlock()
+	}
+	results := make([][]byte, len(o.Committed))
+	for i, e := range o.Committed {
+		if e.Kind == raft.EntryCommand {
+			results[i] = g.set.Machine.Apply(e.Index, e.Data)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, e := range o.Committed {
+		g.applied = e.Index
+		g.appliedBytes += fleet.Bytes(len(e.Data))
+		w, ok := g.waiters[e.Index]
+		if !ok {
+			continue
+		}
+		delete(g.waiters, e.Index)
+		if w.term == e.Term {
+			w.done <- outcome{result: results[i]}
+		} else {
+			w.done <- outcome{err: &Uncertain{Cause: &NotLeader{Leader: g.node.Status().Leader}}}
+		}
+	}
+	return nil
+}
+
+// maybeSnapshot saves a snapshot once enough was applied, and drops old entries.
+func (g *Group) maybeSnapshot() error {
+	g.mu.Lock()
+	st := g.node.Status()
+	due := g.applied-st.Snapshot >= fleet.Index(g.set.SnapshotEntries) || g.appliedBytes >= g.set.SnapshotBytes
+	applied := g.applied
+	g.mu.Unlock()
+	if !due || applied == st.Snapshot {
+		return nil
+	}
+	i, data, err := g.Snapshot()
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	snap, ok := g.node.SnapshotAt(i)
+	keep := g.keepAfter(i)
+	g.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	snap.Data = data
+	if err := g.set.Storage.Compact(snap, keep); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.Compact(snap, keep)
+	g.appliedBytes = 0
+	g.set.Log.Debug(logSnapshot, zap.Uint64("index", uint64(i)), zap.Int("bytes", len(data)))
+	return nil
+}
+
+// keepAfter returns the entry after which the log is kept behind a snapshot at i; g.mu is held.
+func (g *Group) keepAfter(i fleet.Index) fleet.Index {
+	st := g.node.Status()
+	from := max(st.First-1, i-min(i, fleet.Index(g.set.KeepEntries)))
+	for {
+		es, ok := g.node.EntriesAfter(from, i, g.set.KeepBytes)
+		if !ok || len(es) == 0 || es[len(es)-1].Index >= i {
+			return from
+		}
+		from += max(1, (i-from)/2)
+	}
+}
+
+// fail stops the host's part for good.
+func (g *Group) fail(err error) {
+	g.mu.Lock()
+	g.failed = err
+	g.node.Halt()
+	g.abandon(err)
+	g.mu.Unlock()
+	g.set.Log.Error(logFailed, zap.Error(err))
+	g.publish()
+}
+
+// publish wakes those who wait for a change, and ends the calls that wait on a leader that stepped down.
+func (g *Group) publish() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := g.node.Status()
+	if st.Role != raft.Leader {
+		g.abandon(&NotLeader{Leader: st.Leader})
+	}
+	if st.Role != g.seen.Role {
+		g.set.Log.Info(logRole, zap.Stringer("role", st.Role), zap.Uint64("term", uint64(st.Term)))
+	}
+	if st.Leader != g.seen.Leader {
+		g.set.Log.Info(logLeader, zap.String("leader", string(st.Leader)), zap.Uint64("term", uint64(st.Term)))
+	}
+	if st.Refused && !g.seen.Refused {
+		g.set.Log.Warn(logRefused)
+	}
+	g.seen = st
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
