--- /dev/null
+++ b/core/store/doc.go
@@ -0,0 +1,2 @@
+// Package store admits checkpoint loads from the rate-limited weight store within one budget for the whole system.
+package store
