placement: planner with store budget, keep-warm decisions, spread, eviction and owners

Cause: replicas, loads and owners were not decided by anything. Change: Planner.Round reconciles wanted replicas with the control records; core/store admits loads by rate, concurrency and measured slowdown; core/warm learns gaps, time of day and follow-ups; core/ownership assigns owners.

--- /dev/null
+++ b/core/ownership/doc.go
@@ -0,0 +1,2 @@
+// Package ownership assigns a capacity owner to every backend server.
+package ownership
--- /dev/null
+++ b/core/placement/choose.go
@@ -0,0 +1,293 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+)
+
+const (
+	// drainTime is the expected time until an idle replica is unloaded.
+	drainTime = 3 * time.Second
+	// reservationAge bounds how long freed memory is kept for the model that it was freed for.
+	reservationAge = 30 * time.Second
+	// sameCentre and sameRack are what a second replica in one place counts as longer, since one failure takes both.
+	sameCentre = 4 * time.Second
+	sameRack   = 2 * time.Second
+	// farRegion is what a server far from all callers counts as longer.
+	farRegion = 6 * time.Second
+	// unmetSpread outweighs any load time while the operators' spread is not met.
+	unmetSpread = time.Hour
+	// returnHorizon is the span in which the return of an evicted model counts as a cost.
+	returnHorizon = 10 * time.Minute
+)
+
+// choice is a backend server for a load with the expected time to ready.
+type choice struct {
+	sv    *server
+	tier  fleet.Tier
+	ready time.Duration
+	// victims are replicas to unload first; waits says that this is under way already.
+	victims []int32
+	waits   bool
+	score   time.Duration
+	left    fleet.Bytes
+}
+
+// spread is where a model's replicas stand.
+type spread struct {
+	centres map[fleet.DataCentre]int
+	regions map[fleet.Region]int
+	racks   map[fleet.Place]int
+}
+
+func (p *Planner) spreadOf(m *model) spread {
+	s := spread{centres: map[fleet.DataCentre]int{}, regions: map[fleet.Region]int{}, racks: map[fleet.Place]int{}}
+	add := func(id fleet.BackendID) {
+		if sv := p.view.server(id); sv != nil {
+			pl := sv.Announcement.Place
+			s.centres[pl.DataCentre]++
+			s.regions[pl.Region]++
+			s.racks[pl]++
+		}
+	}
+	for _, i := range m.records {
+		switch r := &p.view.replicas[i]; r.State {
+		case control.ReplicaIntended, control.ReplicaSent, control.ReplicaReady, control.ReplicaInDoubt:
+			add(r.Backend)
+		}
+	}
+	if m.pending > 0 {
+		for k := range p.proposed {
+			if k.model == m.decl.ID {
+				add(k.backend)
+			}
+		}
+	}
+	return s
+}
+
+// choose returns the backend server with the least time to ready, with penalties for places that hold a replica already
+// or that are far from the callers. ahead is the number of loads queued before this one.
+func (p *Planner) choose(now time.Time, m *model, ahead int) (choice, bool) {
+	sp := p.spreadOf(m)
+	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown()) +
+		p.budget.Wait(now, ahead, m.loadTime(fleet.TierRemote))
+	total := 0
+	for _, n := range m.regions {
+		total += n
+	}
+	var best choice
+	found, ties := false, 0
+	for i := range p.view.servers {
+		sv := &p.view.servers[i]
+		c := choice{sv: sv}
+		if !p.usable(m, sv) || !p.fit(now, m, &c) {
+			continue
+		}
+		c.tier = tierOf(sv, m.decl.ID)
+		load := remote
+		if c.tier != fleet.TierRemote {
+			load = m.loadTime(c.tier)
+		}
+		c.ready += load
+		c.score = c.ready + m.penalty(&sp, sv.Announcement.Place, total)
+		switch {
+		case !found || c.score < best.score || c.score == best.score && c.left > best.left:
+			best, found, ties = c, true, 1
+		case c.score == best.score && c.left == best.left:
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = c
+			}
+		}
+	}
+	return best, found
+}
+
+// usable reports whether a model may be loaded on a backend server at all.
+func (p *Planner) usable(m *model, sv *server) bool {
+	a := &sv.Announcement
+	if a.Kind != fleet.KindEngine || sv.Lost || sv.Leaving || sv.Owner == "" {
+		return false
+	}
+	if len(m.decl.Regions) > 0 && !slices.Contains(m.decl.Regions, a.Place.Region) {
+		return false
+	}
+	for _, i := range sv.replicas {
+		if p.view.replicas[i].Model == m.decl.ID {
+			return false
+		}
+	}
+	k := slot{m.decl.ID, a.ID}
+	if len(p.failed) > 0 {
+		if _, ok := p.failed[k]; ok {
+			return false
+		}
+	}
+	if _, ok := p.proposed[k]; ok {
+		return false
+	}
+	r, ok := p.reserved[a.ID]
+	return !ok || r.model == m.decl.ID
+}
+
+// fit checks the memory of a backend server and chooses what to unload first when there is too little.
+func (p *Planner) fit(now time.Time, m *model, c *choice) bool {
+	sv := c.sv
+	needed := m.decl.Memory + m.reserve()
+	c.left = sv.Announcement.Memory - sv.used - sv.reserved - sv.pending - sv.pendingReserve - needed
+	if c.left >= 0 {
+		return true
+	}
+	if m.background || needed > sv.Announcement.Memory {
+		return false
+	}
+	if _, ok := p.reserved[sv.Announcement.ID]; ok {
+		c.ready, c.waits = drainTime, true
+		return true
+	}
+	type victim struct {
+		index int32
+		cost  float64
+		freed fleet.Bytes
+	}
+	var all []victim
+	for _, i := range sv.replicas {
+		v := p.models[p.view.replicas[i].Model]
+		if !p.evictable(now, m, v, i) {
+			continue
+		}
+		freed := p.view.replicas[i].Memory + v.reserve()
+		chance := p.warm.ReturnChance(now, v.target(), returnHorizon)
+		if v.serving > 1 {
+			chance /= float64(v.serving)
+		}
+		all = append(all, victim{index: i, cost: chance * p.coldCost(v) / float64(max(freed, 1)), freed: freed})
+	}
+	slices.SortFunc(all, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.index, b.index)) })
+	lost := 0.0
+	for _, v := range all {
+		c.victims = append(c.victims, v.index)
+		c.left += v.freed
+		lost += v.cost * float64(v.freed)
+		if c.left >= 0 {
+			// The cost of return is charged as the time that it would be waited for at the same price.
+			c.ready = drainTime + time.Duration(lost/p.cfg.WaitCost*float64(time.Second))
+			return true
+		}
+	}
+	return false
+}
+
+// evictable reports whether a ready replica may give way: no request needs it, and no bound of the operators holds it.
+func (p *Planner) evictable(now time.Time, m, v *model, i int32) bool {
+	r := &p.view.replicas[i]
+	switch {
+	case r.State != control.ReplicaReady || v == m || v.waiting > 0 || v.running > 0 || v.decl.Pinned > 0:
+		return false
+	case v.serving <= v.floor():
+		return false
+	case m.waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
+		return false
+	}
+	if last, ok := p.warm.Last(v.target()); ok && now.Sub(last) < v.decl.KeepWarmMin {
+		return false
+	}
+	return v.serving > 1 || p.warm.MayIdle(now, v.target())
+}
+
+// penalty returns what a place counts as longer than its time to ready.
+func (m *model) penalty(sp *spread, pl fleet.Place, total int) time.Duration {
+	var out time.Duration
+	if n := sp.centres[pl.DataCentre]; n > 0 {
+		out += time.Duration(n) * sameCentre
+		if len(sp.centres) < m.decl.SpreadDataCentres {
+			out += unmetSpread
+		}
+	}
+	if sp.regions[pl.Region] > 0 && len(sp.regions) < m.decl.SpreadRegions {
+		out += unmetSpread
+	}
+	out += time.Duration(sp.racks[pl]) * sameRack
+	if total > 0 {
+		out += farRegion * time.Duration(total-m.regions[pl.Region]) / time.Duration(total)
+	}
+	return out
+}
+
+// Estimate returns the expected time until a model has a ready replica, 0 when it has one, and false when no load is
+// possible at present.
+func (p *Planner) Estimate(id fleet.ModelID) (time.Duration, bool) {
+	m := p.models[id]
+	if m == nil || !m.declared || p.budget == nil {
+		return 0, false
+	}
+	if m.serving+m.old > 0 {
+		return 0, true
+	}
+	best, found := time.Duration(0), false
+	for _, i := range m.records {
+		r := &p.view.replicas[i]
+		o := p.orders[r.Order]
+		if o == nil || r.State != control.ReplicaIntended && r.State != control.ReplicaSent {
+			continue
+		}
+		expected := m.loadTime(fleet.TierRemote)
+		if o.remote {
+			expected = time.Duration(float64(expected) * p.budget.Slowdown())
+		} else if sv := p.view.server(r.Backend); sv != nil {
+			expected = m.loadTime(tierOf(sv, id))
+		}
+		// A load that is late already is expected to take another quarter of its time.
+		left := max(expected-p.now.Sub(o.seen), expected/4)
+		if !found || left < best {
+			best, found = left, true
+		}
+	}
+	if found {
+		return best, true
+	}
+	if !m.estimated {
+		c, ok := p.choose(p.now, m, 0)
+		m.estimated, m.estimateOK, m.estimate = true, ok, c.ready
+	}
+	return m.estimate, m.estimateOK
+}
+
+func (p *Planner) whyNone(m *model) string {
+	return fmt.Sprintf("no reachable engine in the allowed regions has %d MiB free; add capacity or lower other bounds",
+		(m.decl.Memory+m.reserve())/fleet.MiB)
+}
+
+// Unmet returns the operators' bounds that the last round found unmet, ordered by model.
+func (p *Planner) Unmet() []UnmetBound { return p.unmet }
+
+func (p *Planner) checkBounds() {
+	p.unmet = p.unmet[:0]
+	for _, m := range p.order {
+		if !m.declared {
+			continue
+		}
+		reason := m.blocked
+		if reason == "" {
+			reason = "a replica is loading"
+		}
+		have := m.serving + m.old
+		report := func(bound string, want, have int) {
+			if have < want {
+				p.unmet = append(p.unmet, UnmetBound{Model: m.decl.ID, Bound: bound, Want: want, Have: have, Reason: reason})
+			}
+		}
+		report("minimum", m.decl.Minimum, have)
+		report("pinned", m.decl.Pinned, have)
+		if m.decl.SpreadDataCentres > 1 || m.decl.SpreadRegions > 1 {
+			sp := p.spreadOf(m)
+			report("spread-data-centres", min(m.decl.SpreadDataCentres, m.want), len(sp.centres))
+			report("spread-regions", min(m.decl.SpreadRegions, m.want), len(sp.regions))
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/planner_test.go
@@ -0,0 +1,294 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/store"
+)
+
+// world applies commands to a control state.
+type world struct {
+	t     testing.TB
+	state control.State
+	index fleet.Index
+	now   time.Time
+}
+
+func newWorld(t testing.TB) *world { return &world{t: t, now: time.Unix(1_000_000, 0)} }
+
+func (w *world) apply(c control.Command) control.Result {
+	data, err := control.Encode(control.Proposal{Command: c})
+	require.NoError(w.t, err)
+	w.index++
+	return w.state.Apply(w.index, data)
+}
+
+func (w *world) must(c control.Command) { require.NoError(w.t, w.apply(c).Err()) }
+
+func place(i, centres int) fleet.Place {
+	dc := i % centres
+	return fleet.Place{
+		Region: fleet.Region(fmt.Sprintf("r%d", dc%3)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", dc)),
+		Rack: fleet.Rack(fmt.Sprintf("rack%d", i/centres/20)),
+	}
+}
+
+func (w *world) fleet(hosts, engines, centres int, memory fleet.Bytes) {
+	for i := range hosts {
+		w.must(&control.OpenSession{Host: fleet.HostID(fmt.Sprintf("h%04d", i)), Incarnation: 1, Place: place(i, centres)})
+	}
+	for i := range engines {
+		w.must(&control.PutBackend{Announcement: fleet.Announcement{
+			ID: fleet.BackendID(fmt.Sprintf("e%04d", i)), Incarnation: 1, Place: place(i, centres), Memory: memory, Slots: 8,
+		}})
+	}
+}
+
+// round applies one round; every command must be accepted.
+func (w *world) round(p *Planner, step time.Duration) []control.Command {
+	w.now = w.now.Add(step)
+	out := p.Round(w.now, &w.state)
+	for _, c := range out {
+		res := w.apply(c)
+		require.NoError(w.t, res.Err(), "%T %+v", c, c)
+	}
+	return out
+}
+
+// carryOut finishes all orders at once.
+func (w *world) carryOut() {
+	for _, r := range w.state.AllReplicas() {
+		b, _ := w.state.Backend(r.Backend)
+		if b.Lost {
+			continue
+		}
+		report := func(s control.ReplicaState) {
+			w.must(&control.ReportOrder{Order: r.Order, Fence: b.Fence, State: s})
+		}
+		switch r.State {
+		case control.ReplicaIntended:
+			report(control.ReplicaSent)
+			report(control.ReplicaReady)
+		case control.ReplicaUnloadIntended:
+			report(control.ReplicaUnloadSent)
+			report(control.ReplicaGone)
+		}
+	}
+}
+
+func loads(cs []control.Command) (out []*control.DecideLoad) {
+	for _, c := range cs {
+		if l, ok := c.(*control.DecideLoad); ok {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func waiting(host int, seq uint64, model fleet.ModelID, n int) Demand {
+	return Demand{
+		Host: fleet.HostID(fmt.Sprintf("h%04d", host)), Incarnation: 1, Seq: seq,
+		Entries: []DemandEntry{{
+			Target: fleet.Target{Model: model}, Class: fleet.ClassInteractive, Region: "r0", Waiting: n, Calls: n, Earliest: time.Minute,
+		}},
+	}
+}
+
+func testModel(id fleet.ModelID) Model { return Model{ID: id, Version: "v1", Memory: 10 * fleet.GiB} }
+
+func newPlanner(models ...Model) *Planner {
+	return New(Settings{Catalogue: Catalogue{Models: models}, Seed: 1})
+}
+
+// Guards against one load per entry host when the first requests of a burst arrive at many hosts at once.
+func TestBurstIsOneDecision(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(9, 18, 3, 80*fleet.GiB)
+	p := newPlanner(testModel("m"))
+	w.round(p, 0)
+	w.round(p, 2*time.Second)
+	for i := range 9 {
+		p.ObserveDemand(w.now, waiting(i, 1, "m", 1))
+	}
+	got := loads(w.round(p, time.Second))
+	require.Len(t, got, 1)
+	b, _ := w.state.Backend(got[0].Backend)
+	require.Equal(t, fleet.Region("r0"), b.Announcement.Place.Region)
+	require.Empty(t, loads(w.round(p, time.Second)))
+	left, ok := p.Estimate("m")
+	require.True(t, ok)
+	require.Positive(t, left)
+	w.carryOut()
+	w.round(p, time.Second)
+	left, ok = p.Estimate("m")
+	require.True(t, ok)
+	require.Zero(t, left)
+}
+
+// Guards against a load from the slow store when a checkpoint lies on a server's disk.
+func TestCachedCheckpointIsPreferred(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 18, 3, 80*fleet.GiB)
+	p := newPlanner(testModel("m"))
+	w.round(p, 0)
+	p.ObserveInventory(w.now, fleet.Inventory{
+		Backend: "e0013", Incarnation: 1, Seq: 1, Cached: []fleet.CachedCheckpoint{{Model: "m", Tier: fleet.TierDisk}},
+	})
+	p.ObserveDemand(w.now, waiting(0, 1, "m", 1))
+	got := loads(w.round(p, 2*time.Second))
+	require.Len(t, got, 1)
+	require.Equal(t, fleet.BackendID("e0013"), got[0].Backend)
+}
+
+// Guards against more loads than the store allows, also right after a change of leader.
+func TestStoreBudgetHoldsAcrossLeaders(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 18, 3, 80*fleet.GiB)
+	var models []Model
+	for i := range 12 {
+		m := testModel(fleet.ModelID(fmt.Sprintf("m%02d", i)))
+		m.Minimum = 1
+		models = append(models, m)
+	}
+	p := New(Settings{Catalogue: Catalogue{Models: models}, Store: store.Settings{Rate: 3, Concurrency: 4}})
+	w.round(p, 0)
+	require.Len(t, loads(w.round(p, time.Second)), 3)
+	require.Empty(t, loads(w.round(p, 500*time.Millisecond)))
+	require.Len(t, loads(w.round(p, 500*time.Millisecond)), 1)
+	p = New(Settings{Catalogue: Catalogue{Models: models}, Store: store.Settings{Rate: 3, Concurrency: 4}})
+	require.Empty(t, loads(w.round(p, time.Second)))
+	require.Empty(t, loads(w.round(p, 2*time.Second)), "four loads are under way already")
+	w.carryOut()
+	require.Len(t, loads(w.round(p, time.Second)), 3)
+	require.NotEmpty(t, p.Unmet())
+}
+
+// Guards against an eviction of what a waiting request needs, and against memory freed for one model going to another.
+func TestEvictionSparesNeededReplicas(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(2, 2, 1, 12*fleet.GiB)
+	p := newPlanner(testModel("a"), testModel("b"), testModel("c"))
+	w.round(p, 0)
+	p.ObserveDemand(w.now, waiting(0, 1, "a", 1))
+	p.ObserveDemand(w.now, waiting(1, 1, "b", 1))
+	w.round(p, 2*time.Second)
+	w.carryOut()
+	d := waiting(0, 2, "a", 1)
+	d.Entries = append(d.Entries, waiting(0, 2, "c", 1).Entries...)
+	p.ObserveDemand(w.now, d)
+	p.ObserveDemand(w.now, Demand{Host: "h0001", Incarnation: 1, Seq: 2})
+	w.round(p, time.Second)
+	w.carryOut()
+	require.Len(t, w.state.Replicas("a"), 1)
+	require.Empty(t, w.state.Replicas("b"))
+	w.round(p, time.Second)
+	require.Len(t, w.state.Replicas("c"), 1)
+}
+
+// Guards against a gap in service while a new version replaces the old one.
+func TestVersionRollsWithoutGap(t *testing.T) {
+	for name, maximum := range map[string]int{"at its maximum": 2, "single replica": 1, "room above": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.fleet(3, 9, 3, 80*fleet.GiB)
+			m := testModel("m")
+			m.Minimum, m.Maximum = 2, maximum
+			if maximum == 1 {
+				m.Minimum = 1
+			}
+			p := newPlanner(m)
+			for range 5 {
+				w.round(p, time.Second)
+				w.carryOut()
+			}
+			m.Version = "v2"
+			p.SetCatalogue(w.now, Catalogue{Models: []Model{m}})
+			for range 12 {
+				w.round(p, time.Second)
+				ready := 0
+				for _, r := range w.state.Replicas("m") {
+					if r.State == control.ReplicaReady {
+						ready++
+					}
+				}
+				require.GreaterOrEqual(t, ready, 1)
+				if maximum > 1 {
+					require.LessOrEqual(t, len(w.state.Replicas("m")), maximum)
+				}
+				w.carryOut()
+			}
+			got := w.state.Replicas("m")
+			require.Len(t, got, m.Minimum)
+			for _, r := range got {
+				require.Equal(t, fleet.ModelVersion("v2"), r.Version)
+			}
+		})
+	}
+}
+
+// Guards against replacing lost replicas before the hold time and against leaving the surplus when they return.
+func TestLostReplicaIsReplacedAfterHoldTime(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	m := testModel("m")
+	m.Minimum, m.SpreadDataCentres = 2, 2
+	p := newPlanner(m)
+	for range 5 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	got := w.state.Replicas("m")
+	require.Len(t, got, 2)
+	a, _ := w.state.Backend(got[0].Backend)
+	b, _ := w.state.Backend(got[1].Backend)
+	require.NotEqual(t, a.Announcement.Place.DataCentre, b.Announcement.Place.DataCentre)
+	w.must(&control.RemoveBackend{Backend: got[0].Backend, Incarnation: 1})
+	for range 29 {
+		require.Empty(t, loads(w.round(p, time.Second)))
+	}
+	for range 5 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 3)
+	w.must(&control.PutBackend{Announcement: a.Announcement})
+	w.round(p, time.Second)
+	back, _ := w.state.Backend(got[0].Backend)
+	w.must(&control.SettleInventory{
+		Backend: got[0].Backend, Incarnation: 1, Fence: back.Fence, Before: w.index,
+		Models: []fleet.LoadedModel{{Model: "m", Version: "v1", State: fleet.ReplicaReady, Memory: m.Memory}},
+	})
+	for range 3 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 2)
+}
+
+// Guards against more than six wake and idle cycles of a model in an hour.
+func TestCyclesPerHourAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	p := newPlanner(testModel("m"))
+	p.cfg.WaitCost = 1e-9
+	seq, wakes := uint64(0), 0
+	for i := range 3600 {
+		d := Demand{Host: "h0000", Incarnation: 1}
+		if i%180 == 0 {
+			d = waiting(0, 0, "m", 1)
+		}
+		seq++
+		d.Seq = seq
+		p.ObserveDemand(w.now, d)
+		wakes += len(loads(w.round(p, time.Second)))
+		w.carryOut()
+	}
+	require.LessOrEqual(t, wakes, 7)
+	require.Greater(t, wakes, 2)
+}
--- a/core/placement/settings.go
+++ b/core/placement/settings.go
@@ -22,8 +22,10 @@
 	DefaultWaitCost = 0.01
 	// DefaultRetryDelay keeps a backend server out of the choice after a load failed there.
 	DefaultRetryDelay = time.Minute
-	// DefaultBurst is the number of waiting requests that one replica absorbs before another one is added.
-	DefaultBurst = 8
+	// DefaultSlots is the number of requests that one replica runs at once.
+	DefaultSlots = 8
+	// DefaultContext is the number of tokens whose KV cache a replica needs free.
+	DefaultContext fleet.Tokens = 4096
 )
 
 // Settings configures a Planner; zero fields mean the defaults.
@@ -44,6 +46,30 @@
 	Seed uint64
 }
 
+func (s *Settings) setDefaults() {
+	if s.IdleHourCost <= 0 {
+		s.IdleHourCost = 1
+	}
+	if s.WaitCost <= 0 {
+		s.WaitCost = DefaultWaitCost
+	}
+	if s.HoldTime <= 0 {
+		s.HoldTime = DefaultHoldTime
+	}
+	if s.DemandAge <= 0 {
+		s.DemandAge = DefaultDemandAge
+	}
+	if s.ProposalAge <= 0 {
+		s.ProposalAge = DefaultProposalAge
+	}
+	if s.RetryDelay <= 0 {
+		s.RetryDelay = DefaultRetryDelay
+	}
+	if s.OwnerMoves <= 0 {
+		s.OwnerMoves = DefaultOwnerMoves
+	}
+}
+
 // Catalogue is the part of the accepted document that placement needs.
 type Catalogue struct {
 	Version fleet.DocumentVersion
