--- /dev/null
+++ b/core/capacity/event.go
@@ -0,0 +1,106 @@
+package capacity
+
+import (
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// Event is something that a Table is told; the types below are all of them.
+type Event interface{ isEvent() }
+
+// AcquireEvent is a request for a grant.
+type AcquireEvent struct{ Acquire Acquire }
+
+// CancelEvent withdraws a request for a grant.
+type CancelEvent struct{ Cancel Cancel }
+
+// ReleaseEvent reports the outcome of a grant.
+type ReleaseEvent struct{ Release Release }
+
+// HostGoneEvent says that a host's session was closed: its waiting requests are dropped, since nobody waits for the
+// answer, and its grants stay held until an inventory resolves them.
+type HostGoneEvent struct{ Host fleet.HostID }
+
+// AdapterEvent is the outcome of an adapter order.
+type AdapterEvent struct {
+	Order   fleet.OrderID
+	Outcome fleet.OrderOutcome
+}
+
+// InventoryEvent is an inventory of the backend server; Asked is when the owner sent the query, on its clock.
+type InventoryEvent struct {
+	Asked     time.Time
+	Inventory fleet.Inventory
+}
+
+// Replica is a model replica that the control state records on the backend server.
+type Replica struct {
+	Order  fleet.OrderID
+	Model  fleet.ModelID
+	Memory fleet.Bytes
+	// Intended says that the load order was not sent yet. Its memory is kept clear of new grants, and an AdmitLoad effect
+	// follows once it fits.
+	Intended bool
+}
+
+// ReplicasEvent replaces the model replicas on the backend server, those in doubt included.
+type ReplicasEvent struct{ Replicas []Replica }
+
+// DrainEvent says that the backend server leaves, or that the owner hands it over: no new grants from then on.
+type DrainEvent struct{}
+
+// TickEvent lets time pass; it is due at Table.NextTick.
+type TickEvent struct{}
+
+func (AcquireEvent) isEvent()   {}
+func (CancelEvent) isEvent()    {}
+func (ReleaseEvent) isEvent()   {}
+func (HostGoneEvent) isEvent()  {}
+func (AdapterEvent) isEvent()   {}
+func (InventoryEvent) isEvent() {}
+func (ReplicasEvent) isEvent()  {}
+func (DrainEvent) isEvent()     {}
+func (TickEvent) isEvent()      {}
+
+// Effect is something that the owner has to do; the types below are all of them.
+type Effect interface{ isEffect() }
+
+// Granted answers an Acquire with a grant.
+type Granted struct {
+	Host  fleet.HostID
+	Grant Grant
+}
+
+// Refused answers an Acquire with a refusal.
+type Refused struct {
+	Host    fleet.HostID
+	Request fleet.RequestID
+	Refusal *fleet.Refusal
+}
+
+// Cancelled answers a Cancel of a waiting or granted request; a granted one counts as unused.
+type Cancelled struct {
+	Host    fleet.HostID
+	Request fleet.RequestID
+}
+
+// LoadAdapter orders the backend server to load an adapter; its outcome comes back as an AdapterEvent.
+type LoadAdapter struct{ Order fleet.Order }
+
+// UnloadAdapter orders the backend server to unload an adapter; its outcome comes back as an AdapterEvent.
+type UnloadAdapter struct{ Order fleet.Order }
+
+// AdmitLoad allows the owner to send the load order of an intended replica: its memory is free and counted from now on.
+type AdmitLoad struct{ Order fleet.OrderID }
+
+// ReadInventory asks for an inventory, to begin granting or to resolve doubts; it is answered by an InventoryEvent.
+type ReadInventory struct{}
+
+func (Granted) isEffect()       {}
+func (Refused) isEffect()       {}
+func (Cancelled) isEffect()     {}
+func (LoadAdapter) isEffect()   {}
+func (UnloadAdapter) isEffect() {}
+func (AdmitLoad) isEffect()     {}
+func (ReadInventory) isEffect() {}
--- /dev/null
+++ b/core/capacity/message.go
@@ -0,0 +1,105 @@
+package capacity
+
+import (
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// DispatchWindow is how long after its issue a grant may be dispatched.
+const DispatchWindow = time.Second
+
+// MaxClockSkewRate bounds the rate error between the clocks of two hosts.
+const MaxClockSkewRate = 0.01
+
+// Acquire asks the owner of a backend server for memory and a slot.
+type Acquire struct {
+	Backend fleet.BackendID `cbor:"1,keyasint"`
+	Host    fleet.HostID    `cbor:"2,keyasint"`
+	Request fleet.RequestID `cbor:"3,keyasint"`
+	Target  fleet.Target    `cbor:"4,keyasint"`
+	Class   fleet.Class     `cbor:"5,keyasint"`
+	// Deadline is the time left until a slot is of no use any more.
+	Deadline time.Duration  `cbor:"6,keyasint"`
+	Tenant   fleet.TenantID `cbor:"7,keyasint"`
+	// Memory is the KV cache estimate: prompt plus maximum output tokens, times bytes per token.
+	Memory fleet.Bytes `cbor:"8,keyasint"`
+	// Tokens is the expected work, prompt and output, charged to the tenant's fair share.
+	Tokens fleet.Tokens `cbor:"9,keyasint"`
+	// Long says that the output is predicted to be long.
+	Long bool `cbor:"10,keyasint,omitempty"`
+	// Alone asks for the whole backend server, for a request suspected of crashing it.
+	Alone bool `cbor:"11,keyasint,omitempty"`
+	// AdapterMemory is the size of the target's adapter; zero for a base model.
+	AdapterMemory fleet.Bytes `cbor:"12,keyasint,omitempty"`
+}
+
+// Grant allows one dispatch to a backend server.
+type Grant struct {
+	Backend fleet.BackendID `cbor:"1,keyasint"`
+	Fence   fleet.Fence     `cbor:"2,keyasint"`
+	ID      fleet.GrantID   `cbor:"3,keyasint"`
+	Request fleet.RequestID `cbor:"4,keyasint"`
+	// Waited is the time between arrival of the Acquire and the grant, on the owner's clock.
+	Waited time.Duration `cbor:"5,keyasint"`
+	// Window is the time for dispatch. The host counts Waited plus Window from the moment it sent the Acquire, so that a
+	// grant delayed on its way back is never used after the owner's own window.
+	Window time.Duration `cbor:"6,keyasint"`
+}
+
+// DispatchBefore returns the last moment for dispatch, on the clock of the host that sent the Acquire at sent.
+func (g *Grant) DispatchBefore(sent time.Time) time.Time {
+	return sent.Add(time.Duration(float64(g.Waited+g.Window) * (1 - MaxClockSkewRate)))
+}
+
+// QueueState is the load of a backend server as its owner sees it, sent with every answer.
+type QueueState struct {
+	Waiting int         `cbor:"1,keyasint"`
+	Granted int         `cbor:"2,keyasint"`
+	Slots   int         `cbor:"3,keyasint"`
+	Free    fleet.Bytes `cbor:"4,keyasint"`
+	// Wait is the expected time until a new request of class standard gets a slot.
+	Wait time.Duration `cbor:"5,keyasint"`
+}
+
+// Answer is the owner's answer to an Acquire: a grant or a refusal, with the state of the queue.
+type Answer struct {
+	Grant   *Grant         `cbor:"1,keyasint,omitempty"`
+	Refusal *fleet.Refusal `cbor:"2,keyasint,omitempty"`
+	Queue   QueueState     `cbor:"3,keyasint"`
+}
+
+// Outcome says how the use of a grant ended, or that it began.
+type Outcome int
+
+// Outcomes reported for a grant.
+const (
+	// OutcomeDone means that the backend server finished or confirmed the cancellation.
+	OutcomeDone Outcome = iota
+	// OutcomeUnused means that the host never dispatched the request and never will.
+	OutcomeUnused
+	// OutcomeInDoubt means that the request was dispatched and may still run; an inventory resolves it.
+	OutcomeInDoubt
+	// OutcomeDispatched confirms the dispatch; the grant stays held.
+	OutcomeDispatched
+	// OutcomeOutgrown means that the running request exceeded its predicted length; the grant stays held.
+	OutcomeOutgrown
+)
+
+// Release reports the outcome of a grant; hosts send them in batches.
+type Release struct {
+	Backend fleet.BackendID `cbor:"1,keyasint"`
+	Fence   fleet.Fence     `cbor:"2,keyasint"`
+	ID      fleet.GrantID   `cbor:"3,keyasint"`
+	Host    fleet.HostID    `cbor:"4,keyasint"`
+	Outcome Outcome         `cbor:"5,keyasint"`
+	// Tokens is the work done, prompt and output; zero when unknown.
+	Tokens fleet.Tokens `cbor:"6,keyasint,omitempty"`
+}
+
+// Cancel withdraws an Acquire that the host does not wait for any more.
+type Cancel struct {
+	Backend fleet.BackendID `cbor:"1,keyasint"`
+	Host    fleet.HostID    `cbor:"2,keyasint"`
+	Request fleet.RequestID `cbor:"3,keyasint"`
+}
