--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -59,6 +59,12 @@
 	return &s, nil
 }
 
+// Skip passes over a log entry that holds no command, such as the first one of a term.
+func (s *State) Skip(index fleet.Index) {
+	s.init()
+	s.d.Applied = index
+}
+
 // Apply carries out one log entry; an entry that cannot be decoded changes nothing but the index.
 func (s *State) Apply(index fleet.Index, entry []byte) Result {
 	s.init()
--- a/core/fleet/id.go
+++ b/core/fleet/id.go
@@ -68,6 +68,9 @@
 // Bytes is an amount of memory or traffic in bytes.
 type Bytes int64
 
+// MaxClockSkewRate bounds the rate error between the monotonic clocks of two hosts.
+const MaxClockSkewRate = 0.01
+
 // Units of Bytes.
 const (
 	KiB Bytes = 1 << 10
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -111,7 +111,7 @@
 		return nil, ErrLost.Wrap(err, "connection to backend server at %s ended before the answer began", address)
 	}
 	if err := x.readHead(); err != nil {
-		x.abort()
+		x.Abort()
 		return nil, ErrLost.Wrap(err, "backend server at %s sent no valid answer head", address)
 	}
 	return x, nil
@@ -129,7 +129,7 @@
 		_, err = c.r.Peek(1)
 	}
 	if err != nil {
-		x.abort()
+		x.Abort()
 		return nil, err
 	}
 	return x, nil
@@ -145,11 +145,6 @@
 	return nil
 }
 
-func (x *Exchange) abort() {
-	x.stop()
-	x.conn.Close()
-}
-
 // Read reads the body of the answer; io.EOF means that the answer is whole.
 func (x *Exchange) Read(p []byte) (int, error) {
 	if x.body == nil {
@@ -230,3 +225,9 @@
 	}
 	p.idle = map[string][]idleConn{}
 }
+
+// Abort closes the connection whatever was read of the answer, which cancels the request.
+func (x *Exchange) Abort() {
+	x.stop()
+	x.conn.Close()
+}
--- /dev/null
+++ b/io/engines/stream.go
@@ -0,0 +1,162 @@
+package engines
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"toucanway/core/fleet"
+	"toucanway/io/backend"
+)
+
+// maxEventBytes bounds one server-sent event; a token's event has a few hundred bytes.
+const maxEventBytes = 64 << 10
+
+// Token is one event of an engine's answer.
+type Token struct {
+	// Index is the token's position in the whole answer, from 0.
+	Index int
+	Text  string
+	// Finish is the reason why the answer ended, on its last event.
+	Finish string
+	// Usage is present on the last event.
+	Usage *Usage
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	Prompt     fleet.Tokens
+	Completion fleet.Tokens
+	// Cached is the part of the prompt that the engine found in its prefix cache.
+	Cached fleet.Tokens
+}
+
+// event is the part of an OpenAI-style chunk that the system reads.
+type event struct {
+	ID      fleet.RequestID `json:"id"`
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta *struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	TokenIndex *int `json:"token_index"`
+	Usage      *struct {
+		Prompt     fleet.Tokens `json:"prompt_tokens"`
+		Completion fleet.Tokens `json:"completion_tokens"`
+		Details    *struct {
+			Cached fleet.Tokens `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// Stream is the answer of an engine as it comes. It is not safe for concurrent use, except for Close.
+type Stream struct {
+	x       *backend.Exchange
+	r       *bufio.Reader
+	request fleet.RequestID
+	next    int
+	done    bool
+}
+
+func newStream(x *backend.Exchange, id fleet.RequestID, next int) *Stream {
+	return &Stream{x: x, r: bufio.NewReaderSize(x, maxEventBytes), request: id, next: next}
+}
+
+// Next returns the next token, and io.EOF after the whole answer. Other errors are backend.ErrLost, ErrProtocol and
+// ErrMisdelivered; the answer may be resumed from the tokens received until then.
+func (s *Stream) Next() (Token, error) {
+	for {
+		data, err := s.data()
+		if err != nil {
+			return Token{}, err
+		}
+		if string(data) == "[DONE]" {
+			s.done = true
+			// The end of the body is read as well, so that the connection can be used again.
+			if _, err := io.Copy(io.Discard, s.r); err != nil {
+				s.done = false
+			}
+			return Token{}, io.EOF
+		}
+		var e event
+		if err := json.Unmarshal(data, &e); err != nil {
+			return Token{}, ErrProtocol.Wrap(err, "engine sent an event that is no JSON chunk; check its version")
+		}
+		if e.ID != s.request {
+			return Token{}, ErrMisdelivered.New("engine sent a chunk of request %s in the answer of %s", e.ID, s.request)
+		}
+		t, ok, err := s.token(&e)
+		if err != nil {
+			return Token{}, err
+		}
+		if ok {
+			return t, nil
+		}
+	}
+}
+
+// token checks an event's position; an event that repeats an earlier token is passed over.
+func (s *Stream) token(e *event) (Token, bool, error) {
+	t := Token{Index: s.next}
+	if e.TokenIndex != nil {
+		t.Index = *e.TokenIndex
+	}
+	if t.Index < s.next {
+		return Token{}, false, nil
+	}
+	if t.Index > s.next {
+		return Token{}, false, ErrProtocol.New("engine skipped tokens %d to %d of request %s", s.next, t.Index-1, s.request)
+	}
+	if len(e.Choices) > 0 {
+		c := e.Choices[0]
+		t.Text = c.Text
+		if c.Delta != nil {
+			t.Text = c.Delta.Content
+		}
+		if c.FinishReason != nil {
+			t.Finish = *c.FinishReason
+		}
+	}
+	if u := e.Usage; u != nil {
+		t.Usage = &Usage{Prompt: u.Prompt, Completion: u.Completion}
+		if u.Details != nil {
+			t.Usage.Cached = u.Details.Cached
+		}
+	}
+	if t.Text != "" || e.TokenIndex != nil {
+		s.next++
+	}
+	return t, true, nil
+}
+
+// data returns the data line of the next event; other fields of the event are passed over.
+func (s *Stream) data() ([]byte, error) {
+	for {
+		line, err := s.r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil, ErrProtocol.New("engine sent an event longer than %d bytes", maxEventBytes)
+		}
+		if err != nil {
+			return nil, backend.ErrLost.Wrap(err, "answer of request %s ended after %d tokens", s.request, s.next)
+		}
+		if rest, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			return bytes.TrimSpace(rest), nil
+		}
+	}
+}
+
+// Received returns the number of tokens received, those before a resumption included.
+func (s *Stream) Received() int { return s.next }
+
+// Close ends the exchange; an answer that was not read to its end is cancelled by closing its connection.
+func (s *Stream) Close() {
+	if !s.done {
+		s.x.Abort()
+		return
+	}
+	s.x.Close()
+}
--- /dev/null
+++ b/io/follow/follower.go
@@ -0,0 +1,287 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/io/hosts"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("follow")
+
+// ErrSuperseded means that another process opened a session under this host's id.
+var ErrSuperseded = Errors.NewType("superseded")
+
+const (
+	// Hold is how long the leader may keep a poll waiting for news.
+	Hold = 500 * time.Millisecond
+	// pollTimeout bounds one poll with its wait; a leader that is cut off silently is left after it.
+	pollTimeout = Hold + 700*time.Millisecond
+	// proposeTimeout bounds a proposal over all its attempts.
+	proposeTimeout = 5 * time.Second
+	pollPause      = 50 * time.Millisecond
+)
+
+// Settings of a Follower; zero fields mean the documented defaults.
+type Settings struct {
+	Host          fleet.HostID
+	Address       string
+	CallerAddress string
+	Place         fleet.Place
+	Control       *hosts.GroupClient
+	// Seen returns the backend servers that announced themselves since the last call; nil means none.
+	Seen func() []control.Life
+	// Log receives changes of the session's state; nil means no log.
+	Log *zap.Logger
+}
+
+// Follower is a host's copy of the control state. It is safe for concurrent use. Lock order: mu alone.
+type Follower struct {
+	cfg Settings
+	seq sequence
+
+	mu          sync.RWMutex
+	state       control.State
+	doc         *config.Document
+	docVersion  fleet.DocumentVersion
+	incarnation fleet.Incarnation
+	leaseEnd    time.Time
+	changed     chan struct{}
+}
+
+// sequence numbers the proposals of one life of the host.
+type sequence struct {
+	mu sync.Mutex
+	n  uint64
+}
+
+func (s *sequence) next() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n++
+	return s.n
+}
+
+// New returns a follower with an empty state.
+func New(cfg Settings) *Follower {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	return &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
+}
+
+// Read calls f with the state; f must neither change nor keep it.
+func (f *Follower) Read(fn func(*control.State)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	fn(&f.state)
+}
+
+// Document returns the configuration in force and its version; version 0 is the empty document.
+func (f *Follower) Document() (*config.Document, fleet.DocumentVersion) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.doc, f.docVersion
+}
+
+// HasLease reports whether the session lease stands at a moment of this host's clock, and the newest document that the
+// host knows of is in force.
+func (f *Follower) HasLease(now time.Time) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return now.Before(f.leaseEnd) && f.docVersion == f.state.Document().Version
+}
+
+// LeaseEnd returns the end of the session lease.
+func (f *Follower) LeaseEnd() time.Time {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.leaseEnd
+}
+
+// Incarnation returns the incarnation of the open session, or 0.
+func (f *Follower) Incarnation() fleet.Incarnation {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.incarnation
+}
+
+// Changed returns a channel that is closed at the next change of the state or the lease.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.changed
+}
+
+// Run polls the leader until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.poll(ctx)
+		if errorx.IsOfType(err, ErrSuperseded) {
+			return err
+		}
+		if err != nil {
+			sleep(ctx, pollPause)
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// poll makes one request to the leader and applies its answer.
+func (f *Follower) poll(ctx context.Context) error {
+	req := &hosts.FollowRequest{Host: f.cfg.Host, Hold: Hold}
+	f.mu.RLock()
+	req.Incarnation = f.incarnation
+	req.Applied = f.state.Applied()
+	f.mu.RUnlock()
+	if f.cfg.Seen != nil {
+		req.Seen = f.cfg.Seen()
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	sent := time.Now()
+	res, err := hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, f.cfg.Control, hosts.ProcedureFollow, pollTimeout, req)
+	if err != nil {
+		return err
+	}
+	if err := f.apply(res, sent); err != nil {
+		return err
+	}
+	if res.Newest && (res.Status == hosts.StatusClosed || req.Incarnation == 0) {
+		return f.open(ctx)
+	}
+	return nil
+}
+
+// apply takes over entries and lease of an answer. A new document is decoded before the entries count as applied.
+func (f *Follower) apply(res *hosts.FollowResponse, sent time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(res.Snapshot) > 0 && res.SnapshotIndex > f.state.Applied() {
+		m := control.Machine{}
+		if err := m.Restore(res.SnapshotIndex, res.Snapshot); err != nil {
+			return err
+		}
+		f.state = m.State
+	}
+	for _, e := range res.Entries {
+		if e.Index <= f.state.Applied() {
+			continue
+		}
+		if e.Index != f.state.Applied()+1 {
+			return Errors.NewType("gap").New("control log jumps from %d to %d", f.state.Applied(), e.Index)
+		}
+		if len(e.Data) == 0 {
+			f.state.Skip(e.Index)
+			continue
+		}
+		f.state.Apply(e.Index, e.Data)
+	}
+	f.refreshDocument()
+	if res.Lease > 0 && res.Newest {
+		if end := sent.Add(res.Lease); end.After(f.leaseEnd) {
+			f.leaseEnd = end
+		}
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return nil
+}
+
+// refreshDocument puts the newest document in force. The leader accepts only documents that decode, so a failure means
+// that this host is older than the document's format.
+func (f *Follower) refreshDocument() {
+	d := f.state.Document()
+	if d.Version == f.docVersion {
+		return
+	}
+	doc, problems := config.Parse("document", d.Text)
+	if len(problems) > 0 {
+		f.cfg.Log.Error("configuration cannot be decoded; upgrade this host",
+			zap.Uint64("version", uint64(d.Version)), zap.Error(problems))
+		return
+	}
+	f.doc = doc
+	f.docVersion = d.Version
+	f.cfg.Log.Info("configuration in force", zap.Uint64("version", uint64(d.Version)))
+}
+
+// open registers a new life of the host under the next incarnation.
+func (f *Follower) open(ctx context.Context) error {
+	f.mu.Lock()
+	next := f.state.LastIncarnation(f.cfg.Host) + 1
+	f.incarnation = 0
+	f.mu.Unlock()
+	res, err := f.propose(ctx, next, &control.OpenSession{
+		Host: f.cfg.Host, Incarnation: next, Address: f.cfg.Address,
+		CallerAddress: f.cfg.CallerAddress, Place: f.cfg.Place,
+	})
+	if err != nil {
+		return err
+	}
+	if err := res.Err(); err != nil {
+		return ErrSuperseded.Wrap(err, "another process uses the host id %s; give each host its own", f.cfg.Host)
+	}
+	f.mu.Lock()
+	f.incarnation = next
+	f.mu.Unlock()
+	f.cfg.Log.Info("session opened", zap.Uint64("incarnation", uint64(next)))
+	return nil
+}
+
+// Propose commits a command and returns its result; a rejected command is no error.
+func (f *Follower) Propose(ctx context.Context, c control.Command) (control.Result, error) {
+	return f.propose(ctx, f.Incarnation(), c)
+}
+
+func (f *Follower) propose(ctx context.Context, incarnation fleet.Incarnation, c control.Command) (control.Result, error) {
+	data, err := control.Encode(control.Proposal{
+		Proposer: control.Proposer{Host: f.cfg.Host, Incarnation: incarnation},
+		Seq:      f.seq.next(), Command: c,
+	})
+	if err != nil {
+		return control.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	res, err := hosts.CallLeader[hosts.ProposeRequest, hosts.ProposeResponse](ctx, f.cfg.Control, hosts.ProcedurePropose, 0,
+		&hosts.ProposeRequest{Data: data})
+	if err != nil {
+		return control.Result{}, err
+	}
+	return control.DecodeResult(res.Result)
+}
+
+// WaitApplied waits until the state contains a log index.
+func (f *Follower) WaitApplied(ctx context.Context, index fleet.Index) error {
+	for {
+		changed := f.Changed()
+		var applied fleet.Index
+		f.Read(func(s *control.State) { applied = s.Applied() })
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/io/hosts/group.go
@@ -0,0 +1,150 @@
+package hosts
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"toucanway/core/fleet"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("hosts")
+
+var (
+	// ErrNoLeader means that no member of a group could be reached as its leader before the deadline.
+	ErrNoLeader = Errors.NewType("no-leader")
+	// ErrUncertain means that an entry was proposed and may have been committed.
+	ErrUncertain = Errors.NewType("uncertain")
+)
+
+const (
+	// attemptTimeout bounds one call to a member, so that a silently cut one costs little of the caller's deadline.
+	attemptTimeout = time.Second
+	// retryPause separates rounds over all members while an election is under way.
+	retryPause = 50 * time.Millisecond
+)
+
+// Member is one voter of a group.
+type Member struct {
+	ID      fleet.HostID
+	Address string
+}
+
+// GroupClient calls the leader of a group and remembers who it is; it is safe for concurrent use.
+type GroupClient struct {
+	client *Client
+
+	mu      sync.Mutex
+	members []Member
+	leader  int
+}
+
+// NewGroupClient returns a client of the group with the given voters.
+func NewGroupClient(c *Client, members []Member) *GroupClient {
+	return &GroupClient{client: c, members: members}
+}
+
+// answer is what the answers of group members have in common.
+type answer interface {
+	status() (Status, fleet.HostID)
+}
+
+func (r *FollowResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
+func (r *ProposeResponse) status() (Status, fleet.HostID) { return r.Status, r.Leader }
+func (r *SubmitResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
+func (r *DemandResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
+
+// CallLeader calls a procedure on the group's leader, trying members in turn until the context ends. Calls with effects
+// must be safe to repeat. Each attempt lasts at most attempt; zero means one second.
+func CallLeader[Req any, Res any, P interface {
+	*Res
+	answer
+}](ctx context.Context, g *GroupClient, procedure string, attempt time.Duration, req *Req) (*Res, error) {
+	if attempt == 0 {
+		attempt = attemptTimeout
+	}
+	var last error
+	for tries := 0; ; tries++ {
+		m, ok := g.current()
+		if !ok {
+			return nil, ErrNoLeader.New("the group has no members; list the voters in the settings")
+		}
+		one, cancel := context.WithTimeout(ctx, attempt)
+		res, err := Call[Req, Res](one, g.client, m.Address, procedure, req)
+		cancel()
+		switch {
+		case err != nil:
+			last = err
+			g.skip(m)
+		default:
+			status, hint := P(res).status()
+			if status == StatusOK || status == StatusClosed {
+				return res, nil
+			}
+			if status == StatusUncertain {
+				last = ErrUncertain.New("leader %s stopped leading before the entry was committed", m.ID)
+			}
+			g.follow(m, hint)
+		}
+		if err := pause(ctx, tries, g.size()); err != nil {
+			return nil, ErrNoLeader.Wrap(last, "no leader answered before the deadline; check that a majority of voters runs and is reachable")
+		}
+	}
+}
+
+// pause waits after each round over all members.
+func pause(ctx context.Context, tries, members int) error {
+	if (tries+1)%members != 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+func (g *GroupClient) size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members)
+}
+
+func (g *GroupClient) current() (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.members) == 0 {
+		return Member{}, false
+	}
+	return g.members[g.leader%len(g.members)], true
+}
+
+// skip moves on from a member that did not answer.
+func (g *GroupClient) skip(m Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.members[g.leader%len(g.members)].ID == m.ID {
+		g.leader++
+	}
+}
+
+// follow moves on to the member that another one named as leader, or to the next one.
+func (g *GroupClient) follow(m Member, hint fleet.HostID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, other := range g.members {
+		if other.ID == hint && hint != m.ID {
+			g.leader = i
+			return
+		}
+	}
+	if g.members[g.leader%len(g.members)].ID == m.ID {
+		g.leader++
+	}
+}
--- /dev/null
+++ b/io/planning/settings.go
@@ -0,0 +1,51 @@
+package planning
+
+import (
+	"toucanway/core/config"
+	"toucanway/core/fleet"
+	"toucanway/core/placement"
+	"toucanway/core/store"
+)
+
+// settingsOf translates the configuration document for the planner.
+func settingsOf(doc *config.Document, version fleet.DocumentVersion, seed uint64) placement.Settings {
+	return placement.Settings{
+		Catalogue: catalogueOf(doc, version),
+		Store: store.Settings{
+			Rate:        int(doc.Capacity.WeightStore.LoadsPerSecond),
+			Concurrency: doc.Capacity.WeightStore.ConcurrentLoads,
+		},
+		Seed: seed,
+	}
+}
+
+func catalogueOf(doc *config.Document, version fleet.DocumentVersion) placement.Catalogue {
+	c := placement.Catalogue{Version: version}
+	for i := range doc.Models {
+		m := &doc.Models[i]
+		var largest fleet.Bytes
+		for _, a := range m.Adapters {
+			largest = max(largest, a.Memory)
+		}
+		one := placement.Model{
+			ID: m.Name, Version: m.Version(), Role: m.Role, Memory: m.Memory, KVPerToken: m.KVBytesPerToken,
+			AdapterMemory: largest, Minimum: m.MinReplicas, Maximum: m.MaxReplicas,
+			KeepWarmMin: m.KeepWarm.Min, KeepWarmMax: m.KeepWarm.Max,
+		}
+		for t := fleet.TierMemory; t <= fleet.TierRemote; t++ {
+			one.LoadTime[t] = m.LoadTimes.Of(t)
+		}
+		if m.Pinned {
+			one.Pinned = m.MinReplicas
+		}
+		switch m.Spread {
+		case config.SpreadNone:
+		case config.SpreadDataCentres:
+			one.SpreadDataCentres = m.MinReplicas
+		case config.SpreadRegions:
+			one.SpreadRegions = m.MinReplicas
+		}
+		c.Models = append(c.Models, one)
+	}
+	return c
+}
--- /dev/null
+++ b/io/services/client.go
@@ -0,0 +1,86 @@
+package services
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+
+	"toucanway/core/fleet"
+	"toucanway/io/backend"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("services")
+
+var (
+	// ErrMisdelivered means that the answer names another request.
+	ErrMisdelivered = Errors.NewType("misdelivered")
+	// ErrTooLarge means that the answer exceeds MaxAnswerBytes.
+	ErrTooLarge = Errors.NewType("too-large")
+)
+
+// MaxAnswerBytes bounds the answer of a plain service.
+const MaxAnswerBytes = 8 << 20
+
+const headerRequestID = "X-Request-Id"
+
+// Client calls plain services; it is safe for concurrent use.
+type Client struct {
+	pool *backend.Pool
+}
+
+// NewClient returns a client over a pool of connections.
+func NewClient(p *backend.Pool) *Client { return &Client{pool: p} }
+
+// Call is one call of a plain service.
+type Call struct {
+	Address     string
+	Request     fleet.RequestID
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Once says that the call may not be repeated, so that it gets a connection of its own.
+	Once bool
+	// Silence is the longest time without a byte before the call counts as lost.
+	Silence time.Duration
+}
+
+// Answer is the whole answer of a service.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Do carries out a call and reads its whole answer. Errors are backend.ErrNotSent, backend.ErrLost, ErrMisdelivered and
+// ErrTooLarge; after all but the first the call may have run.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(call.Method)
+	req.Header.SetContentType(call.ContentType)
+	req.Header.Set(headerRequestID, string(call.Request))
+	req.SetRequestURI("http://" + call.Address + call.Path)
+	req.SetBody(call.Body)
+	x, err := c.pool.Do(ctx, call.Address, req, backend.Options{Silence: call.Silence, Fresh: call.Once})
+	if err != nil {
+		return Answer{}, err
+	}
+	if id := x.Response.Header.Peek(headerRequestID); len(id) > 0 && fleet.RequestID(id) != call.Request {
+		x.Abort()
+		return Answer{}, ErrMisdelivered.New("service at %s answered request %s with that of %s", call.Address, call.Request, id)
+	}
+	defer x.Close()
+	body, err := io.ReadAll(io.LimitReader(x, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, backend.ErrLost.Wrap(err, "answer of service at %s ended early", call.Address)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, ErrTooLarge.New("service at %s answered more than %d bytes", call.Address, MaxAnswerBytes)
+	}
+	return Answer{Status: x.Response.StatusCode(), ContentType: string(x.Response.Header.ContentType()), Body: body}, nil
+}
--- /dev/null
+++ b/io/services/doc.go
@@ -0,0 +1,2 @@
+// Package services carries calls to plain services over HTTP.
+package services
