--- a/core/ledger/machine.go
+++ b/core/ledger/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"time"
 
@@ -67,6 +68,17 @@
 	return *e.Value.(*Record), true
 }
 
+// DispatchedBy returns the lives of hosts that hold requests without an outcome.
+func (m *Machine) DispatchedBy() []Attempt {
+	lives := map[Attempt]bool{}
+	for _, e := range m.records {
+		if r := e.Value.(*Record); r.Status == StatusDispatched {
+			lives[Attempt{Host: r.Attempt.Host, Incarnation: r.Attempt.Incarnation}] = true
+		}
+	}
+	return slices.Collect(maps.Keys(lives))
+}
+
 // GroupOf returns the number, from 0, of the ledger group that holds a key.
 func GroupOf(k Key, groups int) int {
 	if groups <= 1 {
--- /dev/null
+++ b/io/groups/groups.go
@@ -0,0 +1,162 @@
+package groups
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/ledger"
+	"toucanway/core/raft"
+	"toucanway/io/hosts"
+	"toucanway/io/voters"
+)
+
+// Control is the control group; ledger group n, from 0, is raft group n+1.
+const Control raft.GroupID = 0
+
+// LedgerID returns the raft group of a ledger group, from 0.
+func LedgerID(n int) raft.GroupID { return raft.GroupID(n + 1) }
+
+const sendTimeout = 500 * time.Millisecond
+
+// Settings of a Set.
+type Settings struct {
+	Self fleet.HostID
+	// Members are the voters of every group; Self is one of them.
+	Members []hosts.Member
+	// LedgerGroups is the number of ledger groups; zero means one.
+	LedgerGroups int
+	// MaxRecords bounds the records of each ledger group; zero means the ledger's default.
+	MaxRecords int
+	// Storage returns the storage of a group.
+	Storage func(raft.GroupID) (voters.Storage, error)
+	Client  *hosts.Client
+	Seed    uint64
+	Log     *zap.Logger
+}
+
+// Set is the groups of one voter.
+type Set struct {
+	cfg     Settings
+	groups  map[raft.GroupID]*voters.Group
+	control *control.Machine
+	ledgers []*ledger.Machine
+}
+
+// Open opens all groups.
+func Open(cfg Settings) (*Set, error) {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	cfg.LedgerGroups = max(cfg.LedgerGroups, 1)
+	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}}
+	if err := s.open(Control, s.control); err != nil {
+		return nil, err
+	}
+	for n := range cfg.LedgerGroups {
+		m := &ledger.Machine{MaxRecords: cfg.MaxRecords}
+		s.ledgers = append(s.ledgers, m)
+		if err := s.open(LedgerID(n), m); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Set) open(id raft.GroupID, m raft.StateMachine) error {
+	storage, err := s.cfg.Storage(id)
+	if err != nil {
+		return err
+	}
+	first := make([]fleet.HostID, 0, len(s.cfg.Members))
+	for _, v := range s.cfg.Members {
+		first = append(first, v.ID)
+	}
+	g, err := voters.Open(voters.Settings{
+		Group:     id,
+		Raft:      raft.Settings{Self: s.cfg.Self, Voters: first, Seed: s.cfg.Seed + uint64(id)},
+		Storage:   storage,
+		Transport: transport{client: s.cfg.Client, members: s.cfg.Members},
+		Machine:   m,
+		Log:       s.cfg.Log.With(zap.Uint32("group", uint32(id))),
+	})
+	if err != nil {
+		return err
+	}
+	s.groups[id] = g
+	return nil
+}
+
+// transport sends messages of a group by the Step procedure.
+type transport struct {
+	client  *hosts.Client
+	members []hosts.Member
+}
+
+// Send hands messages to a member.
+func (t transport) Send(ctx context.Context, to fleet.HostID, group raft.GroupID, msgs []raft.Message) error {
+	for _, m := range t.members {
+		if m.ID != to {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+		defer cancel()
+		_, err := hosts.Call[hosts.StepRequest, hosts.StepResponse](ctx, t.client, m.Address, hosts.ProcedureStep,
+			&hosts.StepRequest{Group: group, Messages: msgs})
+		return err
+	}
+	return hosts.ErrNoLeader.New("no address is known for voter %s; list it in the settings of every host", to)
+}
+
+// ControlGroup returns the control group and its state machine.
+func (s *Set) ControlGroup() (*voters.Group, *control.Machine) { return s.groups[Control], s.control }
+
+// Ledger returns a ledger group, from 0, and its state machine.
+func (s *Set) Ledger(n int) (*voters.Group, *ledger.Machine) {
+	return s.groups[LedgerID(n)], s.ledgers[n]
+}
+
+// Groups returns the raft group of an id, or nil.
+func (s *Set) Group(id raft.GroupID) *voters.Group { return s.groups[id] }
+
+// Register adds the procedures of the groups to a server.
+func (s *Set) Register(srv *hosts.Server) {
+	hosts.Handle(srv, hosts.ProcedureStep, s.step)
+	hosts.Handle(srv, hosts.ProcedurePropose, s.propose)
+}
+
+func (s *Set) step(_ context.Context, from fleet.HostID, req *hosts.StepRequest) (*hosts.StepResponse, error) {
+	if g := s.groups[req.Group]; g != nil {
+		g.Receive(from, req.Messages)
+	}
+	return &hosts.StepResponse{}, nil
+}
+
+func (s *Set) propose(ctx context.Context, _ fleet.HostID, req *hosts.ProposeRequest) (*hosts.ProposeResponse, error) {
+	g := s.groups[raft.GroupID(req.Group)]
+	if g == nil {
+		return &hosts.ProposeResponse{Status: hosts.StatusNotLeader}, nil
+	}
+	index, result, err := g.Propose(ctx, req.Data)
+	switch {
+	case err == nil:
+		return &hosts.ProposeResponse{Index: index, Result: result}, nil
+	case voters.MayCommit(err):
+		return &hosts.ProposeResponse{Status: hosts.StatusUncertain, Leader: g.Status().Leader}, nil
+	default:
+		return &hosts.ProposeResponse{Status: hosts.StatusNotLeader, Leader: g.Status().Leader}, nil
+	}
+}
+
+// Run runs all groups until the context ends.
+func (s *Set) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, one := range s.groups {
+		g.Go(func() error { return one.Run(ctx) })
+	}
+	return g.Wait()
+}
