--- a/core/config/kinds.go
+++ b/core/config/kinds.go
@@ -37,7 +37,7 @@
 		schema.TypeOf[fleet.Role]():  schema.Enum(roles, roleNames[:]...),
 		schema.TypeOf[fleet.Class](): schema.Enum(classes, classNames...),
 		schema.TypeOf[Section]():     schema.Enum(sections, sectionNames...),
-		schema.TypeOf[Credential]():  {Label: "credential hash, sha256:HEX or sha256:SALT:HEX", Parse: parseCredential},
+		schema.TypeOf[Credential]():  {Label: "a credential hash, sha256:HEX or sha256:SALT:HEX", Parse: parseCredential},
 	}
 }
 
--- a/core/schema/decode.go
+++ b/core/schema/decode.go
@@ -319,11 +319,11 @@
 		panic("schema: no kind for " + v.Type().String())
 	}
 	if n.Kind != yaml.ScalarNode {
-		d.problem(n, d.what()+" is "+nodeKind(n)+" and must be a single value", "write a "+kind.Label)
+		d.problem(n, d.what()+" is "+nodeKind(n)+" and must be a single value", "write "+kind.Label)
 		return
 	}
 	if n.Tag == "!!null" || n.Value == "" {
-		d.problem(n, d.what()+" has no value", "write a "+kind.Label+", or remove the key")
+		d.problem(n, d.what()+" has no value", "write "+kind.Label+", or remove the key")
 		return
 	}
 	parsed, err := kind.Parse(n.Value)
@@ -331,7 +331,7 @@
 		err = set(v, parsed)
 	}
 	if err != nil {
-		d.problem(n, fmt.Sprintf("%s: %s %s", d.what(), quote(n.Value), err), "write a "+kind.Label)
+		d.problem(n, fmt.Sprintf("%s: %s %s", d.what(), quote(n.Value), err), "write "+kind.Label)
 		return
 	}
 	d.bounds(n, v, f)
--- a/core/schema/kind.go
+++ b/core/schema/kind.go
@@ -13,7 +13,7 @@
 
 // Kind is a type of scalar value.
 type Kind struct {
-	// Label names the type in reference pages and remedies, such as "size, e.g. 14GiB".
+	// Label names the type in reference pages and remedies, such as "a size, e.g. 14GiB".
 	Label string
 	// Parse returns the value of a text; its error completes the sentence "VALUE ...".
 	Parse func(text string) (any, error)
@@ -43,17 +43,17 @@
 	}
 	switch t {
 	case reflect.TypeFor[fleet.Bytes]():
-		return Kind{Label: "size, e.g. 512MiB or 14GiB", Parse: parseBytes}, true
+		return Kind{Label: "a size, e.g. 512MiB or 14GiB", Parse: parseBytes}, true
 	case reflect.TypeFor[time.Duration]():
-		return Kind{Label: "duration, e.g. 250ms, 30s or 1h30m", Parse: parseDuration}, true
+		return Kind{Label: "a duration, e.g. 250ms, 30s or 1h30m", Parse: parseDuration}, true
 	}
 	switch t.Kind() {
 	case reflect.String:
-		return Kind{Label: "name", Parse: func(text string) (any, error) { return text, nil }}, true
+		return Kind{Label: "a name", Parse: func(text string) (any, error) { return text, nil }}, true
 	case reflect.Int, reflect.Uint64, reflect.Uint32:
-		return Kind{Label: "whole number", Parse: parseInt}, true
+		return Kind{Label: "a whole number", Parse: parseInt}, true
 	case reflect.Float64:
-		return Kind{Label: "number", Parse: parseFloat}, true
+		return Kind{Label: "a number", Parse: parseFloat}, true
 	case reflect.Bool:
 		return Kind{Label: "true or false", Parse: parseBool}, true
 	default:
