--- /dev/null
+++ b/io/metrics/registry.go
@@ -0,0 +1,207 @@
+package metrics
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// DefaultMaxLabelSets bounds the label sets of one metric. A histogram takes about 500 bytes for each, so 100 histograms
+// with all label sets take about 25 MB.
+const DefaultMaxLabelSets = 512
+
+// Overflow is the value of every label of the set that stands for those beyond the bound.
+const Overflow = "other"
+
+// Options are the settings of a registry.
+type Options struct {
+	// MaxLabelSets bounds the label sets of each metric; 0 means DefaultMaxLabelSets.
+	MaxLabelSets int
+}
+
+// Registry holds the metrics of one host. It is safe for concurrent use.
+type Registry struct {
+	max int
+	reg gometrics.Registry
+
+	mu       sync.Mutex // before the mutex of a vector
+	families map[string]*family
+}
+
+// Unit is what the values of a histogram count.
+type Unit int
+
+// Units of histograms. Durations are recorded in nanoseconds and exposed in seconds.
+const (
+	UnitDuration Unit = iota
+	UnitBytes
+	UnitCount
+)
+
+// kind tells the three types of metrics apart in exposition.
+type kind int
+
+const (
+	kindCounter kind = iota
+	kindGauge
+	kindHistogram
+)
+
+// family is one declared metric with its label sets.
+type family struct {
+	name, help string
+	kind       kind
+	unit       Unit
+	labels     []string
+	max        int
+	reg        gometrics.Registry
+
+	mu      sync.RWMutex
+	members map[string]*member
+	order   []*member
+}
+
+// member is the metric of one set of label values.
+type member struct {
+	values []string
+	metric any
+}
+
+// New returns an empty registry.
+func New(o Options) *Registry {
+	if o.MaxLabelSets <= 0 {
+		o.MaxLabelSets = DefaultMaxLabelSets
+	}
+	return &Registry{max: o.MaxLabelSets, reg: gometrics.NewRegistry(), families: map[string]*family{}}
+}
+
+// Counters is a counter for each set of label values.
+type Counters struct{ f *family }
+
+// Gauges is a gauge for each set of label values.
+type Gauges struct{ f *family }
+
+// Histograms is a histogram for each set of label values.
+type Histograms struct{ f *family }
+
+// Counter declares a counter with a kebab-case name; declaring it again returns the same one.
+func (r *Registry) Counter(name, help string, labels ...string) Counters {
+	return Counters{r.declare(name, help, kindCounter, UnitCount, labels)}
+}
+
+// Gauge declares a gauge with a kebab-case name; declaring it again returns the same one.
+func (r *Registry) Gauge(name, help string, labels ...string) Gauges {
+	return Gauges{r.declare(name, help, kindGauge, UnitCount, labels)}
+}
+
+// GaugeFunc declares a gauge whose value is read when it is exposed; the function must be safe for concurrent use.
+func (r *Registry) GaugeFunc(name, help string, value func() int64) {
+	r.declare(name, help, kindGauge, UnitCount, nil).member(nil, func() any { return gometrics.NewFunctionalGauge(value) })
+}
+
+// Histogram declares a histogram with a kebab-case name; declaring it again returns the same one.
+func (r *Registry) Histogram(name, help string, unit Unit, labels ...string) Histograms {
+	return Histograms{r.declare(name, help, kindHistogram, unit, labels)}
+}
+
+// With returns the counter for label values in the order of the declared labels.
+func (c Counters) With(values ...string) gometrics.Counter {
+	return c.f.member(values, func() any { return gometrics.NewCounter() }).(gometrics.Counter)
+}
+
+// With returns the gauge for label values in the order of the declared labels.
+func (g Gauges) With(values ...string) gometrics.Gauge {
+	return g.f.member(values, func() any { return gometrics.NewGauge() }).(gometrics.Gauge)
+}
+
+// With returns the histogram for label values in the order of the declared labels.
+func (h Histograms) With(values ...string) gometrics.Histogram {
+	return h.f.member(values, func() any { return gometrics.NewHistogram(newSample(h.f.unit)) }).(gometrics.Histogram)
+}
+
+// declare returns the family of a name. Another declaration of the same name is an error of the program.
+func (r *Registry) declare(name, help string, k kind, unit Unit, labels []string) *family {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f, ok := r.families[name]; ok {
+		if f.kind != k || f.unit != unit || !slices.Equal(f.labels, labels) {
+			panic("metrics: " + name + " is declared twice in different ways")
+		}
+		return f
+	}
+	f := &family{
+		name: name, help: help, kind: k, unit: unit, labels: labels, max: r.max, reg: r.reg, members: map[string]*member{},
+	}
+	r.families[name] = f
+	return f
+}
+
+const separator = "\x00"
+
+func (f *family) member(values []string, create func() any) any {
+	if len(values) != len(f.labels) {
+		panic(fmt.Sprintf("metrics: %s has %d labels and was given %d values", f.name, len(f.labels), len(values)))
+	}
+	key := strings.Join(values, separator)
+	f.mu.RLock()
+	m, ok := f.members[key]
+	f.mu.RUnlock()
+	if ok {
+		return m.metric
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[key]; ok {
+		return m.metric
+	}
+	if len(f.members) >= f.max {
+		values = slices.Repeat([]string{Overflow}, len(f.labels))
+		key = strings.Join(values, separator)
+		if m, ok := f.members[key]; ok {
+			return m.metric
+		}
+	}
+	m = &member{values: slices.Clone(values), metric: create()}
+	f.members[key] = m
+	f.order = append(f.order, m)
+	if err := f.reg.Register(f.name+f.suffix(m.values), m.metric); err != nil {
+		panic("metrics: " + err.Error())
+	}
+	return m.metric
+}
+
+// suffix returns label values as they are written behind a name.
+func (f *family) suffix(values []string) string {
+	if len(values) == 0 {
+		return ""
+	}
+	parts := make([]string, len(values))
+	for i, v := range values {
+		parts[i] = fmt.Sprintf("%s=%q", f.labels[i], v)
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
+
+// sorted returns the families by name.
+func (r *Registry) sorted() []*family {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*family, 0, len(r.families))
+	for _, f := range r.families {
+		out = append(out, f)
+	}
+	slices.SortFunc(out, func(a, b *family) int { return strings.Compare(a.name, b.name) })
+	return out
+}
+
+// snapshot returns the members ordered by label values.
+func (f *family) snapshot() []*member {
+	f.mu.RLock()
+	out := slices.Clone(f.order)
+	f.mu.RUnlock()
+	slices.SortFunc(out, func(a, b *member) int { return slices.Compare(a.values, b.values) })
+	return out
+}
