operators: HTTP interface with its client

Operators read and submit the document, see hosts, backend servers, models and unmet bounds, start drains and watch changes.

--- a/core/config/credential.go
+++ b/core/config/credential.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 )
 
@@ -46,6 +47,11 @@
 	return err == nil && len(raw) == sha256.Size && strings.ToLower(rest) == rest
 }
 
+// Holds reports whether a bearer token is one of the operator's.
+func (o Operator) Holds(token string) bool {
+	return slices.ContainsFunc(o.Credentials, func(c Credential) bool { return HashToken(c.salt(), token) == c })
+}
+
 // credentialIndex finds the holder of a token with one hash per distinct salt.
 type credentialIndex struct {
 	salts   []string
--- /dev/null
+++ b/io/operators/client.go
@@ -0,0 +1,217 @@
+package operators
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"toucanway/io/metrics"
+	"toucanway/io/network"
+)
+
+// Bounds of the client.
+const (
+	maxAnswer      = 32 << 20
+	clientTimeout  = 20 * time.Second
+	silenceTimeout = 4 * DefaultHeartbeat
+	dialTimeout    = 2 * time.Second
+)
+
+// ClientSettings are the settings of a Client.
+type ClientSettings struct {
+	// Addresses are the operators' addresses of one or more hosts, IP:PORT. The next one is tried when a host cannot be
+	// reached, which is safe because every operation may be repeated.
+	Addresses []string
+	// Token is the operator's bearer token.
+	Token string
+	// TLS is the configuration of connections; nil means plain TCP.
+	TLS *tls.Config
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Timeout bounds one request to one host; 0 means 20 s.
+	Timeout time.Duration
+}
+
+// Client is an operator's client of the interface. It is safe for concurrent use. Errors answered by a host are of type
+// *Error.
+type Client struct {
+	cfg  ClientSettings
+	http *fasthttp.Client
+}
+
+// NewClient returns a client.
+func NewClient(cfg ClientSettings) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = network.TCP{}.Dial
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = clientTimeout
+	}
+	return &Client{cfg: cfg, http: &fasthttp.Client{
+		Dial:                      func(address string) (net.Conn, error) { return cfg.dial(context.Background(), address) },
+		TLSConfig:                 cfg.TLS,
+		ReadTimeout:               cfg.Timeout,
+		WriteTimeout:              cfg.Timeout,
+		MaxResponseBodySize:       maxAnswer,
+		MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader:  true,
+	}}
+}
+
+func (s ClientSettings) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return s.Dial(ctx, address)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Document returns the newest accepted document.
+func (c *Client) Document(ctx context.Context) (DocumentAnswer, error) {
+	return call[DocumentAnswer](ctx, c, fasthttp.MethodGet, PathDocument, nil)
+}
+
+// History returns the accepted documents on record, oldest first, without texts.
+func (c *Client) History(ctx context.Context) (HistoryAnswer, error) {
+	return call[HistoryAnswer](ctx, c, fasthttp.MethodGet, PathHistory, nil)
+}
+
+// Submit submits a changed document. It is safe to repeat a submission whose answer was lost.
+func (c *Client) Submit(ctx context.Context, r SubmitRequest) (SubmitAnswer, error) {
+	return call[SubmitAnswer](ctx, c, fasthttp.MethodPost, PathDocument, r)
+}
+
+// Diff compares a text with the document in force and checks it.
+func (c *Client) Diff(ctx context.Context, r DiffRequest) (DiffAnswer, error) {
+	return call[DiffAnswer](ctx, c, fasthttp.MethodPost, PathDiff, r)
+}
+
+// Status returns the state of the deployment as the asked host sees it.
+func (c *Client) Status(ctx context.Context) (StatusAnswer, error) {
+	return call[StatusAnswer](ctx, c, fasthttp.MethodGet, PathStatus, nil)
+}
+
+// Hosts returns all hosts.
+func (c *Client) Hosts(ctx context.Context) (HostsAnswer, error) {
+	return call[HostsAnswer](ctx, c, fasthttp.MethodGet, PathHosts, nil)
+}
+
+// Backends returns all backend servers.
+func (c *Client) Backends(ctx context.Context) (BackendsAnswer, error) {
+	return call[BackendsAnswer](ctx, c, fasthttp.MethodGet, PathBackends, nil)
+}
+
+// Models returns all models with their replicas and loaded adapters.
+func (c *Client) Models(ctx context.Context) (ModelsAnswer, error) {
+	return call[ModelsAnswer](ctx, c, fasthttp.MethodGet, PathModels, nil)
+}
+
+// Drain starts the drain of a host or a backend server.
+func (c *Client) Drain(ctx context.Context, r DrainRequest) (DrainAnswer, error) {
+	return call[DrainAnswer](ctx, c, fasthttp.MethodPost, PathDrain, r)
+}
+
+// Metrics returns the metrics of the asked host.
+func (c *Client) Metrics(ctx context.Context) ([]metrics.Family, error) {
+	return call[[]metrics.Family](ctx, c, fasthttp.MethodGet, PathMetrics, nil)
+}
+
+// Ready returns nil when the asked host takes new work.
+func (c *Client) Ready(ctx context.Context) error {
+	_, err := call[StateAnswer](ctx, c, fasthttp.MethodGet, PathReadiness, nil)
+	return err
+}
+
+// Unreachable says that no host answered.
+type Unreachable struct{ Err error }
+
+// Error returns the reasons of all addresses and the remedy.
+func (u *Unreachable) Error() string {
+	return "no host answered; check --address and whether the hosts run: " + u.Err.Error()
+}
+
+// Unwrap returns the reasons.
+func (u *Unreachable) Unwrap() error { return u.Err }
+
+// call sends a request to the first address that answers.
+func call[A any](ctx context.Context, c *Client, method, path string, body any) (A, error) {
+	var answer A
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return answer, err
+		}
+	}
+	if len(data) > MaxBody {
+		// A host closes the connection while the body is still being sent, which would hide its answer.
+		return answer, &Error{Code: CodeTooLarge, Message: tooLargeMessage}
+	}
+	var failed error
+	for _, address := range c.cfg.Addresses {
+		if err := ctx.Err(); err != nil {
+			return answer, err
+		}
+		err := c.callOne(ctx, address, method, path, data, &answer)
+		var answered *Error
+		if err == nil || errors.As(err, &answered) {
+			return answer, err
+		}
+		failed = errors.Join(failed, fmt.Errorf("%s: %w", address, err))
+	}
+	if failed == nil {
+		failed = errors.New("no address is given")
+	}
+	return answer, &Unreachable{Err: failed}
+}
+
+func (c *Client) callOne(ctx context.Context, address, method, path string, data []byte, answer any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.prepare(req, address, method, path)
+	if data != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(data)
+	}
+	deadline := time.Now().Add(c.cfg.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return err
+	}
+	return decodeAnswer(resp.StatusCode(), resp.Body(), answer)
+}
+
+func (c *Client) prepare(req *fasthttp.Request, address, method, path string) {
+	scheme := "http://"
+	if c.cfg.TLS != nil {
+		scheme = "https://"
+	}
+	req.SetRequestURI(scheme + address + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.cfg.Token)
+}
+
+// decodeAnswer returns the *Error of an answer with an error status.
+func decodeAnswer(status int, body []byte, answer any) error {
+	if status >= fasthttp.StatusBadRequest {
+		var e ErrorAnswer
+		if err := json.Unmarshal(body, &e); err != nil || e.Error.Code == "" {
+			return fmt.Errorf("answer with status %d is none of the operators' interface; check the port", status)
+		}
+		return &e.Error
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return fmt.Errorf("answer cannot be read; use a client of the host's version: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/operators/follow.go
@@ -0,0 +1,120 @@
+package operators
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const maxEventLine = 1 << 20
+
+// Watch calls each for the changes after a log index until ctx ends, each returns an error or the stream ends. Heartbeats
+// are passed on too. It uses the first address that answers and does not reconnect; continue with the last index seen.
+func (c *Client) Watch(ctx context.Context, after uint64, each func(EventAnswer) error) error {
+	var failed error
+	for _, address := range c.cfg.Addresses {
+		began, err := c.watchOne(ctx, address, after, each)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if began {
+			return err
+		}
+		failed = errors.Join(failed, fmt.Errorf("%s: %w", address, err))
+	}
+	return &Unreachable{Err: failed}
+}
+
+// watchOne reports whether the host answered, and how the stream ended.
+func (c *Client) watchOne(ctx context.Context, address string, after uint64, each func(EventAnswer) error) (bool, error) {
+	var stop stopper
+	defer stop.close()
+	defer context.AfterFunc(ctx, stop.close)()
+	client := &fasthttp.Client{
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := c.cfg.dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return stop.own(&silenceConn{Conn: conn}), nil
+		},
+		TLSConfig: c.cfg.TLS, StreamResponseBody: true, MaxIdemponentCallAttempts: 1, WriteTimeout: c.cfg.Timeout,
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.prepare(req, address, fasthttp.MethodGet, PathWatch+"?after="+strconv.FormatUint(after, 10))
+	if err := client.Do(req, resp); err != nil {
+		return false, err
+	}
+	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+		return true, decodeAnswer(resp.StatusCode(), resp.Body(), nil)
+	}
+	lines := bufio.NewScanner(resp.BodyStream())
+	lines.Buffer(nil, maxEventLine)
+	for lines.Scan() {
+		var line struct {
+			EventAnswer
+			Error *Error `json:"error"`
+		}
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return true, fmt.Errorf("watch stream cannot be read; use a client of the host's version: %w", err)
+		}
+		if line.Error != nil {
+			return true, line.Error
+		}
+		if err := each(line.EventAnswer); err != nil {
+			return true, err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return true, fmt.Errorf("watch stream broke; watch again from the last index: %w", err)
+	}
+	return true, nil
+}
+
+// silenceConn ends a read when nothing, not even a heartbeat, arrives for a while.
+type silenceConn struct{ net.Conn }
+
+// Read reads within the silence timeout.
+func (s *silenceConn) Read(p []byte) (int, error) {
+	if err := s.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
+		return 0, err
+	}
+	return s.Conn.Read(p)
+}
+
+// stopper closes a connection from another goroutine.
+type stopper struct {
+	mu     sync.Mutex
+	conn   net.Conn
+	closed bool
+}
+
+// own takes the connection; it is closed at once when close came first.
+func (s *stopper) own(c net.Conn) net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn = c
+	if s.closed {
+		_ = c.Close() // the dialer learns of it by the next write
+	}
+	return c
+}
+
+func (s *stopper) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.conn != nil {
+		_ = s.conn.Close() // it may be closed already
+	}
+}
