--- /dev/null
+++ b/io/operators/operatorstest/server.go
@@ -0,0 +1,56 @@
+package operatorstest
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"toucanway/core/config"
+	"toucanway/io/operators"
+)
+
+// Addresses of the in-memory network; nothing answers at the first one.
+const (
+	AddressDown = "127.0.0.1:1"
+	AddressUp   = "127.0.0.1:2"
+)
+
+// Server is a server of a system on an in-memory network.
+type Server struct {
+	t  *testing.T
+	ln *fasthttputil.InmemoryListener
+}
+
+// Serve starts a server that ends with the test.
+func Serve(t *testing.T, s operators.System, first config.Operator) *Server {
+	t.Helper()
+	out := &Server{t: t, ln: fasthttputil.NewInmemoryListener()}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	server := operators.NewServer(operators.ServerSettings{System: s, FirstOperator: first})
+	go func() { done <- server.Serve(ctx, out.ln) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return out
+}
+
+// Dial connects to the server at every address but AddressDown.
+func (s *Server) Dial(_ context.Context, address string) (net.Conn, error) {
+	if address == AddressDown {
+		return nil, errors.New("host is down")
+	}
+	return s.ln.Dial()
+}
+
+// Client returns a client with a token, whose first address does not answer.
+func (s *Server) Client(token string) *operators.Client {
+	c := operators.NewClient(operators.ClientSettings{Addresses: []string{AddressDown, AddressUp}, Token: token, Dial: s.Dial})
+	s.t.Cleanup(c.Close)
+	return c
+}
--- /dev/null
+++ b/io/terminal/terminal.go
@@ -0,0 +1,266 @@
+package terminal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+
+	"toucanway/core/config"
+	"toucanway/core/schema"
+	"toucanway/io/operators"
+	"toucanway/io/settings"
+)
+
+// Environment is what the commands work with.
+type Environment struct {
+	Stdout, Stderr io.Writer
+	// Serve runs the daemon until ctx ends.
+	Serve func(ctx context.Context, s *settings.Settings) error
+	// Dial opens connections to hosts; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Version is the version of the program.
+	Version string
+}
+
+// ExitCode is the status that the program ends with.
+type ExitCode int
+
+// Exit codes of the program.
+const (
+	ExitDone ExitCode = iota
+	ExitFailed
+	ExitUsage
+	ExitInvalid
+	ExitConflict
+	ExitNotAllowed
+	ExitUnavailable
+	ExitOutcomeUnknown
+	ExitCheck
+)
+
+// ExitCodes describes the exit codes in order.
+func ExitCodes() []string {
+	return []string{
+		"done",
+		"failed for a reason that has no code of its own",
+		"the command line is not valid",
+		"the document or the settings are not valid",
+		"another operator changed the document since it was read",
+		"the token is not valid or its operator does not own a section",
+		"no host answered, or the host that answered cannot serve the request now",
+		"the answer was lost; the request may have taken effect and is safe to repeat",
+		"with --check: the check found something",
+	}
+}
+
+// Global are the options of every command.
+type Global struct {
+	Output    string   `long:"output" choice:"text" choice:"json" default:"text" description:"Form of what is printed."`
+	Addresses []string `long:"address" env:"TOUCANWAY_ADDRESS" env-delim:"," default:"127.0.0.1:7402" value-name:"IP:PORT" description:"Operators' address of a host; repeat it to name hosts that are asked when the first cannot be reached."`
+	Token     string   `long:"token" env:"TOUCANWAY_TOKEN" value-name:"TOKEN" description:"Operator's token. The environment variable keeps it out of the list of processes."`
+	Timeout   int      `long:"timeout" default:"20" value-name:"SECONDS" description:"Longest wait for an answer of one host."`
+	Authority string   `long:"authority" env:"TOUCANWAY_AUTHORITY" value-name:"FILE" description:"PEM file with the authorities of the hosts; turns TLS on."`
+	Cert      string   `long:"certificate" env:"TOUCANWAY_CERTIFICATE" value-name:"FILE" description:"PEM file with the operator's certificate, for hosts that ask for one."`
+	Key       string   `long:"key" env:"TOUCANWAY_KEY" value-name:"FILE" description:"PEM file with the key of the certificate."`
+}
+
+// program is one run of the command tree.
+type program struct {
+	ctx    context.Context
+	env    Environment
+	global Global
+}
+
+// errCheck says that a command with --check found something; it was printed already.
+var errCheck = errors.New("check found something")
+
+// Run parses the arguments, which do not include the program's name, and carries out one command.
+func Run(ctx context.Context, env Environment, args []string) ExitCode {
+	p := &program{ctx: ctx, env: env}
+	_, err := p.parser().ParseArgs(args)
+	if err == nil {
+		return ExitDone
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Fprintln(env.Stdout, usage.Message)
+			return ExitDone
+		}
+		fmt.Fprintf(env.Stderr, "toucanway: %s; see toucanway --help\n", strings.TrimSuffix(usage.Message, "\n"))
+		return ExitUsage
+	}
+	if !errors.Is(err, errCheck) {
+		p.printError(err)
+	}
+	return exitCode(err)
+}
+
+// Parser returns the command tree for the reference pages.
+func Parser() *flags.Parser { return (&program{}).parser() }
+
+func (p *program) parser() *flags.Parser {
+	parser := flags.NewNamedParser("toucanway", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "serving system for rarely used language models"
+	must(parser.AddGroup("Options", "", &p.global))
+	for _, c := range p.commands() {
+		must(parser.AddCommand(c.name, c.short, c.long, c.data))
+	}
+	return parser
+}
+
+// must reports a mistake in the definitions of commands.
+func must[T any](_ T, err error) {
+	if err != nil {
+		panic("terminal: " + err.Error())
+	}
+}
+
+// command is one entry of the command tree.
+type command struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+func (p *program) commands() []command {
+	return []command{
+		{"serve", "Run the daemon of a host", "Runs the daemon of a host in the foreground until SIGTERM or SIGINT, which drain it; a second signal stops it at once. Log lines are written to the standard error output as JSON.", &serve{program: p}},
+		{"check", "Check files without a host", "Checks a configuration document, a settings file or both without a connection, and prints all problems with file, line, section and remedy.", &check{program: p}},
+		{"submit", "Submit a changed document", "Submits a document and waits until it is in force on every host whose lease is valid. The base is read from FILE.base, which show --file writes. Repeating a submission whose answer was lost is safe: it gets the first answer.", &submit{program: p}},
+		{"show", "Show the document in force", "Prints the document in force, or writes it to a file together with its base, from which submit tells what was changed.", &show{program: p}},
+		{"diff", "Compare a document with the one in force", "Prints the changed sections and lines of a document against the one in force, the sections that the operator does not own, and problems.", &diff{program: p}},
+		{"status", "Show the state and unmet bounds", "Prints the state of the deployment as the asked host sees it, its hosts, and the bounds of the document that do not hold now with their reasons.", &status{program: p}},
+		{"runners", "List backend servers", "Lists the registered backend servers: model engines and plain services.", &runners{program: p}},
+		{"models", "List models, replicas and adapters", "Lists the models of the document in force with their replicas; with names, only these models and their loaded adapters.", &models{program: p}},
+		{"drain", "Drain a host or a backend server", "Starts the graceful shutdown of a host, or stops new work on a backend server. It needs ownership of the section capacity.", &drain{program: p}},
+		{"watch", "Follow changes", "Prints changes of documents, hosts, backend servers and replicas as they are committed, until it is interrupted.", &watch{program: p}},
+		{"version", "Print the version", "Prints the version of the program.", &version{program: p}},
+	}
+}
+
+// client returns the operators' client of the options.
+func (p *program) client() (*operators.Client, error) {
+	g := p.global
+	cfg := operators.ClientSettings{Addresses: g.Addresses, Token: g.Token, Dial: p.env.Dial, Timeout: seconds(g.Timeout)}
+	files := settings.Files{Certificate: settings.File(g.Cert), Key: settings.File(g.Key), Authority: settings.File(g.Authority)}
+	if files != (settings.Files{}) {
+		c, err := files.Client()
+		if err != nil {
+			return nil, err
+		}
+		cfg.TLS = c
+	}
+	return operators.NewClient(cfg), nil
+}
+
+// ask calls a host and prints the answer.
+func ask[A any](p *program, call func(*operators.Client) (A, error), text func(w io.Writer, a A)) (A, error) {
+	var zero A
+	c, err := p.client()
+	if err != nil {
+		return zero, err
+	}
+	defer c.Close()
+	a, err := call(c)
+	if err != nil {
+		return zero, err
+	}
+	return a, p.print(a, func(w io.Writer) { text(w, a) })
+}
+
+// print writes an answer as JSON or as text with aligned columns.
+func (p *program) print(answer any, text func(w io.Writer)) error {
+	if p.global.Output == "json" {
+		enc := json.NewEncoder(p.env.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(answer)
+	}
+	w := tabwriter.NewWriter(p.env.Stdout, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+func (p *program) printError(err error) {
+	var answered *operators.Error
+	if !errors.As(err, &answered) {
+		answered = &operators.Error{Code: localCode(err), Message: err.Error()}
+		errors.As(err, (*schema.Problems)(&answered.Problems))
+		if len(answered.Problems) > 0 {
+			answered.Message = "the file is not valid"
+		}
+	}
+	if p.global.Output == "json" {
+		enc := json.NewEncoder(p.env.Stderr)
+		enc.SetIndent("", "  ")
+		if enc.Encode(operators.ErrorAnswer{Error: *answered}) == nil {
+			return
+		}
+	}
+	if len(answered.Problems) > 0 {
+		fmt.Fprintln(p.env.Stderr, schema.Problems(answered.Problems).Error())
+		return
+	}
+	fmt.Fprintf(p.env.Stderr, "toucanway: %s\n", answered.Message)
+}
+
+// localCode returns the code of an error that no host answered.
+func localCode(err error) operators.Code {
+	var conflict *config.Conflict
+	var unreachable *operators.Unreachable
+	var problems schema.Problems
+	switch {
+	case errors.As(err, &conflict):
+		return operators.CodeConflict
+	case errors.As(err, &unreachable):
+		return operators.CodeUnavailable
+	case errors.As(err, &problems):
+		return operators.CodeInvalidDocument
+	default:
+		return operators.CodeInternal
+	}
+}
+
+func exitCode(err error) ExitCode {
+	if errors.Is(err, errCheck) {
+		return ExitCheck
+	}
+	code := localCode(err)
+	var answered *operators.Error
+	if errors.As(err, &answered) {
+		code = answered.Code
+	}
+	switch code {
+	case operators.CodeInvalidDocument, operators.CodeTooLarge, operators.CodeDigestMismatch:
+		return ExitInvalid
+	case operators.CodeConflict, operators.CodeUnknownBase:
+		return ExitConflict
+	case operators.CodeUnauthorized, operators.CodeNoFirstOperator, operators.CodeNotOwner:
+		return ExitNotAllowed
+	case operators.CodeUnavailable:
+		return ExitUnavailable
+	case operators.CodeOutcomeUnknown:
+		return ExitOutcomeUnknown
+	case operators.CodeBadRequest, operators.CodeNotFound, operators.CodeMethodNotAllowed, operators.CodeUnknown,
+		operators.CodeRejected, operators.CodeInternal:
+		return ExitFailed
+	default:
+		return ExitFailed
+	}
+}
+
+// readFile reads a file that a command names.
+func readFile(name string) (string, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return "", fmt.Errorf("file cannot be read; check its name: %w", err)
+	}
+	return string(text), nil
+}
