--- /dev/null
+++ b/core/capacity/main_test.go
@@ -0,0 +1,19 @@
+package capacity
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid, so that every run checks the same cases; a takeover shows its faults only after
+// several seconds of the world's time, which takes more steps than the default.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "150", "rapid.checks": "800"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/core/capacity/world_test.go
@@ -0,0 +1,342 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/fleet"
+	"toucanway/core/queue"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const (
+	worldMemory = 1000
+	worldSlots  = 4
+	kvReserve   = 300
+)
+
+// world is a backend server, its hosts and its owner, with messages that are delayed and lost.
+type world struct {
+	t     *rapid.T
+	now   time.Time
+	table *Table
+	fence fleet.Fence
+	later []action
+
+	checksFence bool
+	engineFence fleet.Fence
+	models      map[fleet.OrderID]fleet.Bytes
+	adapters    map[fleet.Target]fleet.Bytes
+	loading     fleet.Bytes
+	running     map[fleet.RequestID]fleet.Bytes
+
+	replicas []Replica
+	memory   map[fleet.RequestID]fleet.Bytes
+	alone    map[fleet.RequestID]fleet.Fence
+	sent     map[fleet.RequestID]time.Time
+	open     map[fleet.RequestID]time.Time
+	requests int
+	granted  int
+}
+
+type action struct {
+	at time.Time
+	do func()
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: epoch, models: map[fleet.OrderID]fleet.Bytes{1: 200}, adapters: map[fleet.Target]fleet.Bytes{},
+		running: map[fleet.RequestID]fleet.Bytes{}, memory: map[fleet.RequestID]fleet.Bytes{},
+		alone: map[fleet.RequestID]fleet.Fence{}, sent: map[fleet.RequestID]time.Time{}, open: map[fleet.RequestID]time.Time{},
+		replicas: []Replica{{Order: 1, Model: "m1", Memory: 200}}, checksFence: rapid.Bool().Draw(t, "checks-fence"),
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) after(name string, most time.Duration, do func()) {
+	d := rapid.SampledFrom([]time.Duration{0, most / 7, most / 2, most - 1}).Draw(w.t, name)
+	w.later = append(w.later, action{at: w.now.Add(d), do: do})
+}
+
+// takeOver replaces the table; waiting requests of the old one are answered by their hosts.
+func (w *world) takeOver() {
+	w.fence++
+	clear(w.open)
+	w.table = New(Settings{
+		Backend: "b", Incarnation: 1, Fence: w.fence, Memory: worldMemory, Slots: worldSlots, KVReserve: kvReserve,
+		ChecksFence: w.checksFence, Taken: w.now, Queue: queue.Settings{Limit: 16}, Loads: NewLoadShare(2),
+	})
+	w.handle(ReplicasEvent{Replicas: slices.Clone(w.replicas)})
+}
+
+func (w *world) handle(ev Event) {
+	for _, e := range w.table.Handle(w.now, ev) {
+		w.apply(e)
+	}
+	w.check()
+}
+
+func (w *world) apply(e Effect) {
+	w.t.Logf("%v fence %d %T %+v", w.now.Sub(epoch), w.fence, e, e)
+	fence, table := w.fence, w.table
+	back := func(ev Event) {
+		w.after("answer", 40*time.Millisecond, func() {
+			if w.table == table {
+				w.handle(ev)
+			}
+		})
+	}
+	switch e := e.(type) {
+	case Granted:
+		delete(w.open, e.Grant.Request)
+		w.granted++
+		w.dispatch(e.Grant, table)
+	case Refused:
+		delete(w.open, e.Request)
+	case Cancelled:
+		delete(w.open, e.Request)
+	case LoadAdapter:
+		w.order(e.Order, back)
+	case UnloadAdapter:
+		w.order(e.Order, back)
+	case AdmitLoad:
+		for i, r := range w.replicas {
+			if r.Order == e.Order {
+				w.replicas[i].Intended = false
+				w.models[r.Order] = r.Memory
+			}
+		}
+	case ReadInventory:
+		asked := w.now
+		w.after("read", 40*time.Millisecond, func() {
+			w.engineFence = max(w.engineFence, fence)
+			back(InventoryEvent{Asked: asked, Inventory: w.inventory()})
+		})
+	default:
+		w.t.Fatalf("unknown effect %T", e)
+	}
+}
+
+func (w *world) stale(f fleet.Fence) bool { return w.checksFence && f < w.engineFence }
+
+// dispatch plays the host that holds a grant: it may never dispatch, or do so at any time before its window ends.
+func (w *world) dispatch(g Grant, table *Table) {
+	left := g.DispatchBefore(w.sent[g.Request]).Sub(w.now)
+	fate := rapid.IntRange(0, 5).Draw(w.t, "fate")
+	report := func(o Outcome) {
+		w.after("report", 40*time.Millisecond, func() {
+			if w.table == table {
+				w.handle(ReleaseEvent{Release: Release{Fence: g.Fence, ID: g.ID, Host: "h", Outcome: o}})
+			}
+		})
+	}
+	if fate == 0 || left <= 0 {
+		if fate == 0 {
+			report(OutcomeUnused)
+		}
+		return
+	}
+	w.after("dispatch", left, func() {
+		if fate == 1 {
+			report(OutcomeInDoubt)
+		}
+		w.after("transit", DefaultTransit, func() {
+			if w.stale(g.Fence) {
+				return
+			}
+			w.running[g.Request] += w.memory[g.Request]
+			w.after("run", rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 5 * time.Second}).Draw(w.t, "most"), func() {
+				delete(w.running, g.Request)
+				if fate > 2 {
+					report(OutcomeDone)
+				}
+			})
+		})
+	})
+}
+
+// order plays the backend server, which may answer late or never and refuses orders past their deadline.
+func (w *world) order(o fleet.Order, back func(Event)) {
+	outcome := rapid.SampledFrom([]fleet.OrderOutcome{
+		fleet.OrderDone, fleet.OrderDone, fleet.OrderFailed, fleet.OrderInDoubt,
+	}).Draw(w.t, "outcome")
+	w.after("order", DefaultTransit, func() {
+		if w.stale(o.Fence) {
+			back(AdapterEvent{Order: o.ID, Outcome: fleet.OrderRefused})
+			return
+		}
+		if outcome == fleet.OrderFailed {
+			back(AdapterEvent{Order: o.ID, Outcome: outcome})
+			return
+		}
+		load := o.Kind == fleet.OrderLoadAdapter
+		if load {
+			w.loading += o.Memory
+		}
+		w.after("work", o.Deadline-DefaultTransit, func() {
+			if load {
+				w.loading -= o.Memory
+				w.adapters[o.Target] = o.Memory
+			} else {
+				delete(w.adapters, o.Target)
+			}
+			back(AdapterEvent{Order: o.ID, Outcome: outcome})
+		})
+	})
+}
+
+func (w *world) inventory() fleet.Inventory {
+	inv := fleet.Inventory{Backend: "b", Incarnation: 1, Fence: w.engineFence}
+	for id, m := range w.models {
+		inv.Models = append(inv.Models, fleet.LoadedModel{Model: fleet.ModelID(fmt.Sprint("m", id)), Memory: m})
+	}
+	for target, m := range w.adapters {
+		inv.Adapters = append(inv.Adapters, fleet.LoadedAdapter{Target: target, Memory: m})
+	}
+	for id, m := range w.running {
+		inv.Running = append(inv.Running, fleet.RunningRequest{Request: id, Memory: m})
+	}
+	return inv
+}
+
+// check states I2 and the answer by the deadline (I3).
+func (w *world) check() {
+	used := w.loading
+	for _, m := range w.models {
+		used += m
+	}
+	for _, m := range w.adapters {
+		used += m
+	}
+	for _, m := range w.running {
+		used += m
+	}
+	require.LessOrEqual(w.t, used, fleet.Bytes(worldMemory), "memory of the backend server at %v", w.now.Sub(epoch))
+	require.LessOrEqual(w.t, len(w.running), worldSlots, "slots in use")
+	for id := range w.running {
+		// A new owner does not know which running requests asked to be alone.
+		if w.alone[id] == w.fence {
+			require.Len(w.t, w.running, 1, "request %s runs alone", id)
+		}
+	}
+	for id, deadline := range w.open {
+		require.False(w.t, w.now.After(deadline), "request %s is unanswered past its deadline", id)
+	}
+}
+
+// advance runs actions and ticks in order of time.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		next := -1
+		for i, a := range w.later {
+			if next < 0 || a.at.Before(w.later[next].at) {
+				next = i
+			}
+		}
+		tick, ok := w.table.NextTick()
+		if ok && (next < 0 || tick.Before(w.later[next].at)) {
+			if tick.After(end) {
+				break
+			}
+			w.now = maxTime(w.now, tick)
+			w.handle(TickEvent{})
+			continue
+		}
+		if next < 0 || w.later[next].at.After(end) {
+			break
+		}
+		a := w.later[next]
+		w.later = slices.Delete(w.later, next, next+1)
+		w.now = maxTime(w.now, a.at)
+		a.do()
+		w.check()
+	}
+	w.now = end
+}
+
+func maxTime(a, b time.Time) time.Time { return later(a, b) }
+
+func (w *world) acquire(t *rapid.T) {
+	w.requests++
+	a := Acquire{
+		Host: "h", Request: fleet.RequestID(fmt.Sprint("r", w.requests)), Target: fleet.Target{Model: "m1"},
+		Class:    fleet.Class(rapid.IntRange(0, 3).Draw(t, "class")),
+		Deadline: rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 4 * time.Second}).Draw(t, "deadline"),
+		Memory:   rapid.SampledFrom([]fleet.Bytes{10, 150, 250, 400}).Draw(t, "memory"),
+		Long:     rapid.Bool().Draw(t, "long"), Alone: rapid.IntRange(0, 15).Draw(t, "alone") == 7,
+	}
+	if n := rapid.IntRange(0, 6).Draw(t, "adapter"); n > 0 {
+		a.Target.Adapter = fleet.AdapterID(fmt.Sprint("a", n))
+		a.AdapterMemory = fleet.Bytes(50 * n)
+	}
+	w.memory[a.Request] = a.Memory
+	w.sent[a.Request] = w.now
+	w.open[a.Request] = w.now.Add(a.Deadline)
+	if a.Alone {
+		w.alone[a.Request] = w.fence
+	}
+	w.handle(AcquireEvent{Acquire: a})
+}
+
+// Guards against overcommitted memory or slots and against unanswered requests under lost and late messages and takeovers.
+func TestTableKeepsPromises(t *testing.T) {
+	granted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		order := fleet.OrderID(1)
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire":  w.acquire,
+			"burst": func(t *rapid.T) {
+				for range worldSlots {
+					w.acquire(t)
+				}
+			},
+			"advance": func(t *rapid.T) {
+				w.advance(rapid.SampledFrom([]time.Duration{time.Millisecond, 60 * time.Millisecond, time.Second}).Draw(t, "advance"))
+			},
+			"cancel": func(t *rapid.T) {
+				for id := range w.open {
+					if id == fleet.RequestID(fmt.Sprint("r", w.requests)) {
+						w.handle(CancelEvent{Cancel: Cancel{Host: "h", Request: id}})
+					}
+				}
+			},
+			"host-gone": func(t *rapid.T) {
+				clear(w.open)
+				w.handle(HostGoneEvent{Host: "h"})
+			},
+			"take-over": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "take") == 0 {
+					w.takeOver()
+				}
+			},
+			"replicas": func(t *rapid.T) {
+				sum := fleet.Bytes(kvReserve)
+				for _, r := range w.replicas {
+					sum += r.Memory
+				}
+				if sum+100 <= worldMemory {
+					order++
+					w.replicas = append(w.replicas, Replica{
+						Order: order, Model: fleet.ModelID(fmt.Sprint("m", order)), Memory: 100, Intended: true,
+					})
+				} else if last := w.replicas[len(w.replicas)-1]; len(w.replicas) > 1 && !last.Intended {
+					w.replicas = w.replicas[:len(w.replicas)-1]
+					delete(w.models, last.Order)
+				}
+				w.handle(ReplicasEvent{Replicas: slices.Clone(w.replicas)})
+			},
+		})
+		granted += w.granted
+	})
+	require.Positive(t, granted, "the run granted nothing")
+}
