--- /dev/null
+++ b/cmd/toucanway-lab/internal/deployment/deployment.go
@@ -0,0 +1,296 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/cmd/toucanway-lab/internal/engine"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/service"
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+	"toucanway/io/disk"
+	"toucanway/io/entry"
+	"toucanway/io/network"
+	"toucanway/io/operators"
+	"toucanway/io/settings"
+	"toucanway/io/voters"
+)
+
+// Ports of an entry host.
+const (
+	PortCallers   = 7400
+	PortHosts     = 7401
+	PortOperators = 7402
+)
+
+// drainBound is longer than any request of the lab.
+const drainBound = time.Minute
+
+// OperatorToken is the bearer token of the operator who submits the first document.
+const OperatorToken = "lab-operator-token"
+
+// Host places one entry host.
+type Host struct {
+	ID    fleet.HostID
+	IP    string
+	Place fleet.Place
+	Voter bool
+}
+
+// Settings describe a deployment.
+type Settings struct {
+	Hosts []Host
+	// Network returns the network of an IP address.
+	Network func(ip string) network.Network
+	// Storage returns the storage of a voter's group; nil keeps it in memory, which survives a restart of the host.
+	Storage func(host fleet.HostID, group raft.GroupID) (voters.Storage, error)
+	Engines []engine.Settings
+	// Services are the stand-ins of plain services.
+	Services []service.Settings
+	// LedgerGroups is the number of ledger groups; zero means one.
+	LedgerGroups int
+	// Log receives the hosts' log lines; nil drops them.
+	Log     io.Writer
+	Seed    uint64
+	History *history.History
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Settings Settings
+	Engines  map[fleet.BackendID]*engine.Engine
+	Services map[fleet.BackendID]*service.Service
+
+	mu       sync.Mutex
+	hosts    map[fleet.HostID]*running
+	memories map[storageKey]*disk.Memory
+	starts   uint64
+}
+
+type storageKey struct {
+	host  fleet.HostID
+	group raft.GroupID
+}
+
+// running is one life of an entry host.
+type running struct {
+	host   *entry.Host
+	drain  context.CancelFunc
+	kill   context.CancelFunc
+	group  *errgroup.Group
+	killed bool
+}
+
+// Start starts all hosts and stand-ins; they need some seconds until an election is over and all are registered.
+func Start(s Settings) (*Deployment, error) {
+	d := &Deployment{
+		Settings: s, Engines: map[fleet.BackendID]*engine.Engine{}, Services: map[fleet.BackendID]*service.Service{},
+		hosts: map[fleet.HostID]*running{}, memories: map[storageKey]*disk.Memory{},
+	}
+	for _, h := range s.Hosts {
+		if err := d.StartHost(h.ID); err != nil {
+			return d, err
+		}
+	}
+	for _, e := range s.Engines {
+		one := engine.New(e)
+		d.Engines[e.ID] = one
+		if err := one.Start(); err != nil {
+			return d, err
+		}
+	}
+	for _, v := range s.Services {
+		one := service.New(v)
+		d.Services[v.ID] = one
+		if err := one.Start(); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) host(id fleet.HostID) (Host, bool) {
+	for _, h := range d.Settings.Hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// StartHost starts a host that is not running.
+func (d *Deployment) StartHost(id fleet.HostID) error {
+	spec, ok := d.host(id)
+	if !ok {
+		return fmt.Errorf("no host %s in the deployment", id)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.hosts[id] != nil {
+		return fmt.Errorf("host %s is running", id)
+	}
+	d.starts++
+	cfg := d.settingsOf(spec)
+	h, err := entry.New(entry.Settings{
+		Settings: cfg, Network: d.Settings.Network(spec.IP), Loggers: settings.NewLoggers(cfg, d.log()),
+		Seed:    d.Settings.Seed + d.starts,
+		Storage: func(g raft.GroupID) (voters.Storage, error) { return d.storage(id, g) },
+	})
+	if err != nil {
+		return err
+	}
+	ctx, drain := context.WithCancel(context.Background())
+	stop, kill := context.WithCancel(context.Background())
+	r := &running{host: h, drain: drain, kill: kill, group: &errgroup.Group{}}
+	r.group.Go(func() error { return h.Run(ctx, stop) })
+	d.hosts[id] = r
+	return nil
+}
+
+func (d *Deployment) log() io.Writer {
+	if d.Settings.Log != nil {
+		return d.Settings.Log
+	}
+	return io.Discard
+}
+
+// storage returns the storage of a group; one in memory is kept for the next life of the host.
+func (d *Deployment) storage(id fleet.HostID, g raft.GroupID) (voters.Storage, error) {
+	if d.Settings.Storage != nil {
+		return d.Settings.Storage(id, g)
+	}
+	k := storageKey{id, g}
+	m := d.memories[k]
+	if m == nil {
+		m = disk.NewMemory(raft.StorageID(d.Settings.Seed<<16 + uint64(len(d.memories)) + 1))
+		d.memories[k] = m
+	}
+	return m, nil
+}
+
+func (d *Deployment) settingsOf(h Host) *settings.Settings {
+	at := func(ip string, port uint16) settings.Address {
+		return settings.Address(netip.AddrPortFrom(netip.MustParseAddr(ip), port).String())
+	}
+	s := &settings.Settings{
+		ID: h.ID, Region: h.Place.Region, DataCentre: h.Place.DataCentre, Rack: h.Place.Rack,
+		Listen: settings.Listen{
+			Callers: at(h.IP, PortCallers), Hosts: at(h.IP, PortHosts), Operators: at(h.IP, PortOperators),
+		},
+		LedgerGroups: max(d.Settings.LedgerGroups, 1),
+		DrainBound:   drainBound,
+		FirstOperator: settings.FirstOperator{
+			ID: "lab", Credential: config.HashToken("", OperatorToken),
+		},
+	}
+	for _, v := range d.Settings.Hosts {
+		if v.Voter {
+			s.Voters = append(s.Voters, settings.Voter{ID: v.ID, Address: at(v.IP, PortHosts)})
+		}
+	}
+	return s
+}
+
+// StopHost drains a host and waits for its end.
+func (d *Deployment) StopHost(id fleet.HostID) error {
+	return d.end(id, func(r *running) { r.drain() })
+}
+
+// KillHost ends a host at once, as a crash does: its connections break and it says goodbye to nobody.
+func (d *Deployment) KillHost(id fleet.HostID) error {
+	return d.end(id, func(r *running) {
+		r.killed = true
+		r.kill()
+	})
+}
+
+func (d *Deployment) end(id fleet.HostID, how func(*running)) error {
+	d.mu.Lock()
+	r := d.hosts[id]
+	delete(d.hosts, id)
+	d.mu.Unlock()
+	if r == nil {
+		return fmt.Errorf("host %s is not running", id)
+	}
+	how(r)
+	err := r.group.Wait()
+	r.kill()
+	r.drain()
+	if r.killed {
+		// What a killed host says of its broken parts is no failure of the deployment.
+		return nil
+	}
+	return err
+}
+
+// RunningHosts returns the hosts that run, in the order of the settings.
+func (d *Deployment) RunningHosts() []Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Host
+	for _, h := range d.Settings.Hosts {
+		if d.hosts[h.ID] != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// CallerAddresses returns the callers' addresses of all hosts of the deployment.
+func (d *Deployment) CallerAddresses() []string {
+	out := make([]string, 0, len(d.Settings.Hosts))
+	for _, h := range d.Settings.Hosts {
+		out = append(out, CallerAddress(h))
+	}
+	return out
+}
+
+// CallerAddress returns the callers' address of a host.
+func CallerAddress(h Host) string { return fmt.Sprintf("%s:%d", h.IP, PortCallers) }
+
+// Operator returns a client of the operators' interface that dials from an IP address.
+func (d *Deployment) Operator(ip string, token string) *operators.Client {
+	var addresses []string
+	for _, h := range d.Settings.Hosts {
+		addresses = append(addresses, fmt.Sprintf("%s:%d", h.IP, PortOperators))
+	}
+	n := d.Settings.Network(ip)
+	return operators.NewClient(operators.ClientSettings{Addresses: addresses, Token: token, Dial: n.Dial})
+}
+
+// Read calls f with a host's copy of the control state and reports whether the host runs.
+func (d *Deployment) Read(id fleet.HostID, f func(*control.State)) bool {
+	d.mu.Lock()
+	r := d.hosts[id]
+	d.mu.Unlock()
+	if r == nil {
+		return false
+	}
+	r.host.Read(f)
+	return true
+}
+
+// Close ends everything at once.
+func (d *Deployment) Close() error {
+	var errs []error
+	for _, h := range d.RunningHosts() {
+		errs = append(errs, d.KillHost(h.ID))
+	}
+	for _, e := range d.Engines {
+		errs = append(errs, e.Close())
+	}
+	for _, s := range d.Services {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
--- a/cmd/toucanway-lab/internal/engine/engine.go
+++ b/cmd/toucanway-lab/internal/engine/engine.go
@@ -94,6 +94,10 @@
 	case path == "/v1/cancel" && ctx.IsPost():
 		p.cancelRequest(ctx)
 	case path == "/v1/inventory" && ctx.IsGet():
+		// An owner shows its fencing token here, so that older orders are refused from then on. A stale token reads as well.
+		if fence, err := headerNumber(ctx, wire.HeaderFence, 0); err == nil {
+			p.noteFence(fleet.Fence(fence))
+		}
 		backend.WriteJSON(ctx, fasthttp.StatusOK, p.inventory())
 	case path == "/v1/orders" && ctx.IsPost():
 		p.order(ctx)
--- a/cmd/toucanway-lab/internal/engine/process.go
+++ b/cmd/toucanway-lab/internal/engine/process.go
@@ -117,6 +117,13 @@
 	return true
 }
 
+// noteFence takes note of a newer token.
+func (p *process) noteFence(f fleet.Fence) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checkFence(f)
+}
+
 func (p *process) inventory() fleet.Inventory {
 	cached := p.engine.cachedCheckpoints()
 	p.mu.Lock()
--- a/cmd/toucanway/serve.go
+++ b/cmd/toucanway/serve.go
@@ -2,12 +2,32 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
 
+	"toucanway/core/raft"
+	"toucanway/io/disk"
+	"toucanway/io/entry"
+	"toucanway/io/network"
 	"toucanway/io/settings"
+	"toucanway/io/voters"
 )
 
-// serve runs the daemon of a host until ctx ends; io/entry is called here.
-func serve(context.Context, *settings.Settings) error {
-	return errors.New("this build has no daemon; build it with io/entry")
+// serve runs the daemon until ctx ends and its drain is done.
+func serve(ctx context.Context, s *settings.Settings) error {
+	h, err := entry.New(entry.Settings{
+		Settings: s,
+		Network:  network.TCP{Local: s.Listen.Hosts.AddrPort().Addr()},
+		Loggers:  settings.NewLoggers(s, os.Stderr),
+		Seed:     rand.Uint64(),
+		Storage: func(id raft.GroupID) (voters.Storage, error) {
+			return disk.Open(disk.Settings{Dir: filepath.Join(string(s.Data), fmt.Sprintf("group-%d", id))})
+		},
+	})
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx, context.WithoutCancel(ctx))
 }
--- a/core/capacity/acquire.go
+++ b/core/capacity/acquire.go
@@ -62,6 +62,9 @@
 	if t.draining {
 		return leaving()
 	}
+	if t.told && !t.serves(a.Target.Model) {
+		return unserved(a.Target)
+	}
 	counted, intended := t.models()
 	switch room := t.cfg.Memory - counted - intended; {
 	case a.Memory < 0 || a.AdapterMemory < 0 || a.Memory > t.cfg.Memory:
--- a/core/capacity/event.go
+++ b/core/capacity/event.go
@@ -42,6 +42,8 @@
 	// Intended says that the load order was not sent yet. Its memory is kept clear of new grants, and an AdmitLoad effect
 	// follows once it fits.
 	Intended bool
+	// Ready says that the replica takes requests.
+	Ready bool
 }
 
 // ReplicasEvent replaces the model replicas on the backend server, those in doubt included.
--- /dev/null
+++ b/core/capacity/ready.go
@@ -0,0 +1,50 @@
+package capacity
+
+import (
+	"slices"
+
+	"toucanway/core/fleet"
+	"toucanway/core/queue"
+)
+
+// serves reports whether a replica of the model may take new requests.
+func (t *Table) serves(m fleet.ModelID) bool {
+	for _, r := range t.replicas {
+		if r.Model == m && r.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// Running returns the number of requests that hold a grant on a model, and those that run without a known grant, which
+// may be of any model.
+func (t *Table) Running(m fleet.ModelID) int {
+	n := len(t.strangers)
+	for _, g := range t.grants {
+		if g.target.Model == m {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseUnserved refuses the waiting requests whose model is no longer served here.
+func (t *Table) refuseUnserved() {
+	var gone []queue.Ticket
+	for ticket, r := range t.requests {
+		if !t.serves(r.Target.Model) {
+			gone = append(gone, ticket)
+		}
+	}
+	slices.Sort(gone)
+	for _, ticket := range gone {
+		t.queue.Remove(ticket)
+		r := t.forget(ticket)
+		t.refuse(r.from, unserved(r.Target))
+	}
+}
+
+func unserved(target fleet.Target) *fleet.Refusal {
+	return fleet.Refuse(fleet.CodeNoCapacity, 0, "no ready replica of %s is on the backend server; choose another", target)
+}
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -250,6 +250,7 @@
 		}
 	}
 	t.told = true
+	t.refuseUnserved()
 }
 
 // admitLoads lets intended replicas be loaded once their memory is free without the KV reserve; adapters without use make
--- a/core/capacity/world_test.go
+++ b/core/capacity/world_test.go
@@ -55,7 +55,7 @@
 		t: t, now: epoch, models: map[fleet.OrderID]fleet.Bytes{1: 200}, adapters: map[fleet.Target]fleet.Bytes{},
 		running: map[fleet.RequestID]fleet.Bytes{}, memory: map[fleet.RequestID]fleet.Bytes{},
 		alone: map[fleet.RequestID]fleet.Fence{}, sent: map[fleet.RequestID]time.Time{}, open: map[fleet.RequestID]time.Time{},
-		replicas: []Replica{{Order: 1, Model: "m1", Memory: 200}}, checksFence: rapid.Bool().Draw(t, "checks-fence"),
+		replicas: []Replica{{Order: 1, Model: "m1", Memory: 200, Ready: true}}, checksFence: rapid.Bool().Draw(t, "checks-fence"),
 	}
 	w.takeOver()
 	return w
@@ -294,7 +294,7 @@
 		w := newWorld(t)
 		order := fleet.OrderID(1)
 		t.Repeat(map[string]func(*rapid.T){
-			"acquire":  w.acquire,
+			"acquire": w.acquire,
 			"burst": func(t *rapid.T) {
 				for range worldSlots {
 					w.acquire(t)
@@ -327,7 +327,7 @@
 				if sum+100 <= worldMemory {
 					order++
 					w.replicas = append(w.replicas, Replica{
-						Order: order, Model: fleet.ModelID(fmt.Sprint("m", order)), Memory: 100, Intended: true,
+						Order: order, Model: fleet.ModelID(fmt.Sprint("m", order)), Memory: 100, Intended: true, Ready: true,
 					})
 				} else if last := w.replicas[len(w.replicas)-1]; len(w.replicas) > 1 && !last.Intended {
 					w.replicas = w.replicas[:len(w.replicas)-1]
--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -73,10 +73,11 @@
 	Incarnation fleet.Incarnation `cbor:"2,keyasint"`
 }
 
-// Advance adds elapsed time of the leader's clock and forgets records older than the retention.
+// Advance adds elapsed time of the leader's clock, forgets records older than the retention and sets the bound of records.
 type Advance struct {
-	Elapsed   time.Duration `cbor:"1,keyasint"`
-	Retention time.Duration `cbor:"2,keyasint"`
+	Elapsed    time.Duration `cbor:"1,keyasint"`
+	Retention  time.Duration `cbor:"2,keyasint"`
+	MaxRecords int           `cbor:"3,keyasint,omitempty"`
 }
 
 func (*Dispatch) isCommand()    {}
--- a/core/ledger/machine.go
+++ b/core/ledger/machine.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"container/list"
 	"maps"
 	"slices"
@@ -46,11 +47,10 @@
 // Machine is the state of one ledger group; it implements raft.StateMachine. The zero value is an empty ledger. It is
 // not safe for concurrent use.
 type Machine struct {
-	// MaxRecords bounds the records kept; zero means 200,000. All voters of a group must have the same value.
-	MaxRecords int
-
-	elapsed time.Duration
-	records map[Key]*list.Element
+	// maxRecords bounds the records kept; zero means 200,000.
+	maxRecords int
+	elapsed    time.Duration
+	records    map[Key]*list.Element
 	// byAge holds *Record ordered by Touched, oldest first.
 	byAge     list.List
 	bodyBytes int64
@@ -188,6 +188,7 @@
 	return Result{Verdict: VerdictAccepted}
 }
 
+// abandon accepts only when no attempt of the request ran, so that a refusal with not-run is true.
 func (m *Machine) abandon(c *Abandon) Result {
 	r := m.get(c.Key)
 	if r == nil {
@@ -198,8 +199,10 @@
 		return Result{Verdict: VerdictAccepted}
 	}
 	switch {
-	case slices.Contains(r.Abandoned, c.Attempt):
+	case slices.Contains(r.Abandoned, c.Attempt) && r.Status == StatusAbandoned:
 		return Result{Verdict: VerdictAccepted}
+	case slices.Contains(r.Abandoned, c.Attempt):
+		return m.describe(r)
 	case len(r.Abandoned) >= maxAbandoned:
 		return Result{Verdict: VerdictFull}
 	case r.Status == StatusDispatched && r.Attempt == c.Attempt:
@@ -213,6 +216,9 @@
 	// holder was abandoned in turn.
 	r.Abandoned = append(r.Abandoned, c.Attempt)
 	m.touch(r)
+	if r.Status != StatusAbandoned {
+		return m.describe(r)
+	}
 	return Result{Verdict: VerdictAccepted}
 }
 
@@ -239,6 +245,7 @@
 // advance forgets old records. A dispatched record is kept whatever its age, since its request may still be running.
 func (m *Machine) advance(c *Advance) Result {
 	m.elapsed += c.Elapsed
+	m.maxRecords = c.MaxRecords
 	for e := m.byAge.Front(); e != nil; {
 		r := e.Value.(*Record)
 		if m.elapsed-r.Touched <= c.Retention {
@@ -280,22 +287,19 @@
 }
 
 func (m *Machine) full() bool {
-	limit := m.MaxRecords
-	if limit == 0 {
-		limit = defaultMaxRecords
-	}
-	return len(m.records) >= limit
+	return len(m.records) >= cmp.Or(m.maxRecords, defaultMaxRecords)
 }
 
 // snapshot is the stored form of a machine, records oldest first.
 type snapshot struct {
-	Elapsed time.Duration `cbor:"1,keyasint"`
-	Records []Record      `cbor:"2,keyasint"`
+	Elapsed    time.Duration `cbor:"1,keyasint"`
+	Records    []Record      `cbor:"2,keyasint"`
+	MaxRecords int           `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded ledger.
 func (m *Machine) Snapshot() ([]byte, error) {
-	s := snapshot{Elapsed: m.elapsed, Records: make([]Record, 0, len(m.records))}
+	s := snapshot{Elapsed: m.elapsed, MaxRecords: m.maxRecords, Records: make([]Record, 0, len(m.records))}
 	for e := m.byAge.Front(); e != nil; e = e.Next() {
 		s.Records = append(s.Records, *e.Value.(*Record))
 	}
@@ -308,7 +312,7 @@
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return ErrCorrupt.Wrap(err, "ledger snapshot cannot be decoded; it was written by another version")
 	}
-	m.elapsed = s.Elapsed
+	m.elapsed, m.maxRecords = s.Elapsed, s.MaxRecords
 	m.records = make(map[Key]*list.Element, len(s.Records))
 	m.byAge.Init()
 	m.bodyBytes = 0
--- a/core/ledger/machine_test.go
+++ b/core/ledger/machine_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,22 +34,23 @@
 		last   Command
 		want   Verdict
 	}{
-		"first dispatch runs":                        {nil, dispatchA, VerdictAccepted},
-		"resend at another host does not run":        {[]Command{dispatchA}, dispatchB, VerdictRunning},
-		"resent commit of one attempt is accepted":   {[]Command{dispatchA}, dispatchA, VerdictAccepted},
-		"other body under the key is refused":        {[]Command{dispatchA}, &Dispatch{Key: key, Fingerprint: 8, Attempt: b}, VerdictMismatch},
-		"resend gets the answer":                     {[]Command{dispatchA, &Complete{key, a, answer}}, dispatchB, VerdictAnswered},
-		"unknown outcome never runs again":           {[]Command{dispatchA, &MarkUnknown{key, a}}, dispatchB, VerdictUnknown},
-		"late answer settles an unknown outcome":     {[]Command{dispatchA, &MarkUnknown{key, a}}, &Complete{key, a, answer}, VerdictAccepted},
-		"abandoned attempt cannot be dispatched":     {[]Command{&Abandon{key, 7, a}}, dispatchA, VerdictAbandoned},
-		"resend after a refusal runs":                {[]Command{&Abandon{key, 7, a}}, dispatchB, VerdictAccepted},
-		"abandon of a running resend's rival":        {[]Command{dispatchB, &Abandon{key, 7, a}, &Abandon{key, 7, b}}, dispatchA, VerdictAbandoned},
-		"abandon after the answer tells the answer":  {[]Command{dispatchA, &Complete{key, a, answer}}, &Abandon{key, 7, a}, VerdictAnswered},
-		"death of the dispatching host is unknown":   {[]Command{dispatchA, &CloseHost{"h1", 1}}, dispatchB, VerdictUnknown},
-		"death of another host changes nothing":      {[]Command{dispatchA, &CloseHost{"h2", 1}}, dispatchB, VerdictRunning},
-		"answer of another attempt is not stored":    {[]Command{dispatchA}, &Complete{key, b, answer}, VerdictStale},
-		"running request is kept past the retention": {[]Command{dispatchA, &Advance{time.Hour, time.Minute}}, dispatchB, VerdictRunning},
-		"record is kept inside the retention":        {[]Command{dispatchA, &Complete{key, a, answer}, &Advance{time.Minute, time.Minute}}, dispatchB, VerdictAnswered},
+		"first dispatch runs":                           {nil, dispatchA, VerdictAccepted},
+		"resend at another host does not run":           {[]Command{dispatchA}, dispatchB, VerdictRunning},
+		"resent commit of one attempt is accepted":      {[]Command{dispatchA}, dispatchA, VerdictAccepted},
+		"other body under the key is refused":           {[]Command{dispatchA}, &Dispatch{Key: key, Fingerprint: 8, Attempt: b}, VerdictMismatch},
+		"resend gets the answer":                        {[]Command{dispatchA, &Complete{key, a, answer}}, dispatchB, VerdictAnswered},
+		"unknown outcome never runs again":              {[]Command{dispatchA, &MarkUnknown{key, a}}, dispatchB, VerdictUnknown},
+		"late answer settles an unknown outcome":        {[]Command{dispatchA, &MarkUnknown{key, a}}, &Complete{key, a, answer}, VerdictAccepted},
+		"abandoned attempt cannot be dispatched":        {[]Command{&Abandon{key, 7, a}}, dispatchA, VerdictAbandoned},
+		"resend after a refusal runs":                   {[]Command{&Abandon{key, 7, a}}, dispatchB, VerdictAccepted},
+		"abandon of a running resend's rival":           {[]Command{dispatchB, &Abandon{key, 7, a}, &Abandon{key, 7, b}}, dispatchA, VerdictAbandoned},
+		"abandon beside a running resend is no refusal": {[]Command{dispatchB}, &Abandon{key, 7, a}, VerdictRunning},
+		"abandon after the answer tells the answer":     {[]Command{dispatchA, &Complete{key, a, answer}}, &Abandon{key, 7, a}, VerdictAnswered},
+		"death of the dispatching host is unknown":      {[]Command{dispatchA, &CloseHost{"h1", 1}}, dispatchB, VerdictUnknown},
+		"death of another host changes nothing":         {[]Command{dispatchA, &CloseHost{"h2", 1}}, dispatchB, VerdictRunning},
+		"answer of another attempt is not stored":       {[]Command{dispatchA}, &Complete{key, b, answer}, VerdictStale},
+		"running request is kept past the retention":    {[]Command{dispatchA, &Advance{Elapsed: time.Hour, Retention: time.Minute}}, dispatchB, VerdictRunning},
+		"record is kept inside the retention":           {[]Command{dispatchA, &Complete{key, a, answer}, &Advance{Elapsed: time.Minute, Retention: time.Minute}}, dispatchB, VerdictAnswered},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -63,7 +65,8 @@
 
 // Guards against forgetting a key inside its retention, or running a new one, when the ledger is full.
 func TestFullLedgerRefusesNewKeys(t *testing.T) {
-	m := Machine{MaxRecords: 1}
+	var m Machine
+	apply(t, &m, &Advance{Retention: time.Hour, MaxRecords: 1})
 	apply(t, &m, &Dispatch{Key: Key{Key: "a"}, Attempt: attempt("h", 1)})
 	require.Equal(t, VerdictFull, apply(t, &m, &Dispatch{Key: Key{Key: "b"}, Attempt: attempt("h", 2)}).Verdict)
 	require.Equal(t, VerdictRunning, apply(t, &m, &Dispatch{Key: Key{Key: "a"}, Attempt: attempt("h", 3)}).Verdict)
@@ -90,8 +93,11 @@
 				}
 			case 2:
 				if apply(t, m, &Abandon{key, 7, a}).Verdict == VerdictAccepted {
-					abandoned[a] = true
 					delete(granted, a)
+					require.Empty(t, granted, "not-run was accepted while another attempt may run")
+				}
+				if r, ok := m.Lookup(key); ok && slices.Contains(r.Abandoned, a) {
+					abandoned[a] = true
 				}
 			case 3:
 				apply(t, m, &Complete{key, a, Answer{Status: 200}})
--- /dev/null
+++ b/io/dispatch/crash.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"toucanway/core/capacity"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/io/backend"
+)
+
+const (
+	// probeTimeout bounds the question whether a backend server's process still listens.
+	probeTimeout = 500 * time.Millisecond
+	// crashTimeout bounds the commit of a crash, during which the requests behind it wait to be tried again.
+	crashTimeout = 2 * time.Second
+	// maxCrashes bounds the remembered crashes; the oldest is forgotten.
+	maxCrashes = 1024
+)
+
+// inflight holds the requests of this host that run on each life of a backend server. Lock order: mu alone.
+type inflight struct {
+	mu      sync.Mutex
+	running map[control.Life]map[fleet.RequestID]fleet.Fingerprint
+}
+
+func (f *inflight) add(l control.Life, id fleet.RequestID, fp fleet.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running == nil {
+		f.running = map[control.Life]map[fleet.RequestID]fleet.Fingerprint{}
+	}
+	if f.running[l] == nil {
+		f.running[l] = map[fleet.RequestID]fleet.Fingerprint{}
+	}
+	f.running[l][id] = fp
+}
+
+func (f *inflight) remove(l control.Life, id fleet.RequestID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running[l], id)
+	if len(f.running[l]) == 0 {
+		delete(f.running, l)
+	}
+}
+
+func (f *inflight) on(l control.Life) []fleet.Fingerprint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]fleet.Fingerprint, 0, len(f.running[l]))
+	for _, fp := range f.running[l] {
+		out = append(out, fp)
+	}
+	return out
+}
+
+// crashes remembers the lives of backend servers that ended under requests of this host, each reported once.
+type crashes struct {
+	mu    sync.Mutex
+	known map[control.Life]*crash
+	order []control.Life
+}
+
+// crash is one life that ended; done is closed once it was reported.
+type crash struct {
+	done chan struct{}
+}
+
+// enter returns the crash of a life and whether the caller is the one to report it.
+func (c *crashes) enter(l control.Life) (*crash, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.known[l]; k != nil {
+		return k, false
+	}
+	if c.known == nil {
+		c.known = map[control.Life]*crash{}
+	}
+	k := &crash{done: make(chan struct{})}
+	c.known[l] = k
+	c.order = append(c.order, l)
+	if len(c.order) > maxCrashes {
+		delete(c.known, c.order[0])
+		c.order = c.order[1:]
+	}
+	return k, true
+}
+
+// lost ends an attempt whose stream broke, and reports the crash of the backend server if that is the cause.
+func (a *answer) lost(now time.Time, err error) {
+	at := a.current
+	a.current = nil
+	a.sent = true
+	a.waiter.Again()
+	a.d.router.failed(now, a, at, err)
+	if errorx.IsOfType(err, backend.ErrLost) && a.ctx.Err() == nil && a.d.isGone(a.ctx, at) {
+		a.d.reportCrash(a.ctx, at)
+		a.leave(at)
+		a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
+		return
+	}
+	a.leave(at)
+	a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
+	a.d.cancelAtEngine(at, a.call.ID)
+}
+
+// isGone tells a backend server whose process ended from one that cannot be reached or answers badly.
+func (d *Dispatcher) isGone(ctx context.Context, at *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := d.cfg.Network.Dial(ctx, at.backend.Announcement.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// A process that restarted within the probe listens again; its connections of before are gone all the same, and the
+	// next announcement tells. A listening process counts as running.
+	c.Close()
+	return false
+}
+
+// reportCrash commits the requests that ran on a backend server when its process ended, and its removal. It returns once
+// the commit was tried, so that a retry of these requests knows who is suspected.
+func (d *Dispatcher) reportCrash(ctx context.Context, at *attempt) {
+	k, first := d.crashes.enter(at.life())
+	if !first {
+		select {
+		case <-ctx.Done():
+		case <-k.done:
+		}
+		return
+	}
+	defer close(k.done)
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	life := at.life()
+	fps := d.inflight.on(life)
+	d.metrics.crashes.With().Inc(1)
+	// A lost commit leaves the requests unsuspected until the next crash; other hosts report the same crash.
+	_, _ = d.cfg.Follower.Propose(ctx, &control.RecordCrash{
+		Backend: life.Backend, Incarnation: life.Incarnation, Fingerprints: fps, Alone: at.alone,
+	})
+	res, err := d.cfg.Follower.Propose(ctx, &control.RemoveBackend{Backend: life.Backend, Incarnation: life.Incarnation, Dead: true})
+	if err == nil {
+		_ = d.cfg.Follower.WaitApplied(ctx, res.Index)
+	}
+}
+
+// checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
+func (a *answer) checkPoison(time.Time) *fleet.Refusal {
+	var mark control.Mark
+	known := false
+	a.d.cfg.Follower.Read(func(s *control.State) { mark, known = s.Mark(a.fingerprint) })
+	a.alone = known
+	if !known || !mark.Poison {
+		return nil
+	}
+	return a.refuse(fleet.CodePoisonRequest, 0,
+		"this request crashed %d backend servers and is refused for a while; change its content or report it to the operators", mark.Crashes)
+}
+
+// mayRetry pauses before another attempt, or refuses when the budget, the attempts or the time are used up.
+func (a *answer) mayRetry(ctx context.Context, now time.Time, cause error) *fleet.Refusal {
+	if r := a.checkPoison(now); r != nil {
+		return r
+	}
+	if a.ctx.Err() != nil || ctx.Err() != nil {
+		return a.timedOut(ctx)
+	}
+	if a.attempts >= a.doc.Limits.MaxAttempts || !a.d.budget.Retry(now, a.call.Identity.Tenant) {
+		return a.refuse(fleet.CodeBackendFailed, busyRetry, "no backend server gave the whole answer in %d attempts: %v", a.attempts, cause)
+	}
+	a.d.metrics.retries.With(string(a.call.Identity.Tenant)).Inc(1)
+	if !sleep(ctx, a.d.backoff(a.attempts)) {
+		return a.timedOut(ctx)
+	}
+	return nil
+}
--- a/io/engines/client.go
+++ b/io/engines/client.go
@@ -105,13 +105,14 @@
 	Request fleet.RequestID `json:"request"`
 }
 
-// Inventory reads what an engine holds in memory now.
-func (c *Client) Inventory(ctx context.Context, address string) (fleet.Inventory, error) {
+// Inventory reads what an engine holds in memory now, and shows it the owner's fencing token.
+func (c *Client) Inventory(ctx context.Context, address string, fence fleet.Fence) (fleet.Inventory, error) {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + address + "/v1/inventory")
+	req.Header.Set(headerFence, strconv.FormatUint(uint64(fence), 10))
 	var inv fleet.Inventory
 	err := c.exchange(ctx, address, req, &inv, inventoryTimeout)
 	return inv, err
--- /dev/null
+++ b/io/entry/handler.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"toucanway/core/config"
+	"toucanway/core/fleet"
+	"toucanway/io/callers"
+	"toucanway/io/settings"
+)
+
+// hostTLS returns the TLS settings of the interface between hosts, nil for cleartext.
+func hostTLS(f settings.Files) (server, client *tls.Config, err error) {
+	if !f.IsSet() {
+		return nil, nil, nil
+	}
+	if server, err = f.Server(); err != nil {
+		return nil, nil, err
+	}
+	client, err = f.Client()
+	return server, client, err
+}
+
+// isRefused reports whether the other side's system answered that nothing listens on the port.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// handler answers callers; it implements callers.Handler.
+type handler struct{ h *Host }
+
+func (a handler) document() *config.Document {
+	doc, _ := a.h.follower.Document()
+	return doc
+}
+
+// Authenticate returns what a bearer token stands for.
+func (a handler) Authenticate(token string) (callers.Identity, bool) {
+	c, ok := a.document().CallerOf(token)
+	if !ok {
+		return callers.Identity{}, false
+	}
+	return callers.Identity{Caller: c.ID, Tenant: c.Tenant, Class: c.Class}, true
+}
+
+// Complete carries out a completion.
+func (a handler) Complete(ctx context.Context, c *callers.Completion) (callers.Answer, *fleet.Refusal) {
+	return a.h.dispatch.Complete(ctx, c)
+}
+
+// Call carries out a call of a plain service.
+func (a handler) Call(ctx context.Context, c *callers.ServiceCall) (*callers.ServiceAnswer, *fleet.Refusal) {
+	return a.h.dispatch.Call(ctx, c)
+}
+
+// Hosts returns the entry hosts to use.
+func (a handler) Hosts(model string, service fleet.ServiceID, from string) (callers.Hosts, *fleet.Refusal) {
+	return a.h.advise(time.Now(), model, service, from)
+}
+
+// Models returns the declared models and adapters, sorted.
+func (a handler) Models() []string {
+	var out []string
+	for _, m := range a.document().Models {
+		out = append(out, string(m.Name))
+		for _, ad := range m.Adapters {
+			out = append(out, fleet.Target{Model: m.Name, Adapter: ad.Name}.String())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// HostsHint tells callers to ask for addresses anew while this host shuts down or has no lease.
+func (a handler) HostsHint() string {
+	if a.h.draining.Load() || !a.h.follower.HasLease(time.Now()) {
+		return "ask-again"
+	}
+	return ""
+}
+
+// MaxBody returns the largest accepted body.
+func (a handler) MaxBody() fleet.Bytes {
+	if b := a.document().Limits.MaxBody; b > 0 {
+		return b
+	}
+	return defaultMaxBody
+}
+
+const defaultMaxBody = 4 * fleet.MiB
--- /dev/null
+++ b/io/entry/host.go
@@ -0,0 +1,318 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/core/capacity"
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+	"toucanway/io/backend"
+	"toucanway/io/callers"
+	"toucanway/io/dispatch"
+	"toucanway/io/engines"
+	"toucanway/io/follow"
+	"toucanway/io/groups"
+	"toucanway/io/hosts"
+	"toucanway/io/ledgers"
+	"toucanway/io/metrics"
+	"toucanway/io/network"
+	"toucanway/io/operators"
+	"toucanway/io/owner"
+	"toucanway/io/planning"
+	"toucanway/io/services"
+	"toucanway/io/sessions"
+	"toucanway/io/settings"
+	"toucanway/io/voters"
+)
+
+// Settings of a Host.
+type Settings struct {
+	*settings.Settings
+	Network network.Network
+	// Storage returns the storage of a raft group on a voter.
+	Storage func(raft.GroupID) (voters.Storage, error)
+	Loggers *settings.Loggers
+	// Seed drives random choices and election timeouts.
+	Seed uint64
+}
+
+// Host is one assembled entry host.
+type Host struct {
+	cfg      Settings
+	log      *zap.Logger
+	metrics  *metrics.Registry
+	client   *hosts.Client
+	server   hosts.Server
+	control  *hosts.GroupClient
+	follower *follow.Follower
+	registry *registry
+	pool     *backend.Pool
+	owner    *owner.Owner
+	reporter *planning.Reporter
+	dispatch *dispatch.Dispatcher
+	callers  *callers.Server
+	loads    capacity.LoadShare
+	// voter is nil on a host that is no voter.
+	voter    *voter
+	draining atomic.Bool
+}
+
+// voter is the part of a host that only voters have.
+type voter struct {
+	groups   *groups.Set
+	sessions *sessions.Service
+	planning *planning.Service
+	keepers  []*ledgers.Keeper
+}
+
+// New assembles a host; nothing runs before Run.
+func New(cfg Settings) (*Host, error) {
+	h := &Host{cfg: cfg, log: cfg.Loggers.Of(settings.LogDefault), metrics: metrics.New(metrics.Options{})}
+	serverTLS, clientTLS, err := hostTLS(cfg.TLS.Hosts)
+	if err != nil {
+		return nil, err
+	}
+	members := membersOf(cfg.Settings)
+	h.client = hosts.NewClient(cfg.ID, cfg.Network, clientTLS)
+	h.control = hosts.NewGroupClient(h.client, members)
+	h.registry = &registry{seen: map[fleet.BackendID]fleet.Incarnation{}}
+	h.follower = follow.New(follow.Settings{
+		Host: cfg.ID, Address: string(cfg.Listen.Hosts), CallerAddress: string(cfg.Listen.Callers), Place: cfg.Place(),
+		Control: h.control, Seen: h.registry.takeSeen, Log: cfg.Loggers.Of(settings.LogControl),
+	})
+	h.registry.follower = h.follower
+	h.pool = backend.NewPool(cfg.Network)
+	h.reporter = planning.NewReporter(planning.ReporterSettings{
+		Host: cfg.ID, Place: cfg.Place(), Incarnation: h.follower.Incarnation, Control: h.control,
+	})
+	h.owner = owner.New(owner.Settings{
+		Host: cfg.ID, Follower: h.follower, Engines: engines.NewClient(h.pool),
+		Measured: h.reporter.Load, Inventory: h.reporter.Inventory, Table: h.tableSettings,
+		Log: cfg.Loggers.Of(settings.LogCapacity),
+	})
+	h.dispatch = dispatch.New(dispatch.Settings{
+		Host: cfg.ID, Place: cfg.Place(), Follower: h.follower, Owner: h.owner, Client: h.client, Network: cfg.Network,
+		Engines: engines.NewClient(h.pool), Services: services.NewClient(h.pool),
+		Ledger:   ledgers.NewClient(h.client, members, cfg.LedgerGroups),
+		Reporter: h.reporter, Metrics: h.metrics, Seed: cfg.Seed,
+	})
+	h.registry.reports = h.dispatch
+	if err := h.newCallers(); err != nil {
+		return nil, err
+	}
+	if cfg.IsVoter() {
+		if err := h.newVoter(members); err != nil {
+			return nil, err
+		}
+	}
+	h.owner.Register(&h.server)
+	h.server.TLS = serverTLS
+	return h, nil
+}
+
+func (h *Host) newCallers() error {
+	cfg := callers.Settings{Handler: handler{h}, Extra: engines.Intake{Registry: h.registry}.Serve}
+	if h.cfg.TLS.Callers.IsSet() {
+		tlsConfig, err := h.cfg.TLS.Callers.Server()
+		if err != nil {
+			return err
+		}
+		cfg.TLS = tlsConfig
+	}
+	h.callers = callers.NewServer(cfg)
+	return nil
+}
+
+func (h *Host) newVoter(members []hosts.Member) error {
+	set, err := groups.Open(groups.Settings{
+		Self: h.cfg.ID, Members: members, LedgerGroups: h.cfg.LedgerGroups,
+		Storage: h.cfg.Storage, Client: h.client, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogRaft),
+	})
+	if err != nil {
+		return err
+	}
+	group, machine := set.ControlGroup()
+	v := &voter{groups: set}
+	v.sessions = sessions.New(sessions.Settings{
+		Self: h.cfg.ID, Group: group, Machine: machine, Dead: h.isDead, Log: h.cfg.Loggers.Of(settings.LogControl),
+	})
+	v.planning = planning.New(planning.Settings{
+		Self: h.cfg.ID, Sessions: v.sessions, Group: group, Machine: machine, Document: h.follower.Document,
+		Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogPlacement),
+	})
+	for n := range max(h.cfg.LedgerGroups, 1) {
+		g, m := set.Ledger(n)
+		v.keepers = append(v.keepers, &ledgers.Keeper{Group: g, Machine: m, Session: h.session, Limits: h.ledgerLimits})
+	}
+	set.Register(&h.server)
+	v.sessions.Register(&h.server)
+	v.planning.Register(&h.server)
+	hosts.Handle(&h.server, hosts.ProcedureOverview, v.overview)
+	h.voter = v
+	return nil
+}
+
+// overview answers with what only the control leader knows.
+func (v *voter) overview(context.Context, fleet.HostID, *hosts.OverviewRequest) (*hosts.OverviewResponse, error) {
+	group, _ := v.groups.ControlGroup()
+	res := &hosts.OverviewResponse{Leader: group.Status().Leader}
+	now := time.Now()
+	if _, leads := v.sessions.Leads(now); !leads {
+		res.Status = hosts.StatusNotLeader
+		return res, nil
+	}
+	res.Hosts, res.Unmet = v.sessions.Hosts(now), v.planning.Unmet()
+	return res, nil
+}
+
+func (h *Host) operators() *operators.Server {
+	first := h.cfg.FirstOperator
+	return operators.NewServer(operators.ServerSettings{
+		System:        system{h},
+		FirstOperator: config.Operator{ID: first.ID, Credentials: []config.Credential{first.Credential}},
+		Logger:        h.cfg.Loggers.Of(settings.LogOperators),
+	})
+}
+
+// membersOf returns the voters with their addresses. On a host that lists seeds only, these stand for the voters.
+func membersOf(s *settings.Settings) []hosts.Member {
+	var out []hosts.Member
+	for _, v := range s.Voters {
+		out = append(out, hosts.Member{ID: v.ID, Address: string(v.Address)})
+	}
+	if len(out) == 0 {
+		for _, a := range s.Seeds {
+			out = append(out, hosts.Member{ID: fleet.HostID(a), Address: string(a)})
+		}
+	}
+	return out
+}
+
+// session returns the standing session of a host; the copy is fresh while this host's own lease stands.
+func (h *Host) session(id fleet.HostID) (s control.Session, open, fresh bool) {
+	fresh = h.follower.HasLease(time.Now())
+	h.follower.Read(func(st *control.State) { s, open = st.Session(id) })
+	return s, open, fresh
+}
+
+func (h *Host) ledgerLimits() (retention time.Duration, records int) {
+	doc, _ := h.follower.Document()
+	return cmp.Or(doc.Limits.LedgerRetention, defaultRetention), doc.Limits.LedgerRecords
+}
+
+// defaultRetention keeps records while no document is in force.
+const defaultRetention = 24 * time.Hour
+
+// isDead tells a backend server whose process ended from one that cannot be reached: its host refuses the connection.
+func (h *Host) isDead(ctx context.Context, b control.Backend) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := h.cfg.Network.Dial(ctx, b.Announcement.Address)
+	if err != nil {
+		return isRefused(err)
+	}
+	return errors.Is(c.Close(), net.ErrClosed)
+}
+
+const probeTimeout = 500 * time.Millisecond
+
+// Listeners are the open addresses of a host.
+type Listeners struct {
+	Callers   net.Listener
+	Hosts     net.Listener
+	Operators net.Listener
+}
+
+// Listen opens the configured addresses.
+func (h *Host) Listen() (Listeners, error) {
+	var l Listeners
+	for _, one := range []struct {
+		to      *net.Listener
+		address settings.Address
+	}{{&l.Callers, h.cfg.Listen.Callers}, {&l.Hosts, h.cfg.Listen.Hosts}, {&l.Operators, h.cfg.Listen.Operators}} {
+		opened, err := h.cfg.Network.Listen(string(one.address))
+		if err != nil {
+			l.Close()
+			return Listeners{}, Errors.NewType("listen").Wrap(err, "cannot listen on %s; check that no other process uses it", one.address)
+		}
+		*one.to = opened
+	}
+	return l, nil
+}
+
+// Close closes the listeners that are open.
+func (l Listeners) Close() {
+	for _, one := range []net.Listener{l.Callers, l.Hosts, l.Operators} {
+		if one != nil {
+			one.Close()
+		}
+	}
+}
+
+// Run serves until ctx ends, then drains: it finishes all requests within the drain bound and returns nil. The end of
+// stop ends the drain at once.
+func (h *Host) Run(ctx, stop context.Context) error {
+	l, err := h.Listen()
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	// The parts outlive ctx for as long as requests under way need them.
+	parts, cancel := context.WithCancel(stop)
+	defer cancel()
+	serving, stopServing := context.WithCancel(parts)
+	defer stopServing()
+	g, gctx := errgroup.WithContext(parts)
+	h.start(g, gctx, l)
+	g.Go(func() error { return h.callers.Run(serving, l.Callers, gctx) })
+	g.Go(func() error {
+		select {
+		case <-gctx.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		h.drain(gctx)
+		stopServing()
+		h.leave(gctx)
+		cancel()
+		return nil
+	})
+	h.log.Info("host started", zap.String("host", string(h.cfg.ID)))
+	err = g.Wait()
+	h.pool.Close()
+	h.client.Close()
+	h.log.Info("host stopped", zap.String("host", string(h.cfg.ID)), zap.Error(err))
+	return err
+}
+
+// Read calls f with the host's copy of the control state; f must neither change nor keep it.
+func (h *Host) Read(f func(*control.State)) { h.follower.Read(f) }
+
+// start runs all parts but the callers' interface.
+func (h *Host) start(g *errgroup.Group, ctx context.Context, l Listeners) {
+	g.Go(func() error { return h.server.Run(ctx, l.Hosts) })
+	g.Go(func() error { return h.follower.Run(ctx) })
+	g.Go(func() error { return h.owner.Run(ctx) })
+	g.Go(func() error { return h.reporter.Run(ctx) })
+	g.Go(func() error { return h.dispatch.Run(ctx) })
+	g.Go(func() error { return h.operators().Serve(ctx, l.Operators) })
+	if h.voter == nil {
+		return
+	}
+	g.Go(func() error { return h.voter.groups.Run(ctx) })
+	g.Go(func() error { return h.voter.sessions.Run(ctx) })
+	g.Go(func() error { return h.voter.planning.Run(ctx) })
+	for _, k := range h.voter.keepers {
+		g.Go(func() error { return k.Run(ctx) })
+	}
+}
--- /dev/null
+++ b/io/entry/system.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/io/follow"
+	"toucanway/io/hosts"
+	"toucanway/io/metrics"
+	"toucanway/io/operators"
+)
+
+// overviewTimeout bounds the question to the leader behind a status.
+const overviewTimeout = time.Second
+
+// system offers a host to operators; it implements operators.System.
+type system struct{ h *Host }
+
+func (s system) read(f func(*control.State)) { s.h.follower.Read(f) }
+
+// Document returns the newest accepted document.
+func (s system) Document(context.Context) (d control.Document, err error) {
+	s.read(func(st *control.State) { d = st.Document() })
+	return d, nil
+}
+
+// History returns the accepted documents on record.
+func (s system) History(context.Context) (out []control.Document, err error) {
+	s.read(func(st *control.State) { out = st.History() })
+	return out, nil
+}
+
+// Submit proposes a document and waits until it is in force.
+func (s system) Submit(ctx context.Context, c *control.SubmitDocument) (operators.Submission, error) {
+	res, expired, err := s.h.follower.Submit(ctx, c)
+	if err != nil {
+		return operators.Submission{}, unavailable(err)
+	}
+	if err := res.Err(); err != nil {
+		return operators.Submission{Result: res}, err
+	}
+	// The answering host has the document in force as well, so that a following read shows it.
+	if err := s.h.follower.WaitApplied(ctx, res.Index); err != nil {
+		return operators.Submission{}, unavailable(err)
+	}
+	return operators.Submission{Result: res, Expired: expired}, nil
+}
+
+func unavailable(err error) error {
+	if errorx.IsOfType(err, follow.ErrSuperseded) {
+		return err
+	}
+	return &operators.Unavailable{Message: err.Error()}
+}
+
+// overview asks the leader for what only it knows; without an answer it is empty.
+func (s system) overview(ctx context.Context) hosts.OverviewResponse {
+	ctx, cancel := context.WithTimeout(ctx, overviewTimeout)
+	defer cancel()
+	res, err := hosts.CallLeader[hosts.OverviewRequest, hosts.OverviewResponse](ctx, s.h.control, hosts.ProcedureOverview, 0, &hosts.OverviewRequest{})
+	if err != nil {
+		return hosts.OverviewResponse{}
+	}
+	return *res
+}
+
+// Status returns the state of the deployment.
+func (s system) Status(ctx context.Context) (operators.Status, error) {
+	o := s.overview(ctx)
+	st := operators.Status{
+		Host: s.h.cfg.ID, Leader: o.Leader, LeaseValid: s.h.follower.HasLease(time.Now()), Waiting: s.h.dispatch.Requests(),
+	}
+	s.read(func(c *control.State) {
+		d := c.Document()
+		st.Version, st.Digest, st.Applied = d.Version, d.Digest, c.Applied()
+		st.Hosts, st.Backends = len(c.Sessions()), len(c.Backends())
+		for _, r := range c.AllReplicas() {
+			switch r.State {
+			case control.ReplicaReady:
+				st.Ready++
+			case control.ReplicaIntended, control.ReplicaSent:
+				st.Loading++
+			case control.ReplicaInDoubt, control.ReplicaUnloadInDoubt, control.ReplicaLost:
+				st.InDoubt++
+			case control.ReplicaUnloadIntended, control.ReplicaUnloadSent:
+			default:
+				panic("entry: replica record in state " + r.State.String())
+			}
+		}
+	})
+	for _, u := range o.Unmet {
+		st.Unmet = append(st.Unmet, operators.Unmet{
+			Section: config.SectionModels, Subject: "model " + string(u.Model), Bound: u.Bound,
+			Want: strconv.Itoa(u.Want), Have: strconv.Itoa(u.Have), Reason: u.Reason,
+		})
+	}
+	return st, nil
+}
+
+// Hosts returns the hosts with a session.
+func (s system) Hosts(ctx context.Context) ([]operators.Host, error) {
+	o := s.overview(ctx)
+	known := map[fleet.HostID]hosts.HostOverview{}
+	for _, h := range o.Hosts {
+		known[h.Host] = h
+	}
+	var out []operators.Host
+	s.read(func(c *control.State) {
+		owned := map[fleet.HostID]int{}
+		for _, b := range c.Backends() {
+			owned[b.Owner]++
+		}
+		for _, v := range c.Sessions() {
+			out = append(out, operators.Host{
+				Session: v, LeaseValid: known[v.Host].LeaseValid, Applied: known[v.Host].Applied,
+				Version: versionAt(c, known[v.Host].Applied), Voter: s.isVoter(v.Host), Leader: v.Host == o.Leader,
+				Owned: owned[v.Host],
+			})
+		}
+	})
+	return out, nil
+}
+
+// versionAt returns the newest document that a log index contains.
+func versionAt(c *control.State, applied fleet.Index) fleet.DocumentVersion {
+	var v fleet.DocumentVersion
+	for _, d := range c.History() {
+		if d.Index <= applied {
+			v = d.Version
+		}
+	}
+	return v
+}
+
+func (s system) isVoter(id fleet.HostID) bool {
+	for _, v := range s.h.cfg.Voters {
+		if v.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Backends returns the registered backend servers.
+func (s system) Backends(context.Context) ([]operators.Backend, error) {
+	var out []operators.Backend
+	s.read(func(c *control.State) {
+		for _, b := range c.Backends() {
+			one := operators.Backend{Backend: b, Used: c.MemoryOn(b.Announcement.ID)}
+			for _, r := range c.ReplicasOn(b.Announcement.ID) {
+				one.Models = append(one.Models, r.Model)
+			}
+			if q, ok := s.h.owner.State(b.Announcement.ID); ok {
+				one.Running, one.Queued, one.Used = q.Granted, q.Waiting, b.Announcement.Memory-q.Free
+			}
+			out = append(out, one)
+		}
+	})
+	return out, nil
+}
+
+// Models returns the declared models with their replicas.
+func (s system) Models(context.Context) ([]operators.Model, error) {
+	doc, _ := s.h.follower.Document()
+	var out []operators.Model
+	s.read(func(c *control.State) {
+		for _, m := range doc.Models {
+			out = append(out, operators.Model{Model: m, Target: c.Target(m.Name), Replicas: c.Replicas(m.Name)})
+		}
+	})
+	return out, nil
+}
+
+// Drain starts the drain of a host or a backend server.
+func (s system) Drain(ctx context.Context, d operators.Drain) error {
+	if d.Host != "" {
+		return s.h.drainOther(ctx, d.Host)
+	}
+	b, ok := control.Backend{}, false
+	s.read(func(c *control.State) { b, ok = c.Backend(d.Backend) })
+	if !ok {
+		return &operators.Unknown{Message: "no backend server " + string(d.Backend) + " is registered; list them with runners"}
+	}
+	if err := s.h.registry.Leave(d.Backend, b.Announcement.Incarnation); err != nil {
+		return unavailable(err)
+	}
+	return nil
+}
+
+// Watch tells the changes after a log index.
+func (s system) Watch(ctx context.Context, after fleet.Index, each func(operators.Event) error) error {
+	if after == 0 {
+		s.read(func(c *control.State) { after = c.Applied() })
+	}
+	for {
+		changed := s.h.follower.Changed()
+		entries, ok := s.h.follower.Recent(after)
+		if !ok {
+			return &operators.Unknown{Message: "the changes after this index are no longer kept; watch without an index"}
+		}
+		for _, e := range entries {
+			after = e.Index
+			ev, ok := eventOf(e)
+			if !ok {
+				continue
+			}
+			if err := each(ev); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// Health returns nil: a host that cannot go on ends by itself.
+func (s system) Health() error { return nil }
+
+// Ready returns nil when the host takes new work.
+func (s system) Ready() error {
+	if s.h.draining.Load() {
+		return &operators.Unavailable{Message: "the host shuts down"}
+	}
+	if !s.h.follower.HasLease(time.Now()) {
+		return &operators.Unavailable{Message: "the host has no session lease; check that it reaches a majority of the voters"}
+	}
+	return nil
+}
+
+// Metrics returns the registry of the host.
+func (s system) Metrics() *metrics.Registry { return s.h.metrics }
--- /dev/null
+++ b/io/entry/table.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"toucanway/core/capacity"
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/queue"
+)
+
+// tableSettings returns the part of a capacity table's settings that the configuration document decides.
+func (h *Host) tableSettings() capacity.Settings {
+	doc, _ := h.follower.Document()
+	return capacity.Settings{
+		KVReserve: doc.Capacity.KVReserve,
+		Queue:     queue.Settings{Limit: doc.Limits.WaitingPerBackend, Weight: weights(doc)},
+		Long:      queue.LongRule{Share: doc.Limits.LongWorkShare},
+		Loads:     h.adapterShare(doc),
+	}
+}
+
+// weights returns the fair share of each tenant.
+func weights(doc *config.Document) func(fleet.TenantID) float64 {
+	return func(id fleet.TenantID) float64 {
+		if t, ok := doc.Tenant(id); ok {
+			return float64(t.Weight)
+		}
+		return 1
+	}
+}
+
+// adapterShare divides the adapter loads in flight at full store speed among the hosts that may own backend servers.
+func (h *Host) adapterShare(doc *config.Document) *capacity.LoadShare {
+	hosts := 0
+	h.follower.Read(func(s *control.State) { hosts = len(s.Sessions()) })
+	h.loads.SetLimit(max(doc.Capacity.WeightStore.AdapterLoadsInFlight/max(hosts, 1), 1))
+	return &h.loads
+}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -27,7 +27,11 @@
 	pollTimeout = Hold + 700*time.Millisecond
 	// proposeTimeout bounds a proposal over all its attempts.
 	proposeTimeout = 5 * time.Second
-	pollPause      = 50 * time.Millisecond
+	// submitTimeout bounds one attempt at a submission: a commit and the longest wait for the document to be in force.
+	submitTimeout = 8 * time.Second
+	pollPause     = 50 * time.Millisecond
+	// maxRecent is the least number of log entries kept for those who watch changes.
+	maxRecent = 512
 )
 
 // Settings of a Follower; zero fields mean the documented defaults.
@@ -55,6 +59,8 @@
 	incarnation fleet.Incarnation
 	leaseEnd    time.Time
 	changed     chan struct{}
+	// recent holds the last entries in order, for those who watch changes.
+	recent []hosts.LogEntry
 }
 
 // sequence numbers the proposals of one life of the host.
@@ -180,6 +186,7 @@
 			return err
 		}
 		f.state = m.State
+		f.recent = nil
 	}
 	for _, e := range res.Entries {
 		if e.Index <= f.state.Applied() {
@@ -188,6 +195,7 @@
 		if e.Index != f.state.Applied()+1 {
 			return Errors.NewType("gap").New("control log jumps from %d to %d", f.state.Applied(), e.Index)
 		}
+		f.remember(e)
 		if len(e.Data) == 0 {
 			f.state.Skip(e.Index)
 			continue
@@ -205,6 +213,28 @@
 	return nil
 }
 
+func (f *Follower) remember(e hosts.LogEntry) {
+	if len(f.recent) >= 2*maxRecent {
+		f.recent = append([]hosts.LogEntry(nil), f.recent[maxRecent:]...)
+	}
+	f.recent = append(f.recent, e)
+}
+
+// Recent returns the entries after a log index, and false when some of them are no longer kept.
+func (f *Follower) Recent(after fleet.Index) ([]hosts.LogEntry, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if after >= f.state.Applied() {
+		return nil, true
+	}
+	for i, e := range f.recent {
+		if e.Index == after+1 {
+			return append([]hosts.LogEntry(nil), f.recent[i:]...), true
+		}
+	}
+	return nil, false
+}
+
 // refreshDocument puts the newest document in force. The leader accepts only documents that decode, so a failure means
 // that this host is older than the document's format.
 func (f *Follower) refreshDocument() {
@@ -246,16 +276,27 @@
 	return nil
 }
 
+// Submit commits a document and returns once it is in force on every host with a lease, with the hosts whose lease ended.
+func (f *Follower) Submit(ctx context.Context, c *control.SubmitDocument) (control.Result, []fleet.HostID, error) {
+	data, err := f.encode(f.Incarnation(), c)
+	if err != nil {
+		return control.Result{}, nil, err
+	}
+	res, err := hosts.CallLeader[hosts.ProposeRequest, hosts.SubmitResponse](ctx, f.cfg.Control, hosts.ProcedureSubmit, submitTimeout,
+		&hosts.ProposeRequest{Data: data})
+	if err != nil {
+		return control.Result{}, nil, err
+	}
+	return res.Result, res.Expired, nil
+}
+
 // Propose commits a command and returns its result; a rejected command is no error.
 func (f *Follower) Propose(ctx context.Context, c control.Command) (control.Result, error) {
 	return f.propose(ctx, f.Incarnation(), c)
 }
 
 func (f *Follower) propose(ctx context.Context, incarnation fleet.Incarnation, c control.Command) (control.Result, error) {
-	data, err := control.Encode(control.Proposal{
-		Proposer: control.Proposer{Host: f.cfg.Host, Incarnation: incarnation},
-		Seq:      f.seq.next(), Command: c,
-	})
+	data, err := f.encode(incarnation, c)
 	if err != nil {
 		return control.Result{}, err
 	}
@@ -269,6 +310,12 @@
 	return control.DecodeResult(res.Result)
 }
 
+func (f *Follower) encode(incarnation fleet.Incarnation, c control.Command) ([]byte, error) {
+	return control.Encode(control.Proposal{
+		Proposer: control.Proposer{Host: f.cfg.Host, Incarnation: incarnation}, Seq: f.seq.next(), Command: c,
+	})
+}
+
 // WaitApplied waits until the state contains a log index.
 func (f *Follower) WaitApplied(ctx context.Context, index fleet.Index) error {
 	for {
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -30,8 +30,6 @@
 	Members []hosts.Member
 	// LedgerGroups is the number of ledger groups; zero means one.
 	LedgerGroups int
-	// MaxRecords bounds the records of each ledger group; zero means the ledger's default.
-	MaxRecords int
 	// Storage returns the storage of a group.
 	Storage func(raft.GroupID) (voters.Storage, error)
 	Client  *hosts.Client
@@ -58,7 +56,7 @@
 		return nil, err
 	}
 	for n := range cfg.LedgerGroups {
-		m := &ledger.Machine{MaxRecords: cfg.MaxRecords}
+		m := &ledger.Machine{}
 		s.ledgers = append(s.ledgers, m)
 		if err := s.open(LedgerID(n), m); err != nil {
 			return nil, err
--- a/io/hosts/group.go
+++ b/io/hosts/group.go
@@ -52,10 +52,11 @@
 	status() (Status, fleet.HostID)
 }
 
-func (r *FollowResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
-func (r *ProposeResponse) status() (Status, fleet.HostID) { return r.Status, r.Leader }
-func (r *SubmitResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
-func (r *DemandResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
+func (r *FollowResponse) status() (Status, fleet.HostID)   { return r.Status, r.Leader }
+func (r *ProposeResponse) status() (Status, fleet.HostID)  { return r.Status, r.Leader }
+func (r *SubmitResponse) status() (Status, fleet.HostID)   { return r.Status, r.Leader }
+func (r *DemandResponse) status() (Status, fleet.HostID)   { return r.Status, r.Leader }
+func (r *OverviewResponse) status() (Status, fleet.HostID) { return r.Status, r.Leader }
 
 // CallLeader calls a procedure on the group's leader, trying members in turn until the context ends. Calls with effects
 // must be safe to repeat. Each attempt lasts at most attempt; zero means one second.
--- a/io/hosts/messages.go
+++ b/io/hosts/messages.go
@@ -145,3 +145,24 @@
 
 // ReleaseResponse acknowledges a ReleaseRequest.
 type ReleaseResponse struct{}
+
+// ProcedureOverview asks the control leader for what only it knows.
+const ProcedureOverview = "/control.v1/Overview"
+
+// OverviewRequest asks for an overview.
+type OverviewRequest struct{}
+
+// OverviewResponse is what only the control leader knows.
+type OverviewResponse struct {
+	Status Status                 `cbor:"1,keyasint"`
+	Leader fleet.HostID           `cbor:"2,keyasint,omitempty"`
+	Hosts  []HostOverview         `cbor:"3,keyasint,omitempty"`
+	Unmet  []placement.UnmetBound `cbor:"4,keyasint,omitempty"`
+}
+
+// HostOverview is one session as the leader sees it.
+type HostOverview struct {
+	Host       fleet.HostID `cbor:"1,keyasint"`
+	Applied    fleet.Index  `cbor:"2,keyasint"`
+	LeaseValid bool         `cbor:"3,keyasint"`
+}
--- a/io/hosts/server.go
+++ b/io/hosts/server.go
@@ -22,6 +22,9 @@
 
 // Server answers calls of other hosts; register procedures with Handle before Run.
 type Server struct {
+	// TLS is nil for cleartext HTTP/2.
+	TLS *tls.Config
+
 	mux http.ServeMux
 }
 
@@ -38,10 +41,12 @@
 }
 
 // Run serves the listener until the context ends, then lets calls under way finish within a bound.
-func (s *Server) Run(ctx context.Context, l net.Listener, tlsConfig *tls.Config) error {
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	var protocols http.Protocols
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
+	if s.TLS != nil {
+		cfg := s.TLS.Clone()
+		cfg.NextProtos = []string{"h2"}
+		l = tls.NewListener(l, cfg)
 		protocols.SetHTTP2(true)
 	} else {
 		protocols.SetUnencryptedHTTP2(true)
--- a/io/ledgers/keeper.go
+++ b/io/ledgers/keeper.go
@@ -23,8 +23,8 @@
 	// Session returns the standing session of a host, and whether the host's copy of the control state is fresh enough
 	// to tell that there is none.
 	Session func(fleet.HostID) (s control.Session, open, fresh bool)
-	// Retention returns how long records are kept.
-	Retention func() time.Duration
+	// Limits returns how long records are kept and how many.
+	Limits func() (retention time.Duration, records int)
 }
 
 // Run keeps the group until the context ends.
@@ -49,8 +49,11 @@
 			led, last = true, now
 		}
 		k.closeHosts(ctx)
-		if elapsed := now.Sub(last); elapsed >= advanceEvery && k.commit(ctx, &ledger.Advance{Elapsed: elapsed, Retention: k.Retention()}) {
-			last = now
+		if elapsed := now.Sub(last); elapsed >= advanceEvery {
+			retention, records := k.Limits()
+			if k.commit(ctx, &ledger.Advance{Elapsed: elapsed, Retention: retention, MaxRecords: records}) {
+				last = now
+			}
 		}
 	}
 }
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,261 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"toucanway/core/capacity"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/orders"
+	"toucanway/core/placement"
+	"toucanway/io/engines"
+	"toucanway/io/follow"
+	"toucanway/io/hosts"
+	"toucanway/io/jobs"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("owner")
+
+// ErrStopped means that the host shuts down.
+var ErrStopped = Errors.NewType("stopped")
+
+// stepInterval is the longest time between two steps of an owned backend server's orders.
+const stepInterval = time.Second
+
+// Settings of an Owner.
+type Settings struct {
+	Host     fleet.HostID
+	Follower *follow.Follower
+	Engines  *engines.Client
+	// Measured takes the ends of loads, and Inventory the inventories that were read, for the planner.
+	Measured  func(placement.LoadResult)
+	Inventory func(fleet.Inventory)
+	// Table returns the configurable part of a capacity table's settings; nil means the defaults.
+	Table func() capacity.Settings
+	// Log receives changes of state; nil means no log.
+	Log *zap.Logger
+}
+
+// Owner runs the tables of the owned backend servers. It is safe for concurrent use. Lock order: mu, the mu of one entry,
+// then either the follower's lock or that of jobs.
+type Owner struct {
+	cfg  Settings
+	wake chan struct{}
+	jobs jobs.Group
+
+	mu      sync.Mutex
+	entries map[fleet.BackendID]*entry
+}
+
+// New returns an owner of nothing.
+func New(cfg Settings) *Owner {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Table == nil {
+		cfg.Table = func() capacity.Settings { return capacity.Settings{} }
+	}
+	return &Owner{cfg: cfg, wake: make(chan struct{}, 1), entries: map[fleet.BackendID]*entry{}}
+}
+
+// Register adds the capacity procedures to a server.
+func (o *Owner) Register(srv *hosts.Server) {
+	hosts.Handle(srv, hosts.ProcedureAcquire, func(ctx context.Context, _ fleet.HostID, a *capacity.Acquire) (*hosts.AcquireResponse, error) {
+		return o.Acquire(ctx, a)
+	})
+	hosts.Handle(srv, hosts.ProcedureRelease, func(_ context.Context, _ fleet.HostID, r *hosts.ReleaseRequest) (*hosts.ReleaseResponse, error) {
+		o.Release(r)
+		return &hosts.ReleaseResponse{}, nil
+	})
+}
+
+// Run follows the control state and lets time pass in the tables until the context ends.
+func (o *Owner) Run(ctx context.Context) error {
+	o.jobs.Start(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		changed := o.cfg.Follower.Changed()
+		o.sync()
+		timer.Reset(time.Until(o.step()))
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-o.wake:
+		case <-timer.C:
+		}
+	}
+	o.mu.Lock()
+	for id, e := range o.entries {
+		e.close()
+		delete(o.entries, id)
+	}
+	o.mu.Unlock()
+	return o.jobs.Stop()
+}
+
+func (o *Owner) wakeUp() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// owned is a backend server that the control state gives to this host, with its replica records.
+type owned struct {
+	backend  control.Backend
+	replicas []control.Replica
+}
+
+// sync makes the entries agree with the control state.
+func (o *Owner) sync() {
+	mine := map[fleet.BackendID]owned{}
+	sessions := map[fleet.HostID]bool{}
+	o.cfg.Follower.Read(func(s *control.State) {
+		for _, b := range s.Backends() {
+			if b.Owner == o.cfg.Host && !b.Lost && b.Announcement.Kind == fleet.KindEngine {
+				mine[b.Announcement.ID] = owned{backend: b, replicas: s.ReplicasOn(b.Announcement.ID)}
+			}
+		}
+		for _, v := range s.Sessions() {
+			sessions[v.Host] = true
+		}
+	})
+	now := time.Now()
+	o.mu.Lock()
+	var current []*entry
+	for id, e := range o.entries {
+		m, ok := mine[id]
+		if !ok || m.backend.Fence != e.fence || m.backend.Announcement.Incarnation != e.incarnation {
+			e.close()
+			delete(o.entries, id)
+		}
+	}
+	for id, m := range mine {
+		e := o.entries[id]
+		if e == nil {
+			e = o.newEntry(now, m)
+			o.entries[id] = e
+		}
+		current = append(current, e)
+	}
+	o.mu.Unlock()
+	for _, e := range current {
+		m := mine[e.id]
+		e.update(now, m, sessions)
+	}
+}
+
+// step lets time pass in all entries and returns when the next one is due.
+func (o *Owner) step() time.Time {
+	now := time.Now()
+	next := now.Add(stepInterval)
+	for _, e := range o.all() {
+		if due := e.step(now); due.Before(next) {
+			next = due
+		}
+	}
+	return next
+}
+
+func (o *Owner) all() []*entry {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*entry, 0, len(o.entries))
+	for _, e := range o.entries {
+		out = append(out, e)
+	}
+	return out
+}
+
+func (o *Owner) entry(id fleet.BackendID) *entry {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.entries[id]
+}
+
+// Acquire asks for a grant and waits until it is granted or refused. StatusNotLeader means that this host does not own
+// the backend server or has no lease; the end of the context withdraws the request.
+func (o *Owner) Acquire(ctx context.Context, a *capacity.Acquire) (*hosts.AcquireResponse, error) {
+	e := o.entry(a.Backend)
+	if e == nil || !o.cfg.Follower.HasLease(time.Now()) {
+		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
+	}
+	ch := e.acquire(time.Now(), *a)
+	if ch == nil {
+		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
+	}
+	select {
+	case answer, ok := <-ch:
+		if !ok {
+			return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
+		}
+		return &hosts.AcquireResponse{Answer: answer}, nil
+	case <-ctx.Done():
+		e.cancel(time.Now(), capacity.Cancel{Backend: a.Backend, Host: a.Host, Request: a.Request})
+		return nil, ctx.Err()
+	}
+}
+
+// Release takes outcomes of grants and withdrawn requests.
+func (o *Owner) Release(r *hosts.ReleaseRequest) {
+	now := time.Now()
+	for _, one := range r.Releases {
+		if e := o.entry(one.Backend); e != nil {
+			e.handle(now, capacity.ReleaseEvent{Release: one})
+		}
+	}
+	for _, one := range r.Cancels {
+		if e := o.entry(one.Backend); e != nil {
+			e.cancel(now, one)
+		}
+	}
+}
+
+// State returns the load of an owned backend server.
+func (o *Owner) State(id fleet.BackendID) (capacity.QueueState, bool) {
+	e := o.entry(id)
+	if e == nil {
+		return capacity.QueueState{}, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.State(time.Now()), true
+}
+
+// Owned returns the backend servers that this host owns, sorted.
+func (o *Owner) Owned() []fleet.BackendID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]fleet.BackendID, 0, len(o.entries))
+	for id := range o.entries {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// newEntry returns the entry of a backend server that this host came to own.
+func (o *Owner) newEntry(now time.Time, m owned) *entry {
+	a := m.backend.Announcement
+	doc, _ := o.cfg.Follower.Document()
+	cfg := o.cfg.Table()
+	cfg.Backend, cfg.Incarnation, cfg.Fence = a.ID, a.Incarnation, m.backend.Fence
+	cfg.Memory, cfg.Slots, cfg.Taken = a.Memory, a.Slots, now
+	cfg.ChecksFence = doc.ChecksFence(a)
+	o.cfg.Log.Info("ownership taken", zap.String("backend-server", string(a.ID)), zap.Uint64("fence", uint64(m.backend.Fence)))
+	return &entry{
+		owner: o, id: a.ID, address: a.Address, fence: m.backend.Fence, incarnation: a.Incarnation,
+		table:    capacity.New(cfg),
+		orders:   orders.New(orders.Settings{Host: o.cfg.Host}, a.ID),
+		waiters:  map[waiterKey]chan capacity.Answer{},
+		admitted: map[fleet.OrderID]bool{},
+	}
+}
--- a/io/sessions/service.go
+++ b/io/sessions/service.go
@@ -239,6 +239,17 @@
 	return 0
 }
 
+// Hosts returns what each session reported, ordered by host.
+func (s *Service) Hosts(now time.Time) []hosts.HostOverview {
+	var sessions []control.Session
+	s.cfg.Group.View(func() { sessions = s.cfg.Machine.State.Sessions() })
+	out := make([]hosts.HostOverview, 0, len(sessions))
+	for _, v := range sessions {
+		out = append(out, hosts.HostOverview{Host: v.Host, Applied: s.appliedBy(v), LeaseValid: now.Before(s.validUntil(v))})
+	}
+	return out
+}
+
 // Submit commits a configuration document and answers once every host whose lease stands has it in force.
 func (s *Service) Submit(ctx context.Context, _ fleet.HostID, req *hosts.ProposeRequest) (*hosts.SubmitResponse, error) {
 	if !s.lead(time.Now()) {
