orders: state-machine test over planner, owners and fake engines

Cause: the bounds on replicas and memory have to hold under late, lost and repeated orders, restarts and partitions. Change: a rapid test with a fixed seed that lets fake engines check records, memory, cut requests and the store budget; the owner drops a decided load that hides a model found without record; a new planner counts lost replicas as loads under way, up to the budget.

--- /dev/null
+++ b/core/orders/machine_test.go
@@ -0,0 +1,351 @@
+package orders_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/orders"
+	"toucanway/core/placement"
+	"toucanway/core/store"
+)
+
+const (
+	loadDeadline  = 40 * time.Second
+	maxOrderDelay = 5 * time.Minute
+	sessionLease  = 3 * time.Second
+	storeRate     = 2
+	storeLimit    = 2
+	substep       = 500 * time.Millisecond
+)
+
+// TestMain fixes the seed; a long run is go test ./core/orders -run Machine -rapid.checks=20000 -rapid.seed=7.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.steps": "60"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// world is a control log, hosts, engines and the network between them.
+type world struct {
+	now             time.Time
+	log             [][]byte
+	state           control.State
+	planner         *placement.Planner
+	catalogue       placement.Catalogue
+	hosts           []*host
+	engines         []*engine
+	messages        []*message
+	later           []func()
+	prompt          bool
+	loseInventories bool
+	nextRound       time.Time
+	decided         []time.Time
+	seq             uint64
+	demand          map[fleet.ModelID]int
+}
+
+func measured(m orders.Measured) placement.LoadResult {
+	return placement.LoadResult{
+		Order: m.Order, Model: m.Model, Backend: m.Backend, Incarnation: m.Incarnation, Tier: m.Tier, Took: m.Took, Failed: m.Failed,
+	}
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{now: time.Unix(1_000_000, 0), prompt: true, demand: map[fleet.ModelID]int{}}
+	for i := range 5 {
+		w.catalogue.Models = append(w.catalogue.Models, placement.Model{
+			ID: fleet.ModelID(fmt.Sprintf("m%d", i)), Version: "v1", Memory: 10 * fleet.GiB, Minimum: min(1, i%3), Maximum: 4,
+			LoadTime: [3]time.Duration{0, 0, 20 * time.Second},
+		})
+	}
+	w.newPlanner()
+	for i := range 3 {
+		h := &host{id: fleet.HostID(fmt.Sprintf("h%d", i)), owners: map[fleet.BackendID]*orders.Owner{}, stopped: map[slot]bool{}}
+		w.hosts = append(w.hosts, h)
+		w.open(t, h)
+	}
+	for i := range 4 {
+		e := &engine{w: w, a: fleet.Announcement{
+			ID: fleet.BackendID(fmt.Sprintf("e%d", i)), Memory: 25 * fleet.GiB, Slots: 4, ChecksFence: i%2 == 0,
+		}}
+		e.restart(t)
+		w.engines = append(w.engines, e)
+		w.apply(t, &control.PutBackend{Announcement: e.a})
+	}
+	return w
+}
+
+func (w *world) newPlanner() {
+	w.planner = placement.New(placement.Settings{Catalogue: w.catalogue, Store: store.Settings{Rate: storeRate, Concurrency: storeLimit}})
+}
+
+func (w *world) open(t *rapid.T, h *host) {
+	h.incarnation++
+	h.epoch++
+	h.owners, h.held, h.stopped = map[fleet.BackendID]*orders.Owner{}, nil, map[slot]bool{}
+	w.apply(t, &control.OpenSession{Host: h.id, Incarnation: h.incarnation})
+	h.lease = w.now.Add(sessionLease)
+}
+
+func (w *world) apply(t *rapid.T, c control.Command) control.Result {
+	data, err := control.Encode(control.Proposal{Command: c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.log = append(w.log, data)
+	res := w.state.Apply(fleet.Index(len(w.log)), data)
+	t.Logf("%v %d %T%+v %s", w.now.Unix()-1e6, res.Index, c, c, res.Reason)
+	return res
+}
+
+func (w *world) answer(m *message, out fleet.OrderOutcome) {
+	if m.host.epoch == m.epoch {
+		w.later = append(w.later, func() { m.host.owner(m.send.Backend).Answered(w.now, m.send.Order.ID, out) })
+	}
+}
+
+func (w *world) engine(id fleet.BackendID) *engine {
+	for _, e := range w.engines {
+		if e.a.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// deliver hands an order over; one of an earlier life of the engine is lost with its connection.
+func (w *world) deliver(t *rapid.T, m *message) {
+	e := w.engine(m.send.Backend)
+	if e.unreachable || e.a.Incarnation != m.send.Incarnation {
+		return
+	}
+	e.order(t, m)
+}
+
+// advance passes time in substeps.
+func (w *world) advance(t *rapid.T, d time.Duration) {
+	for ; d > 0; d -= substep {
+		w.now = w.now.Add(substep)
+		for _, e := range w.engines {
+			e.progress()
+		}
+		later := w.later
+		w.later = nil
+		for _, f := range later {
+			f()
+		}
+		if w.prompt {
+			messages := w.messages
+			w.messages = nil
+			for _, m := range messages {
+				w.deliver(t, m)
+			}
+		}
+		// No message is delayed for longer than the bound that owners count on.
+		for len(w.messages) > 0 && w.now.Sub(w.messages[0].at) > maxOrderDelay {
+			w.messages = w.messages[1:]
+		}
+		for _, h := range w.hosts {
+			h.follow(w)
+			if w.now.Before(h.lease) {
+				h.step(t, w)
+			}
+			if _, ok := w.state.Session(h.id); ok && h.cutOff && w.now.Sub(h.lease) > sessionLease/10 {
+				w.apply(t, &control.CloseSession{Host: h.id, Incarnation: h.incarnation})
+			}
+		}
+		w.plan(t)
+		w.check(t)
+	}
+}
+
+func (w *world) plan(t *rapid.T) {
+	if w.now.Before(w.nextRound) {
+		return
+	}
+	w.nextRound = w.now.Add(time.Second)
+	w.seq++
+	d := placement.Demand{Host: "h0", Incarnation: 1, Seq: w.seq}
+	for _, m := range w.catalogue.Models {
+		if n := w.demand[m.ID]; n > 0 {
+			d.Entries = append(d.Entries, placement.DemandEntry{
+				Target: fleet.Target{Model: m.ID}, Class: fleet.ClassStandard, Waiting: n, Calls: n, Earliest: time.Minute,
+			})
+		}
+	}
+	w.planner.ObserveDemand(w.now, d)
+	for _, c := range w.planner.Round(w.now, &w.state) {
+		if res := w.apply(t, c); res.Reason != "" {
+			continue
+		}
+		if _, ok := c.(*control.DecideLoad); ok {
+			w.decided = append(w.decided, w.now)
+		}
+	}
+	for len(w.decided) > 0 && w.now.Sub(w.decided[0]) >= time.Second {
+		w.decided = w.decided[1:]
+	}
+	if len(w.decided) > storeRate {
+		t.Fatalf("%d loads were decided within a second, the store allows %d", len(w.decided), storeRate)
+	}
+}
+
+// check compares what engines hold with the decisions.
+func (w *world) check(t *rapid.T) {
+	fromStore := 0
+	for _, e := range w.engines {
+		var sum fleet.Bytes
+		records := map[fleet.ModelID]bool{}
+		for _, r := range w.state.ReplicasOn(e.a.ID) {
+			records[r.Model] = r.Incarnation == e.a.Incarnation
+		}
+		for id, h := range e.models {
+			sum += h.memory
+			if !h.restored && !records[id] {
+				t.Fatalf("%s holds %s by order %d without a record", e.a.ID, id, h.order)
+			}
+			if !h.restored && !h.late && e.loading(h) {
+				fromStore++
+			}
+		}
+		if sum > e.a.Memory {
+			t.Fatalf("%s holds %d of %d GiB", e.a.ID, sum/fleet.GiB, e.a.Memory/fleet.GiB)
+		}
+	}
+	if fromStore > storeLimit {
+		t.Fatalf("%d loads from the store are under way, it allows %d", fromStore, storeLimit)
+	}
+}
+
+// Guards against loads and memory beyond the decisions, cut requests, and records that stay in doubt for ever, when
+// owners change, orders arrive minutes late or twice, engines restart with other inventories, and the leader changes.
+func TestMachineKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		host := func() *host { return w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")] }
+		eng := func() *engine { return w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")] }
+		model := func() fleet.ModelID {
+			return w.catalogue.Models[rapid.IntRange(0, len(w.catalogue.Models)-1).Draw(t, "model")].ID
+		}
+		pick := func() int {
+			if len(w.messages) == 0 {
+				t.Skip("no message")
+			}
+			return rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass time":    func(t *rapid.T) { w.advance(t, time.Duration(rapid.IntRange(1, 20).Draw(t, "s"))*time.Second) },
+			"pass minutes": func(t *rapid.T) { w.advance(t, time.Duration(rapid.IntRange(1, 4).Draw(t, "m"))*time.Minute) },
+			"set demand":   func(t *rapid.T) { w.demand[model()] = rapid.IntRange(0, 60).Draw(t, "waiting") },
+			"hold orders":  func(t *rapid.T) { w.prompt = !w.prompt },
+			"deliver one": func(t *rapid.T) {
+				i := pick()
+				m := w.messages[i]
+				if rapid.Bool().Draw(t, "once") {
+					w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+				}
+				w.deliver(t, m)
+			},
+			"lose one": func(t *rapid.T) {
+				i := pick()
+				w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+			},
+			"lose inventories": func(t *rapid.T) { w.loseInventories = !w.loseInventories },
+			"lag":              func(t *rapid.T) { host().lag = rapid.IntRange(0, 6).Draw(t, "entries") },
+			"hold proposals":   func(t *rapid.T) { h := host(); h.holds = !h.holds },
+			"cut off host":     func(t *rapid.T) { host().cutOff = true },
+			"restart host": func(t *rapid.T) {
+				h := host()
+				h.cutOff, h.holds = false, false
+				w.open(t, h)
+			},
+			"change leader": func(t *rapid.T) {
+				w.newPlanner()
+			},
+			"move owner": func(t *rapid.T) {
+				b, _ := w.state.Backend(eng().a.ID)
+				w.apply(t, &control.AssignOwner{Backend: b.Announcement.ID, Owner: host().id, Expected: b.Fence})
+			},
+			"run requests": func(t *rapid.T) { w.setRunning(eng(), model(), rapid.IntRange(0, 2).Draw(t, "n")) },
+			"restart engine": func(t *rapid.T) {
+				e := eng()
+				e.restart(t)
+				w.apply(t, &control.PutBackend{Announcement: e.a})
+			},
+			"cut off engine": func(t *rapid.T) {
+				e := eng()
+				e.unreachable = true
+				w.apply(t, &control.RemoveBackend{Backend: e.a.ID, Incarnation: e.a.Incarnation})
+			},
+			"reconnect engine": func(t *rapid.T) {
+				e := eng()
+				e.unreachable = false
+				w.apply(t, &control.PutBackend{Announcement: e.a})
+			},
+			"": func(t *rapid.T) { w.check(t) },
+		})
+		w.heal(t)
+	})
+}
+
+// setRunning changes the requests on a replica; new ones need grants, which end before an unload.
+func (w *world) setRunning(e *engine, m fleet.ModelID, n int) {
+	if n > e.running[m] {
+		ready := false
+		for _, r := range w.state.ReplicasOn(e.a.ID) {
+			ready = ready || r.Model == m && r.State == control.ReplicaReady
+		}
+		b, _ := w.state.Backend(e.a.ID)
+		for _, h := range w.hosts {
+			if h.id == b.Owner && h.stopped[slot{e.a.ID, m}] {
+				ready = false
+			}
+		}
+		if !ready || e.models[m] == nil {
+			return
+		}
+	}
+	e.running[m] = n
+}
+
+// heal ends all faults; then every record has to be settled and every minimum met.
+func (w *world) heal(t *rapid.T) {
+	w.prompt, w.loseInventories = true, false
+	clear(w.demand)
+	for _, h := range w.hosts {
+		h.lag, h.holds = 0, false
+		if h.cutOff {
+			h.cutOff = false
+			w.open(t, h)
+		}
+	}
+	for _, e := range w.engines {
+		clear(e.running)
+		e.unreachable = false
+		w.apply(t, &control.PutBackend{Announcement: e.a})
+	}
+	w.advance(t, 2*maxOrderDelay+10*time.Minute)
+	for _, m := range w.catalogue.Models {
+		if n := len(w.state.Replicas(m.ID)); n < m.Minimum {
+			t.Fatalf("%s has %d replicas, want %d: %+v", m.ID, n, m.Minimum, w.planner.Unmet())
+		}
+		for _, r := range w.state.Replicas(m.ID) {
+			if e := w.engine(r.Backend); r.State != control.ReplicaReady || e.models[m.ID] == nil {
+				t.Fatalf("record %+v is not settled", r)
+			}
+		}
+	}
+}
--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -62,6 +62,12 @@
 			return out
 		}
 	}
+	if hidden := o.dropHiding(records, in); len(hidden) > 0 {
+		o.consistent = false
+		o.nextRead = now
+		o.paused = now.Add(o.cfg.RetryInterval)
+		return append(out, hidden...)
+	}
 	differs, before := o.compare(records, in)
 	if !differs {
 		o.consistent = true
@@ -75,6 +81,19 @@
 	}})
 }
 
+// dropHiding drops decided loads of models that the backend server holds already without a record. Such a decision would
+// keep the settlement from recording the model, so that its memory was not counted once the decision is dropped.
+func (o *Owner) dropHiding(records []control.Replica, in *reading) []Effect {
+	var out []Effect
+	for i := range records {
+		r := &records[i]
+		if r.State == control.ReplicaIntended && slices.ContainsFunc(in.answer.Models, func(m fleet.LoadedModel) bool { return m.Model == r.Model }) {
+			out = append(out, Propose{&control.ReportOrder{Order: r.Order, Fence: o.fence, State: control.ReplicaFailed}})
+		}
+	}
+	return out
+}
+
 // compare reports whether an inventory changes any record, and the last log index that it may settle: doubts that may
 // not be settled yet, and all later changes, are left alone.
 func (o *Owner) compare(records []control.Replica, in *reading) (bool, fleet.Index) {
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -41,6 +41,8 @@
 	// loading says that a load may be under way, remote that it takes from the weight store.
 	loading bool
 	remote  bool
+	// inherited says that the record was lost when this planner first saw it, so that a load is only possible.
+	inherited bool
 	// overrun says that the load took much longer than expected and was reported to the store budget.
 	overrun bool
 	live    bool
@@ -124,15 +126,21 @@
 	for _, o := range p.orders {
 		o.live = false
 	}
-	active := 0
+	active, inherited := 0, 0
 	for i := range p.view.replicas {
 		r := &p.view.replicas[i]
 		o := p.orderOf(now, r)
 		p.count(now, r, o)
-		if o.loading && o.remote {
+		switch {
+		case !o.loading || !o.remote:
+		case o.inherited:
+			inherited++
+		default:
 			active++
 		}
 	}
+	// An earlier leader kept the budget too, so no more of the lost replicas than it allows can be loading.
+	active += min(inherited, max(0, p.budget.Limit()-active))
 	for id, o := range p.orders {
 		if !o.live {
 			delete(p.orders, id)
@@ -158,7 +166,8 @@
 func (p *Planner) orderOf(now time.Time, r *control.Replica) *order {
 	o := p.orders[r.Order]
 	if o == nil {
-		o = &order{seen: now, remote: true, loading: r.State == control.ReplicaInDoubt}
+		o = &order{seen: now, remote: true, loading: r.State == control.ReplicaInDoubt || r.State == control.ReplicaLost}
+		o.inherited = r.State == control.ReplicaLost
 		if sv := p.view.server(r.Backend); sv != nil && tierOf(sv, r.Model) != fleet.TierRemote {
 			o.remote = false
 		}
@@ -188,7 +197,7 @@
 			o.since = now
 		}
 		expected := m.loadTime(fleet.TierRemote)
-		if now.Sub(o.seen) > max(time.Minute, 4*expected) {
+		if age := now.Sub(o.seen); o.inherited && age > 2*expected || age > max(time.Minute, 4*expected) {
 			// A load in doubt ends by its order's deadline; the store is not held back by it for longer.
 			o.loading = false
 		}
