--- a/io/terminal/document.go
+++ b/io/terminal/document.go
@@ -119,9 +119,14 @@
 	if err != nil {
 		return err
 	}
+	var inForce operators.DocumentAnswer
 	a, err := ask(c.program, func(cl *operators.Client) (operators.DiffAnswer, error) {
+		var err error
+		if inForce, err = cl.Document(c.ctx); err != nil {
+			return operators.DiffAnswer{}, err
+		}
 		return cl.Diff(c.ctx, operators.DiffRequest{Text: text})
-	}, printDiff)
+	}, func(w io.Writer, a operators.DiffAnswer) { printDiff(w, inForce, a) })
 	if err == nil && c.Check && len(a.Hunks) > 0 {
 		return errCheck
 	}
@@ -236,12 +241,22 @@
 	}
 }
 
-func printDiff(w io.Writer, a operators.DiffAnswer) {
+// printDiff prints replaced lines too, unless the document changed between the two answers.
+func printDiff(w io.Writer, inForce operators.DocumentAnswer, a operators.DiffAnswer) {
+	var before []string
+	if inForce.Version == a.Version {
+		before = control.SplitLines(inForce.Text)
+	}
 	if len(a.Hunks) == 0 {
 		fmt.Fprintf(w, "no difference from version %d\n", a.Version)
 	}
 	for _, h := range a.Hunks {
-		fmt.Fprintf(w, "lines %d to %d of version %d:\n", h.Start+1, h.End, a.Version)
+		fmt.Fprintf(w, "at line %d of version %d:\n", h.Start+1, a.Version)
+		if h.End <= len(before) {
+			for _, l := range before[h.Start:h.End] {
+				fmt.Fprintf(w, "- %s\n", strings.TrimSuffix(l, "\n"))
+			}
+		}
 		for _, l := range h.Lines {
 			fmt.Fprintf(w, "+ %s\n", strings.TrimSuffix(l, "\n"))
 		}
