--- a/cmd/toucanway-lab/internal/deployment/deployment.go
+++ b/cmd/toucanway-lab/internal/deployment/deployment.go
@@ -75,6 +75,7 @@
 	hosts    map[fleet.HostID]*running
 	memories map[storageKey]*disk.Memory
 	starts   uint64
+	observer observer
 }
 
 type storageKey struct {
@@ -84,10 +85,12 @@
 
 // running is one life of an entry host.
 type running struct {
-	host   *entry.Host
-	drain  context.CancelFunc
-	kill   context.CancelFunc
-	group  *errgroup.Group
+	host  *entry.Host
+	drain context.CancelFunc
+	kill  context.CancelFunc
+	group *errgroup.Group
+	// done gets the result of the host's Run.
+	done   chan error
 	killed bool
 }
 
@@ -96,6 +99,7 @@
 	d := &Deployment{
 		Settings: s, Engines: map[fleet.BackendID]*engine.Engine{}, Services: map[fleet.BackendID]*service.Service{},
 		hosts: map[fleet.HostID]*running{}, memories: map[storageKey]*disk.Memory{},
+		observer: observer{history: s.History},
 	}
 	for _, h := range s.Hosts {
 		if err := d.StartHost(h.ID); err != nil {
@@ -151,8 +155,17 @@
 	}
 	ctx, drain := context.WithCancel(context.Background())
 	stop, kill := context.WithCancel(context.Background())
-	r := &running{host: h, drain: drain, kill: kill, group: &errgroup.Group{}}
-	r.group.Go(func() error { return h.Run(ctx, stop) })
+	r := &running{host: h, drain: drain, kill: kill, group: &errgroup.Group{}, done: make(chan error, 1)}
+	r.group.Go(func() error {
+		r.done <- h.Run(ctx, stop)
+		return nil
+	})
+	if d.Settings.History != nil {
+		r.group.Go(func() error {
+			d.observer.follow(stop, id, h.Follower())
+			return nil
+		})
+	}
 	d.hosts[id] = r
 	return nil
 }
@@ -203,11 +216,15 @@
 
 // StopHost drains a host and waits for its end.
 func (d *Deployment) StopHost(id fleet.HostID) error {
-	return d.end(id, func(r *running) { r.drain() })
+	d.Settings.History.Add(history.ShutdownBegan{Host: id})
+	err := d.end(id, func(r *running) { r.drain() })
+	d.Settings.History.Add(history.ShutdownEnded{Host: id})
+	return err
 }
 
 // KillHost ends a host at once, as a crash does: its connections break and it says goodbye to nobody.
 func (d *Deployment) KillHost(id fleet.HostID) error {
+	d.Settings.History.Add(history.HostStopped{Host: id})
 	return d.end(id, func(r *running) {
 		r.killed = true
 		r.kill()
@@ -223,9 +240,10 @@
 		return fmt.Errorf("host %s is not running", id)
 	}
 	how(r)
-	err := r.group.Wait()
+	err := <-r.done
 	r.kill()
 	r.drain()
+	err = errors.Join(err, r.group.Wait())
 	if r.killed {
 		// What a killed host says of its broken parts is no failure of the deployment.
 		return nil
@@ -276,7 +294,7 @@
 	if r == nil {
 		return false
 	}
-	r.host.Read(f)
+	r.host.Follower().Read(f)
 	return true
 }
 
@@ -294,3 +312,14 @@
 	}
 	return errors.Join(errs...)
 }
+
+// HasLease reports whether a host has its session lease, and false when it does not run.
+func (d *Deployment) HasLease(id fleet.HostID, now time.Time) (valid, runs bool) {
+	d.mu.Lock()
+	r := d.hosts[id]
+	d.mu.Unlock()
+	if r == nil {
+		return false, false
+	}
+	return r.host.Follower().HasLease(now), true
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/scenario/commands.go
@@ -0,0 +1,334 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/deployment"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/io/operators"
+)
+
+// command is one word of the language: positional arguments and key=value options.
+type command func(r *run, args []string, opt options) error
+
+// run is one script under way; world is nil before deploy.
+type run struct {
+	world *world
+	ts    *testscript.TestScript
+}
+
+func commands() map[string]command {
+	return map[string]command{
+		"deploy":        deploy,
+		"submit":        submit,
+		"call":          call,
+		"order":         order,
+		"await":         await,
+		"advance":       advance,
+		"kill-host":     kill,
+		"stop-host":     stop,
+		"start-host":    start,
+		"crash-backend": crash,
+		"fault":         fault,
+		"cut":           cut,
+		"isolate":       isolate,
+		"rejoin":        rejoin,
+		"heal":          heal,
+		"drain":         drain,
+		"expect":        expect,
+	}
+}
+
+// options are the key=value arguments of a command.
+type options map[string]string
+
+var errUnused = errors.New("unknown option")
+
+func (o options) text(key, def string) string {
+	v, ok := o[key]
+	if !ok {
+		return def
+	}
+	delete(o, key)
+	return v
+}
+
+func (o options) number(key string, def int) int {
+	n, err := strconv.Atoi(o.text(key, strconv.Itoa(def)))
+	if err != nil {
+		panic(fmt.Errorf("%s must be a whole number: %w", key, err))
+	}
+	return n
+}
+
+func (o options) flag(key string, def bool) bool {
+	b, err := strconv.ParseBool(o.text(key, strconv.FormatBool(def)))
+	if err != nil {
+		panic(fmt.Errorf("%s must be true or false: %w", key, err))
+	}
+	return b
+}
+
+func (o options) duration(key string, def time.Duration) time.Duration {
+	d, err := time.ParseDuration(o.text(key, def.String()))
+	if err != nil {
+		panic(fmt.Errorf("%s must be a duration: %w", key, err))
+	}
+	return d
+}
+
+// parse splits the arguments of a command.
+func parse(args []string) ([]string, options) {
+	opt := options{}
+	var rest []string
+	for _, a := range args {
+		if k, v, ok := strings.Cut(a, "="); ok {
+			opt[k] = v
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return rest, opt
+}
+
+// deploy starts hosts and stand-ins, and submits a document with models=N unless it is 0.
+func deploy(r *run, _ []string, opt options) error {
+	s := shape{
+		hosts: opt.number("hosts", 3), voters: opt.number("voters", 3), regions: opt.number("regions", 3),
+		engines: opt.number("engines", 3), services: opt.number("services", 1), models: opt.number("models", 3),
+		fence: opt.flag("fence", true), refuse: opt.flag("refuse", false), slots: opt.number("slots", 8),
+		memory: fleet.Bytes(opt.number("memory-gib", 80)) * fleet.GiB, seed: uint64(opt.number("seed", 1)),
+	}
+	s.voters = min(s.voters, s.hosts)
+	w, err := newWorld(s)
+	r.world = w
+	if err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	if s.models == 0 {
+		return nil
+	}
+	var extra []string
+	if n := opt.number("min-replicas", 0); n > 0 {
+		extra = append(extra, fmt.Sprintf("min-replicas: %d", n))
+	}
+	if err := r.submitText("lab", deployment.SmallDocument(s.models, extra...), 0, "ok"); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	return nil
+}
+
+// submit submits a document: a file of the script, or the one with models=N; as=ok or the code of the expected error.
+func submit(r *run, args []string, opt options) error {
+	text := ""
+	switch {
+	case len(args) == 1:
+		text = r.ts.ReadFile(args[0])
+	default:
+		text = deployment.SmallDocument(opt.number("models", r.world.shape.models))
+	}
+	base := opt.number("base", int(r.world.version))
+	return r.submitText(opt.text("from", "lab"), text, base, opt.text("as", "ok"))
+}
+
+func (r *run) submitText(name, text string, base int, want string) error {
+	w := r.world
+	c := w.d.Operator(address(1, kindOperator, 1), deployment.OperatorToken)
+	a, err := c.Submit(w.ctx, operators.SubmitRequest{Base: uint64(base), Text: text})
+	got := "ok"
+	var known *operators.Error
+	switch {
+	case errors.As(err, &known):
+		got = string(known.Code)
+	case err != nil:
+		got = err.Error()
+	default:
+		w.version = fleet.DocumentVersion(a.Version)
+		w.history.Add(history.DocumentAccepted{Version: w.version, Digest: control.Digest(text)})
+	}
+	if got != want {
+		return fmt.Errorf("submission by %s on version %d: got %s (%w), want %s", name, base, got, err, want)
+	}
+	return nil
+}
+
+// call sends completions in the background: NAME model=m1 adapter= class= n= deadline= tokens= prompt= at=HOST.
+func call(r *run, args []string, opt options) error {
+	if len(args) != 1 {
+		return errors.New("usage: call NAME [option=value...]")
+	}
+	c, err := r.world.caller(opt.text("class", "interactive"), opt.text("at", ""))
+	if err != nil {
+		return err
+	}
+	n := opt.number("n", 1)
+	req := caller.Request{
+		Target: fleet.Target{Model: fleet.ModelID(opt.text("model", "m1")), Adapter: fleet.AdapterID(opt.text("adapter", ""))},
+		Prompt: opt.text("prompt", args[0]), MaxTokens: opt.number("tokens", 32), Stream: opt.flag("stream", true),
+		Deadline: opt.duration("deadline", 30*time.Second),
+	}
+	for i := range n {
+		one := req
+		name := args[0]
+		if n > 1 {
+			name = fmt.Sprintf("%s-%d", args[0], i+1)
+			one.Prompt = fmt.Sprintf("%s %d", req.Prompt, i+1)
+		}
+		one.Key = history.Key(name)
+		if err := r.world.start(name, c, &one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// order sends a call that may not be repeated: NAME key=KEY at=HOST deadline= resend=N.
+func order(r *run, args []string, opt options) error {
+	if len(args) != 1 {
+		return errors.New("usage: order NAME [option=value...]")
+	}
+	c, err := r.world.caller(opt.text("class", "critical"), opt.text("at", ""))
+	if err != nil {
+		return err
+	}
+	key := opt.text("key", args[0])
+	return r.world.start(args[0], c, &caller.Request{
+		Key: history.Key(key), Once: true, Resend: opt.number("resend", 0), Service: "orders", Path: "/submit",
+		Body: []byte(fmt.Sprintf(`{"key":%q}`, key)), Deadline: opt.duration("deadline", 10*time.Second),
+	})
+}
+
+// await waits for the end of requests.
+func await(r *run, args []string, _ options) error {
+	for _, name := range r.names(args) {
+		if _, err := r.world.result(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// names expands NAME* to all requests that begin with NAME.
+func (r *run) names(args []string) []string {
+	var out []string
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	for _, a := range args {
+		prefix, ok := strings.CutSuffix(a, "*")
+		if !ok {
+			out = append(out, a)
+			continue
+		}
+		for name := range r.world.outcomes {
+			if strings.HasPrefix(name, prefix) {
+				out = append(out, name)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// advance lets synthetic time pass.
+func advance(_ *run, args []string, _ options) error {
+	if len(args) != 1 {
+		return errors.New("usage: advance DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return nil
+}
+
+// kill ends hosts at once.
+func kill(r *run, args []string, _ options) error {
+	for _, name := range args {
+		h, err := r.world.hostOf(name)
+		if err != nil {
+			return err
+		}
+		r.world.net.Host(h.IP).Close()
+		if err := r.world.d.KillHost(h.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop shuts hosts down gracefully.
+func stop(r *run, args []string, _ options) error {
+	for _, name := range args {
+		if err := r.world.d.StopHost(fleet.HostID(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts hosts again.
+func start(r *run, args []string, _ options) error {
+	for _, name := range args {
+		if err := r.world.d.StartHost(fleet.HostID(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crash ends the process of a backend server; for=DURATION starts it again afterwards.
+func crash(r *run, args []string, opt options) error {
+	pause := opt.duration("for", 0)
+	for _, name := range args {
+		id := fleet.BackendID(name)
+		switch {
+		case r.world.d.Engines[id] != nil && pause > 0:
+			r.world.d.Engines[id].CrashFor(pause)
+		case r.world.d.Engines[id] != nil:
+			r.world.d.Engines[id].Crash()
+		case r.world.d.Services[id] != nil && pause > 0:
+			r.world.d.Services[id].CrashFor(pause)
+		case r.world.d.Services[id] != nil:
+			r.world.d.Services[id].Crash()
+		default:
+			return fmt.Errorf("no backend server %s in the deployment", name)
+		}
+	}
+	return nil
+}
+
+// fault sets the switches of backend servers: slow=FACTOR mute= swap= late= crash-on-load= crash-on-prompt=TEXT; without
+// options all are off.
+func fault(r *run, args []string, opt options) error {
+	slow, err := strconv.ParseFloat(opt.text("slow", "0"), 64)
+	if err != nil {
+		return err
+	}
+	f := faultsOf(opt)
+	f.Slow = slow
+	for _, name := range args {
+		id := fleet.BackendID(name)
+		switch {
+		case r.world.d.Engines[id] != nil:
+			r.world.d.Engines[id].Faults.Set(f)
+		case r.world.d.Services[id] != nil:
+			r.world.d.Services[id].Faults.Set(f)
+		default:
+			return fmt.Errorf("no backend server %s in the deployment", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/scenario/faults.go
@@ -0,0 +1,136 @@
+package scenario
+
+import (
+	"errors"
+
+	"toucanway/cmd/toucanway-lab/internal/backend"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/core/fleet"
+	"toucanway/io/operators"
+)
+
+func faultsOf(opt options) backend.Faults {
+	return backend.Faults{
+		Mute: opt.flag("mute", false), Swap: opt.flag("swap", false), Late: opt.duration("late", 0),
+		CrashOnLoad: opt.flag("crash-on-load", false), CrashOnPrompt: opt.text("crash-on-prompt", ""),
+	}
+}
+
+// cut silently cuts two members of the deployment off from each other; one-way=true cuts only the first direction.
+func cut(r *run, args []string, opt options) error {
+	if len(args) != 2 {
+		return errors.New("usage: cut A B [one-way=true]")
+	}
+	a, err := r.world.ipOf(args[0])
+	if err != nil {
+		return err
+	}
+	b, err := r.world.ipOf(args[1])
+	if err != nil {
+		return err
+	}
+	if opt.flag("one-way", false) {
+		r.world.net.CutOneWay(a, b)
+		return nil
+	}
+	r.world.net.Cut(a, b)
+	return nil
+}
+
+// isolate silently cuts members off from everyone else; callers=true leaves the links to callers.
+func isolate(r *run, args []string, opt options) error {
+	keep := opt.flag("callers", false)
+	for _, name := range args {
+		ip, err := r.world.ipOf(name)
+		if err != nil {
+			return err
+		}
+		if !keep {
+			r.world.net.Isolate(ip)
+			r.world.history.Add(history.HostUnreachable{Host: fleet.HostID(name)})
+			continue
+		}
+		for _, other := range r.world.members() {
+			if other != ip {
+				r.world.net.Cut(ip, other)
+			}
+		}
+	}
+	return nil
+}
+
+// members returns the addresses of all hosts and backend servers.
+func (w *world) members() []string {
+	var out []string
+	for _, h := range w.d.Settings.Hosts {
+		out = append(out, h.IP)
+	}
+	for _, e := range w.d.Settings.Engines {
+		ip, err := w.ipOf(string(e.ID))
+		if err == nil {
+			out = append(out, ip)
+		}
+	}
+	for _, s := range w.d.Settings.Services {
+		ip, err := w.ipOf(string(s.ID))
+		if err == nil {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
+
+// rejoin ends the cuts of members.
+func rejoin(r *run, args []string, _ options) error {
+	for _, name := range args {
+		ip, err := r.world.ipOf(name)
+		if err != nil {
+			return err
+		}
+		r.world.net.Rejoin(ip)
+		r.world.history.Add(history.HostReachable{Host: fleet.HostID(name)})
+	}
+	return nil
+}
+
+// heal ends all cuts.
+func heal(r *run, _ []string, _ options) error {
+	r.world.net.RestoreAll()
+	for _, h := range r.world.d.Settings.Hosts {
+		r.world.history.Add(history.HostReachable{Host: h.ID})
+	}
+	return nil
+}
+
+// drain has backend servers leave, or asks operators' interface to drain a host with host=NAME.
+func drain(r *run, args []string, opt options) error {
+	if h := opt.text("host", ""); h != "" {
+		c := r.world.d.Operator(address(1, kindOperator, 1), deploymentToken)
+		_, err := c.Drain(r.world.ctx, operators.DrainRequest{Host: h})
+		return err
+	}
+	for _, name := range args {
+		if err := r.leave(fleet.BackendID(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) leave(id fleet.BackendID) error {
+	w := r.world
+	var n fleet.Incarnation
+	var err error
+	switch {
+	case w.d.Engines[id] != nil:
+		n, err = w.d.Engines[id].Incarnation(), w.d.Engines[id].Leave()
+	case w.d.Services[id] != nil:
+		n, err = w.d.Services[id].Incarnation(), w.d.Services[id].Leave()
+	default:
+		return errors.New("no backend server " + string(id) + " in the deployment")
+	}
+	if err == nil {
+		w.history.Add(history.BackendLeft{Backend: id, Incarnation: n})
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/scenario/world.go
@@ -0,0 +1,274 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/checker"
+	"toucanway/cmd/toucanway-lab/internal/deployment"
+	"toucanway/cmd/toucanway-lab/internal/engine"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/memnet"
+	"toucanway/cmd/toucanway-lab/internal/service"
+	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/core/fleet"
+	"toucanway/io/network"
+)
+
+// One-way delays of the deployments of today.
+const (
+	delayCentres = time.Millisecond
+	delayRegions = 12 * time.Millisecond
+	delayCallers = time.Millisecond
+)
+
+// IP addresses: 10.REGION.KIND.NUMBER.
+const (
+	kindHost     = 1
+	kindEngine   = 2
+	kindService  = 3
+	kindCaller   = 4
+	kindOperator = 5
+)
+
+// settleTime is the longest interval of fasthttp's idle workers, which end within it.
+const settleTime = time.Minute
+
+// shape describes the deployment of a scenario.
+type shape struct {
+	hosts, voters, regions, engines, services int
+	models                                    int
+	fence, refuse                             bool
+	slots                                     int
+	memory                                    fleet.Bytes
+	seed                                      uint64
+	loads                                     int
+}
+
+// world is one scenario under way.
+type world struct {
+	net     *memnet.Network
+	d       *deployment.Deployment
+	history *history.History
+	log     lockedBuffer
+	shape   shape
+	ctx     context.Context
+	cancel  context.CancelFunc
+	calls   errgroup.Group
+
+	mu       sync.Mutex
+	outcomes map[string]*outcome
+	callers  map[string]*caller.Client
+	version  fleet.DocumentVersion
+}
+
+// outcome is the end of one named request; done is closed with it.
+type outcome struct {
+	done   chan struct{}
+	result caller.Outcome
+}
+
+// lockedBuffer collects log lines of several hosts.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func address(region, kind, n int) string { return fmt.Sprintf("10.%d.%d.%d", region, kind, n) }
+
+// delay returns the one-way delay between two addresses.
+func delay(from, to netip.Addr) time.Duration {
+	a, b := from.As4(), to.As4()
+	d := delayCentres
+	if a[2] == kindCaller || b[2] == kindCaller {
+		d = delayCallers
+	}
+	if a[1] != b[1] {
+		d = delayRegions
+	}
+	return d
+}
+
+func newWorld(s shape) (*world, error) {
+	w := &world{
+		net: memnet.New(memnet.Settings{Delay: delay}), history: history.New(), shape: s,
+		outcomes: map[string]*outcome{}, callers: map[string]*caller.Client{},
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	var err error
+	w.d, err = deployment.Start(w.settings())
+	return w, err
+}
+
+// region spreads the n-th of a kind over the regions.
+func (s shape) region(n int) int { return (n-1)%s.regions + 1 }
+
+func place(region int) fleet.Place {
+	return fleet.Place{
+		Region: fleet.Region(fmt.Sprintf("r%d", region)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", region)),
+	}
+}
+
+func (w *world) settings() deployment.Settings {
+	s := deployment.Settings{
+		Network: func(ip string) network.Network { return w.net.Host(ip) }, Seed: w.shape.seed, Log: &w.log, History: w.history,
+		LedgerGroups: 2,
+	}
+	var entries []string
+	for i := 1; i <= w.shape.hosts; i++ {
+		r := w.shape.region(i)
+		h := deployment.Host{
+			ID: fleet.HostID(fmt.Sprintf("h%d", i)), IP: address(r, kindHost, i), Place: place(r), Voter: i <= w.shape.voters,
+		}
+		s.Hosts = append(s.Hosts, h)
+		entries = append(entries, deployment.CallerAddress(h))
+	}
+	weights := store.New(store.Settings{})
+	for i := 1; i <= w.shape.engines; i++ {
+		r := w.shape.region(i)
+		ip := address(r, kindEngine, i)
+		s.Engines = append(s.Engines, engine.Settings{
+			ID: fleet.BackendID(fmt.Sprintf("e%d", i)), Network: w.net.Host(ip), Address: ip + ":8000", Place: place(r),
+			Entries: entries, ChecksFence: w.shape.fence, RefuseOvercommit: w.shape.refuse, Slots: w.shape.slots,
+			Memory: w.shape.memory, Store: weights, Seed: w.shape.seed + uint64(i), History: w.history,
+		})
+	}
+	for i := 1; i <= w.shape.services; i++ {
+		r := w.shape.region(i)
+		ip := address(r, kindService, i)
+		s.Services = append(s.Services, service.Settings{
+			ID: fleet.BackendID(fmt.Sprintf("s%d", i)), Network: w.net.Host(ip), Address: ip + ":8000", Place: place(r),
+			Entries: entries, Services: []fleet.ServiceID{"orders"}, History: w.history,
+		})
+	}
+	return s
+}
+
+// hostOf returns a host of the deployment by its name.
+func (w *world) hostOf(name string) (deployment.Host, error) {
+	for _, h := range w.d.Settings.Hosts {
+		if string(h.ID) == name {
+			return h, nil
+		}
+	}
+	return deployment.Host{}, fmt.Errorf("no host %s in the deployment", name)
+}
+
+// ipOf returns the address of a host, engine or service by its name.
+func (w *world) ipOf(name string) (string, error) {
+	if h, err := w.hostOf(name); err == nil {
+		return h.IP, nil
+	}
+	for _, e := range w.d.Settings.Engines {
+		if string(e.ID) == name {
+			return strings.TrimSuffix(e.Address, ":8000"), nil
+		}
+	}
+	for _, s := range w.d.Settings.Services {
+		if string(s.ID) == name {
+			return strings.TrimSuffix(s.Address, ":8000"), nil
+		}
+	}
+	return "", fmt.Errorf("no host or backend server %s in the deployment", name)
+}
+
+// caller returns the client of a class; those that name a host use only that one.
+func (w *world) caller(class, host string) (*caller.Client, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := class + "@" + host
+	if c := w.callers[k]; c != nil {
+		return c, nil
+	}
+	s := caller.Settings{
+		Network: w.net.Host(address(1, kindCaller, len(w.callers)+1)), Hosts: w.d.CallerAddresses(),
+		Credential: deployment.CallerToken(class), Seed: w.shape.seed, History: w.history, HostID: w.hostID,
+	}
+	if host != "" {
+		h, err := w.hostOf(host)
+		if err != nil {
+			return nil, err
+		}
+		s.Hosts, s.NoAdvice = []string{deployment.CallerAddress(h)}, true
+	}
+	c := caller.New(s)
+	w.callers[k] = c
+	return c, nil
+}
+
+func (w *world) hostID(addr string) fleet.HostID {
+	for _, h := range w.d.Settings.Hosts {
+		if deployment.CallerAddress(h) == addr {
+			return h.ID
+		}
+	}
+	return fleet.HostID(addr)
+}
+
+// start sends a request in the background under a name.
+func (w *world) start(name string, c *caller.Client, r *caller.Request) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outcomes[name] != nil {
+		return fmt.Errorf("request %s was sent before; give each its own name", name)
+	}
+	o := &outcome{done: make(chan struct{})}
+	w.outcomes[name] = o
+	w.calls.Go(func() error {
+		o.result = c.Do(w.ctx, r)
+		close(o.done)
+		return nil
+	})
+	return nil
+}
+
+// result waits for the end of a named request.
+func (w *world) result(name string) (caller.Outcome, error) {
+	w.mu.Lock()
+	o := w.outcomes[name]
+	w.mu.Unlock()
+	if o == nil {
+		return caller.Outcome{}, fmt.Errorf("no request %s was sent", name)
+	}
+	<-o.done
+	return o.result, nil
+}
+
+// close ends the scenario and returns the violations of the invariants.
+func (w *world) close() (string, error) {
+	for _, o := range w.outcomes {
+		<-o.done
+	}
+	violations := checker.Check(checker.Settings{CallerDelay: 2 * (delayCallers + delayRegions)}, w.history.Records())
+	w.cancel()
+	err := w.calls.Wait()
+	for _, c := range w.callers {
+		c.Close()
+	}
+	if cerr := w.d.Close(); err == nil {
+		err = cerr
+	}
+	time.Sleep(settleTime)
+	return checker.Report(violations), err
+}
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -7,13 +7,10 @@
 	"io"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"toucanway/core/capacity"
 	"toucanway/core/config"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
-	"toucanway/io/backend"
 	"toucanway/io/callers"
 	"toucanway/io/engines"
 	"toucanway/io/hosts"
@@ -114,6 +111,8 @@
 	received int
 	ready    *callers.Chunk
 	ended    bool
+	// rejected is the last owner's refusal since a grant.
+	rejected *fleet.Refusal
 	// alone says that the request is suspected of crashing backend servers.
 	alone bool
 }
@@ -182,7 +181,11 @@
 			a.complete(now)
 			return nil, nil
 		}
-		a.lost(now, err)
+		at := a.current
+		a.current = nil
+		a.waiter.Again()
+		a.leave(at)
+		a.failed(now, at, err)
 		if r := a.mayRetry(ctx, now, err); r != nil {
 			return nil, r
 		}
@@ -226,7 +229,7 @@
 			return nil
 		}
 		now := time.Now()
-		a.d.router.failed(now, a, at, err)
+		a.failed(now, at, err)
 		if r := a.mayRetry(ctx, now, err); r != nil {
 			return r
 		}
@@ -241,6 +244,10 @@
 		if b, ok := a.d.router.choose(now, a, tried); ok {
 			return b, nil
 		}
+		if a.rejected != nil && a.rejected.Code != fleet.CodeNoCapacity && a.rejected.Code != fleet.CodeStillRunning {
+			// Every replica's owner refused, and for a reason that waiting here does not change.
+			return control.Backend{}, a.rejected
+		}
 		// Backend servers that failed before may serve again; a retry is bounded by the budget, not by their number.
 		if len(tried) > 0 {
 			clear(tried)
@@ -317,8 +324,10 @@
 	}
 	a.d.router.queue(now, b.Announcement.ID, res.Answer.Queue)
 	if r := res.Answer.Refusal; r != nil {
-		return nil, false, a.refuse(r.Code, r.RetryAfter, "%s", r.Message)
+		a.rejected = a.refuse(r.Code, r.RetryAfter, "%s", r.Message)
+		return nil, true, nil
 	}
+	a.rejected = nil
 	g := *res.Answer.Grant
 	at = &attempt{grant: g, backend: b, owner: owner, began: sent, alone: req.Alone}
 	if !now.Before(g.DispatchBefore(sent)) || !a.d.cfg.Follower.HasLease(now) {
@@ -336,7 +345,7 @@
 	return nil, true, nil
 }
 
-// send dispatches the request under its grant. On failure the grant is released by what is known of the outcome.
+// send dispatches the request under its grant.
 func (a *answer) send(ctx context.Context, at *attempt) error {
 	streamCtx, cancel := context.WithCancel(a.ctx)
 	stop := context.AfterFunc(ctx, cancel)
@@ -356,14 +365,6 @@
 	}
 	stop()
 	cancel()
-	a.d.inflight.remove(at.life(), a.call.ID)
-	switch {
-	case errorx.IsOfType(err, backend.ErrNotSent), errorx.IsOfType(err, engines.ErrRefused):
-		a.d.release(at, capacity.OutcomeUnused, 0)
-	default:
-		a.sent = true
-		a.d.release(at, capacity.OutcomeInDoubt, 0)
-	}
 	return err
 }
 
@@ -376,6 +377,7 @@
 	if at := a.current; at != nil {
 		a.current = nil
 		a.leave(at)
+		a.d.inflight.remove(at.life(), a.call.ID)
 		a.d.cancelAtEngine(at, a.call.ID)
 	}
 	if a.waiter != nil {
@@ -386,9 +388,8 @@
 	a.finish()
 }
 
-// leave ends this host's part in an attempt.
+// leave ends this host's part in an attempt whose stream was open.
 func (a *answer) leave(at *attempt) {
 	at.stream.Close()
 	at.cancel()
-	a.d.inflight.remove(at.life(), a.call.ID)
 }
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -13,6 +13,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/io/backend"
+	"toucanway/io/engines"
 )
 
 const (
@@ -93,22 +94,49 @@
 	return k, true
 }
 
-// lost ends an attempt whose stream broke, and reports the crash of the backend server if that is the cause.
-func (a *answer) lost(now time.Time, err error) {
-	at := a.current
-	a.current = nil
-	a.sent = true
-	a.waiter.Again()
+// failed releases the grant of an attempt by what is known of its outcome, and reports the crash of the backend server if
+// that is the cause.
+func (a *answer) failed(now time.Time, at *attempt, err error) {
+	defer a.d.inflight.remove(at.life(), a.call.ID)
 	a.d.router.failed(now, a, at, err)
-	if errorx.IsOfType(err, backend.ErrLost) && a.ctx.Err() == nil && a.d.isGone(a.ctx, at) {
+	switch {
+	case errorx.IsOfType(err, engines.ErrRefused):
+		a.d.release(at, capacity.OutcomeUnused, 0)
+	case errorx.IsOfType(err, backend.ErrNotSent):
+		a.d.release(at, capacity.OutcomeUnused, 0)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.d.reportDead(at.life())
+		}
+	case errorx.IsOfType(err, backend.ErrLost) && a.ctx.Err() == nil && a.d.isGone(a.ctx, at):
+		a.sent = true
 		a.d.reportCrash(a.ctx, at)
-		a.leave(at)
 		a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
+	default:
+		a.sent = true
+		a.d.cancelAtEngine(at, a.call.ID)
+	}
+}
+
+// reportDead removes a backend server whose process ended without a request of this host.
+func (d *Dispatcher) reportDead(l control.Life) {
+	k, first := d.crashes.enter(l)
+	if !first {
 		return
 	}
-	a.leave(at)
-	a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
-	a.d.cancelAtEngine(at, a.call.ID)
+	d.jobs.Run(func(ctx context.Context) {
+		defer close(k.done)
+		d.removeDead(ctx, l)
+	})
+}
+
+// removeDead commits the removal of a backend server and waits until this host knows of it.
+func (d *Dispatcher) removeDead(ctx context.Context, l control.Life) {
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	res, err := d.cfg.Follower.Propose(ctx, &control.RemoveBackend{Backend: l.Backend, Incarnation: l.Incarnation, Dead: true})
+	if err == nil {
+		_ = d.cfg.Follower.WaitApplied(ctx, res.Index)
+	}
 }
 
 // isGone tells a backend server whose process ended from one that cannot be reached or answers badly.
@@ -137,19 +165,16 @@
 		return
 	}
 	defer close(k.done)
-	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
-	defer cancel()
 	life := at.life()
 	fps := d.inflight.on(life)
 	d.metrics.crashes.With().Inc(1)
 	// A lost commit leaves the requests unsuspected until the next crash; other hosts report the same crash.
-	_, _ = d.cfg.Follower.Propose(ctx, &control.RecordCrash{
+	commit, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	_, _ = d.cfg.Follower.Propose(commit, &control.RecordCrash{
 		Backend: life.Backend, Incarnation: life.Incarnation, Fingerprints: fps, Alone: at.alone,
 	})
-	res, err := d.cfg.Follower.Propose(ctx, &control.RemoveBackend{Backend: life.Backend, Incarnation: life.Incarnation, Dead: true})
-	if err == nil {
-		_ = d.cfg.Follower.WaitApplied(ctx, res.Index)
-	}
+	d.removeDead(ctx, life)
 }
 
 // checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
--- a/io/dispatch/observe.go
+++ b/io/dispatch/observe.go
@@ -105,6 +105,7 @@
 	a.current = nil
 	a.ended = true
 	a.leave(at)
+	a.d.inflight.remove(at.life(), a.call.ID)
 	a.d.release(at, capacity.OutcomeDone, a.prompt+fleet.Tokens(a.received))
 	if a.alone {
 		fp := a.fingerprint
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -295,8 +295,8 @@
 	return err
 }
 
-// Read calls f with the host's copy of the control state; f must neither change nor keep it.
-func (h *Host) Read(f func(*control.State)) { h.follower.Read(f) }
+// Follower returns the host's copy of the control state.
+func (h *Host) Follower() *follow.Follower { return h.follower }
 
 // start runs all parts but the callers' interface.
 func (h *Host) start(g *errgroup.Group, ctx context.Context, l Listeners) {
