engine: chats, fencing tokens of inventory questions and the output limit of the interface

Engines answer /v1/chat/completions with deltas, take the fencing token that comes with an inventory question, answer a failed order with status 200, and stop at 256 tokens when a request sets no limit, as entry hosts assume. Callers close idle connections before entry hosts do. Hosts of a deployment share one locked log writer; TestWholePath had a data race on it.

--- a/cmd/toucanway-lab/internal/caller/transport.go
+++ b/cmd/toucanway-lab/internal/caller/transport.go
@@ -11,7 +11,8 @@
 
 const (
 	maxIdlePerHost = 1024
-	idleTimeout    = 30 * time.Second
+	// idleTimeout is shorter than that of entry hosts, so that no request is sent on a connection that is being closed.
+	idleTimeout = 20 * time.Second
 )
 
 // NewTransport returns an HTTP transport that dials on a network.
--- a/cmd/toucanway-lab/internal/deployment/deployment.go
+++ b/cmd/toucanway-lab/internal/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/cmd/toucanway-lab/internal/engine"
@@ -97,6 +98,10 @@
 		Settings: s, Engines: map[fleet.BackendID]*engine.Engine{}, Services: map[fleet.BackendID]*service.Service{},
 		hosts: map[fleet.HostID]*running{}, memories: map[storageKey]*disk.Memory{},
 	}
+	if s.Log != nil {
+		// Each host has loggers of its own, which write to the one writer at the same time.
+		d.Settings.Log = zapcore.Lock(zapcore.AddSync(s.Log))
+	}
 	for _, h := range s.Hosts {
 		if err := d.StartHost(h.ID); err != nil {
 			return d, err
--- a/cmd/toucanway-lab/internal/engine/completions.go
+++ b/cmd/toucanway-lab/internal/engine/completions.go
@@ -17,8 +17,8 @@
 // defaultPriority is that of requests without X-Priority.
 const defaultPriority = int(fleet.ClassStandard)
 
-func (p *process) completions(ctx *fasthttp.RequestCtx) {
-	r, stream, err := readRun(ctx)
+func (p *process) completions(ctx *fasthttp.RequestCtx, chat bool) {
+	r, stream, err := readRun(ctx, chat)
 	if err != nil {
 		refuse(ctx, "", &refusal{status: fasthttp.StatusBadRequest, reason: err.Error()})
 		return
@@ -60,7 +60,7 @@
 	for i := r.from; i < s.length; i++ {
 		text = append(text, tokens.Text(s.target, s.prompt, i)...)
 	}
-	c := s.chunk(string(text), &stop)
+	c := s.chunk(string(text), &stop, true)
 	c.Usage = s.usage()
 	backend.WriteJSON(ctx, fasthttp.StatusOK, c)
 }
@@ -76,7 +76,7 @@
 	}
 	err := p.generate(r, func(index int) error {
 		s := p.shown(r)
-		c := s.chunk(tokens.Text(s.target, s.prompt, index), nil)
+		c := s.chunk(tokens.Text(s.target, s.prompt, index), nil, false)
 		c.TokenIndex = &index
 		data, err := json.Marshal(c)
 		if err != nil {
@@ -88,7 +88,7 @@
 		return err
 	}
 	s := p.shown(r)
-	c := s.chunk("", &stop)
+	c := s.chunk("", &stop, false)
 	c.Usage = s.usage()
 	data, err := json.Marshal(c)
 	if err != nil {
@@ -100,11 +100,21 @@
 	return send([]byte(wire.Done))
 }
 
-func (r *run) chunk(text string, finish *string) wire.Chunk {
-	return wire.Chunk{
-		ID: string(r.id), Object: "text_completion", Model: r.target.String(),
-		Choices: []wire.Choice{{Text: text, FinishReason: finish}},
-	}
+// chunk returns a part of the answer, or the whole one.
+func (r *run) chunk(text string, finish *string, whole bool) wire.Chunk {
+	c := wire.Chunk{ID: string(r.id), Object: "text_completion", Model: r.target.String()}
+	one := wire.Choice{FinishReason: finish}
+	m := &tokens.Message{Role: "assistant", Content: text}
+	switch {
+	case r.chat && whole:
+		c.Object, one.Message = "chat.completion", m
+	case r.chat:
+		c.Object, one.Delta = "chat.completion.chunk", m
+	default:
+		one.Text = text
+	}
+	c.Choices = []wire.Choice{one}
+	return c
 }
 
 func (r *run) usage() *wire.Usage {
@@ -115,7 +125,7 @@
 	}
 }
 
-func readRun(ctx *fasthttp.RequestCtx) (*run, bool, error) {
+func readRun(ctx *fasthttp.RequestCtx, chat bool) (*run, bool, error) {
 	var c wire.Completion
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
 		return nil, false, err
@@ -132,6 +142,7 @@
 		id:       fleet.RequestID(ctx.Request.Header.Peek(wire.HeaderRequestID)),
 		target:   fleet.ParseTarget(c.Model),
 		prompt:   c.Text(),
+		chat:     chat,
 		priority: int(priority),
 		from:     int(from),
 		length:   tokens.Length(c.Text(), c.MaxTokens),
--- a/cmd/toucanway-lab/internal/engine/engine.go
+++ b/cmd/toucanway-lab/internal/engine/engine.go
@@ -90,7 +90,9 @@
 	}
 	switch {
 	case path == "/v1/completions" && ctx.IsPost():
-		p.completions(ctx)
+		p.completions(ctx, false)
+	case path == "/v1/chat/completions" && ctx.IsPost():
+		p.completions(ctx, true)
 	case path == "/v1/cancel" && ctx.IsPost():
 		p.cancelRequest(ctx)
 	case path == "/v1/inventory" && ctx.IsGet():
@@ -98,7 +100,7 @@
 		if fence, err := headerNumber(ctx, wire.HeaderFence, 0); err == nil {
 			p.noteFence(fleet.Fence(fence))
 		}
-		backend.WriteJSON(ctx, fasthttp.StatusOK, p.inventory())
+		p.showInventory(ctx)
 	case path == "/v1/orders" && ctx.IsPost():
 		p.order(ctx)
 	default:
--- a/cmd/toucanway-lab/internal/engine/engine_test.go
+++ b/cmd/toucanway-lab/internal/engine/engine_test.go
@@ -185,6 +185,10 @@
 			require.Equal(t, strict, last.Used <= last.Total)
 			a := r.order(fleet.Order{ID: 9, Kind: fleet.OrderUnload, Fence: 4, Target: fleet.Target{Model: "1"}})
 			require.Equal(t, strict, a.Outcome == wire.OutcomeRefused)
+			status, _ := r.do("GET", "/v1/inventory", map[string]string{wire.HeaderFence: "9"}, nil)
+			require.Equal(t, http.StatusOK, status)
+			a = r.order(fleet.Order{ID: 10, Kind: fleet.OrderUnload, Fence: 8, Target: fleet.Target{Model: "1"}})
+			require.Equal(t, strict, a.Outcome == wire.OutcomeRefused, "an inventory raises the fence")
 		})
 	}
 }
@@ -213,6 +217,10 @@
 		require.Equal(t, history.Key("k1"), runs[0].Key)
 		require.True(t, runs[1].Resumed)
 
+		messages := []tokens.Message{{Role: "user", Content: "hello " + tokens.Mark(2)}}
+		_, body = r.do("POST", "/v1/chat/completions", nil, wire.Completion{Model: "m", Messages: messages, Stream: true})
+		require.Contains(t, body, `"delta":{"role":"assistant","content":"`+tokens.Text(target, tokens.Chat(messages), 1))
+
 		status, body := r.do("POST", "/v1/completions", nil, wire.Completion{Model: "other", Prompt: "p"})
 		require.Equal(t, http.StatusNotFound, status)
 		require.Contains(t, body, "not-run")
--- a/cmd/toucanway-lab/internal/engine/orders.go
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -36,11 +36,8 @@
 	}
 	answer := p.carryOut(o)
 	status := fasthttp.StatusOK
-	switch answer.Outcome {
-	case wire.OutcomeRefused:
+	if answer.Outcome == wire.OutcomeRefused {
 		status = fasthttp.StatusConflict
-	case wire.OutcomeFailed:
-		status = fasthttp.StatusInternalServerError
 	}
 	backend.WriteJSON(ctx, status, answer)
 }
@@ -49,7 +46,7 @@
 	p.mu.Lock()
 	if !p.checkFence(o.Fence) {
 		p.mu.Unlock()
-		return p.orderAnswer(o, &refusal{reason: "stale-fence"})
+		return p.orderAnswer(o, &refusal{reason: reasonStaleFence})
 	}
 	if earlier, ok := p.orders[o.ID]; ok {
 		p.mu.Unlock()
--- a/cmd/toucanway-lab/internal/engine/prefix.go
+++ b/cmd/toucanway-lab/internal/engine/prefix.go
@@ -11,6 +11,9 @@
 // maxFeed bounds the events not yet published to one entry host; the oldest are dropped, which leaves a gap.
 const maxFeed = 8192
 
+// maxPost bounds the events of one post; the others follow with the next announcement.
+const maxPost = 4096
+
 // prefixCache holds blocks of prompts, the least recently used of which are evicted, and the events not yet published.
 type prefixCache struct {
 	limit  int
@@ -98,7 +101,7 @@
 	limit := time.Now().Add(-lag)
 	var out []fleet.CacheEvent
 	pending := c.feeds[feed]
-	for len(pending) > 0 && !pending[0].at.After(limit) {
+	for len(pending) > 0 && len(out) < maxPost && !pending[0].at.After(limit) {
 		out = append(out, pending[0].event)
 		pending = pending[1:]
 	}
--- a/cmd/toucanway-lab/internal/engine/process.go
+++ b/cmd/toucanway-lab/internal/engine/process.go
@@ -3,13 +3,17 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 
+	"github.com/valyala/fasthttp"
+
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
 )
 
@@ -124,6 +128,25 @@
 	p.checkFence(f)
 }
 
+// showInventory answers with the inventory. A fencing token that comes with the question makes older ones stale, so that
+// no order of an earlier owner is carried out after it.
+func (p *process) showInventory(ctx *fasthttp.RequestCtx) {
+	fence, err := headerNumber(ctx, wire.HeaderFence, 0)
+	if err == nil && len(ctx.Request.Header.Peek(wire.HeaderFence)) > 0 {
+		p.mu.Lock()
+		if !p.checkFence(fleet.Fence(fence)) {
+			err = &refusal{status: fasthttp.StatusConflict, reason: reasonStaleFence}
+		}
+		p.mu.Unlock()
+	}
+	var refused *refusal
+	if errors.As(err, &refused) {
+		refuse(ctx, "", refused)
+		return
+	}
+	backend.WriteJSON(ctx, fasthttp.StatusOK, p.inventory())
+}
+
 func (p *process) inventory() fleet.Inventory {
 	cached := p.engine.cachedCheckpoints()
 	p.mu.Lock()
--- a/cmd/toucanway-lab/internal/engine/run.go
+++ b/cmd/toucanway-lab/internal/engine/run.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"toucanway/cmd/toucanway-lab/internal/history"
 	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
@@ -22,6 +24,8 @@
 
 func (r *refusal) Error() string { return r.reason }
 
+const reasonStaleFence = "stale-fence"
+
 // statusCancelled answers a request that was cancelled before its turn.
 const statusCancelled = 499
 
@@ -32,6 +36,7 @@
 	id       fleet.RequestID
 	target   fleet.Target
 	prompt   string
+	chat     bool
 	priority int
 	seq      uint64
 	// from and length are the first token to generate and the end of the answer.
@@ -50,18 +55,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.checkFence(fence) {
-		return &refusal{status: 409, reason: "stale-fence"}
+		return &refusal{status: fasthttp.StatusConflict, reason: reasonStaleFence}
 	}
 	m := p.models[r.target.Model]
 	if m == nil || m.State != fleet.ReplicaReady {
-		return &refusal{status: 404, reason: "model-not-loaded"}
+		return &refusal{status: fasthttp.StatusNotFound, reason: "model-not-loaded"}
 	}
 	a := p.adapters[r.target]
 	if r.target.Adapter != "" && (a == nil || !a.ready || a.unloading) {
-		return &refusal{status: 404, reason: "adapter-not-loaded"}
+		return &refusal{status: fasthttp.StatusNotFound, reason: "adapter-not-loaded"}
 	}
 	if len(p.waiting) >= p.settings.MaxQueue {
-		return &refusal{status: 503, reason: "queue-full"}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "queue-full"}
 	}
 	m.runs++
 	if a != nil {
--- a/cmd/toucanway-lab/internal/tokens/tokens.go
+++ b/cmd/toucanway-lab/internal/tokens/tokens.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// DefaultLimit is the longest answer to a request that sets no limit.
+	DefaultLimit = 256
 	// BlockLength is the number of prompt tokens in a block of the prefix cache.
 	BlockLength = 16
 	// outputMark in a prompt sets the length of its answer in tokens, as in "[out:200]".
@@ -76,7 +78,7 @@
 	return key
 }
 
-// Length returns the length of the answer to a prompt in tokens, at most the limit if that is positive.
+// Length returns the length of the answer to a prompt in tokens, at most the limit, or DefaultLimit if that is zero.
 func Length(prompt string, limit int) int {
 	n := minOutput + int(xxhash.Sum64String(prompt)%spanOutput)
 	if _, rest, ok := strings.Cut(prompt, outputMark); ok {
@@ -85,10 +87,10 @@
 			n = v
 		}
 	}
-	if limit > 0 {
-		n = min(n, limit)
+	if limit <= 0 {
+		limit = DefaultLimit
 	}
-	return n
+	return min(n, limit)
 }
 
 // Blocks returns the hash of each prefix of a prompt that is a whole number of blocks long, shortest first. The hash is
--- a/cmd/toucanway-lab/internal/workload/workload.go
+++ b/cmd/toucanway-lab/internal/workload/workload.go
@@ -252,7 +252,9 @@
 		output = min(output*stragglerFactor, maxOutput)
 		r.Label += "-straggler"
 	}
-	r.Target, r.Stream, r.MaxTokens = t, c.Stream, maxOutput
+	r.Target, r.Stream = t, c.Stream
+	// Callers cannot tell which of their calls become stragglers, so the limit leaves room for one.
+	r.MaxTokens = min(2*c.Output*stragglerFactor, maxOutput)
 	var b strings.Builder
 	name := t.String()
 	for i := range prefixWords {
