--- a/core/orders/advance.go
+++ b/core/orders/advance.go
@@ -16,17 +16,20 @@
 		if !o.consistent {
 			return out
 		}
-		if _, ok := o.quarantine[r.Model]; ok && !o.checksFence {
-			if t.proposed.IsZero() {
-				out = append(out, o.measured(r, 0, true))
+		// A proposal to send may be committed already, after which the load may not be dropped.
+		if !t.sentBefore {
+			if _, ok := o.quarantine[r.Model]; ok && !o.checksFence {
+				if t.proposed.IsZero() {
+					out = append(out, o.measured(r, 0, true))
+				}
+				return o.drop(now, t, r, out)
+			}
+			if t.dropped || len(v.State.Replicas(r.Model)) > v.State.Target(r.Model) {
+				// The target was lowered meanwhile.
+				return o.drop(now, t, r, out)
 			}
-			return o.report(now, t, r, control.ReplicaFailed, out)
-		}
-		if len(v.State.Replicas(r.Model)) > v.State.Target(r.Model) {
-			// The target was lowered meanwhile.
-			return o.report(now, t, r, control.ReplicaFailed, out)
 		}
-		if o.fits(b, records, i) {
+		if t.sentBefore || o.fits(b, records, i) {
 			t.sentBefore = true
 			return o.report(now, t, r, control.ReplicaSent, out)
 		}
@@ -139,6 +142,12 @@
 	return append(out, Propose{&control.ReportOrder{Order: r.Order, Fence: o.fence, State: s}})
 }
 
+// drop proposes to give up a load that was not sent; it is never sent afterwards, since the proposal may be committed late.
+func (o *Owner) drop(now time.Time, t *track, r *control.Replica, out []Effect) []Effect {
+	t.dropped = true
+	return o.report(now, t, r, control.ReplicaFailed, out)
+}
+
 func (o *Owner) retry(now time.Time, t *track) bool {
 	if !t.proposed.IsZero() && now.Sub(t.proposed) < o.cfg.RetryInterval {
 		return false
--- a/core/orders/owner.go
+++ b/core/orders/owner.go
@@ -56,6 +56,8 @@
 	// proposed is when a change of the record was last proposed, sentBefore that this owner proposed to send the order.
 	proposed   time.Time
 	sentBefore bool
+	// dropped says that this owner proposed to give up the load.
+	dropped bool
 	// sent is when the order left and id its order id; deadline is when it ends without an answer.
 	sent     time.Time
 	id       fleet.OrderID
@@ -137,7 +139,7 @@
 		clear(o.quarantine)
 	}
 	for _, t := range o.tracks {
-		t.ownDoubt, t.sentBefore, t.stopped, t.answered = false, false, false, false
+		t.ownDoubt, t.sentBefore, t.dropped, t.stopped, t.answered = false, false, false, false, false
 		t.sent, t.proposed = time.Time{}, time.Time{}
 		if t.state != control.ReplicaSent && t.state != control.ReplicaInDoubt {
 			// A load is sent once; an unload may have been sent again by another owner since.
--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -62,7 +62,7 @@
 			return out
 		}
 	}
-	if hidden := o.dropHiding(records, in); len(hidden) > 0 {
+	if hidden := o.dropHiding(now, records, in); len(hidden) > 0 {
 		o.consistent = false
 		o.nextRead = now
 		o.paused = now.Add(o.cfg.RetryInterval)
@@ -83,12 +83,13 @@
 
 // dropHiding drops decided loads of models that the backend server holds already without a record. Such a decision would
 // keep the settlement from recording the model, so that its memory was not counted once the decision is dropped.
-func (o *Owner) dropHiding(records []control.Replica, in *reading) []Effect {
+func (o *Owner) dropHiding(now time.Time, records []control.Replica, in *reading) []Effect {
 	var out []Effect
 	for i := range records {
 		r := &records[i]
-		if r.State == control.ReplicaIntended && slices.ContainsFunc(in.answer.Models, func(m fleet.LoadedModel) bool { return m.Model == r.Model }) {
-			out = append(out, Propose{&control.ReportOrder{Order: r.Order, Fence: o.fence, State: control.ReplicaFailed}})
+		held := func(m fleet.LoadedModel) bool { return m.Model == r.Model }
+		if r.State == control.ReplicaIntended && !o.tracks[r.Order].sentBefore && slices.ContainsFunc(in.answer.Models, held) {
+			out = o.drop(now, o.tracks[r.Order], r, out)
 		}
 	}
 	return out
