docs: generated pages and examples, with a check

Pages come from the definitions that the program itself uses; a refusal code without a remedy fails the check.

--- /dev/null
+++ b/cmd/toucanway-lab/internal/docs/docs_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// root is the folder of the repository, seen from this package.
+const root = "../../../.."
+
+// Guards against committed pages and examples that differ from the definitions behind them.
+func TestCommittedFilesAreCurrent(t *testing.T) {
+	require.NoError(t, run(root, false))
+}
+
+// Guards against a check that passes over changed, missing or surplus files.
+func TestCheckFindsStaleFiles(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(t *testing.T, dir string)
+		want   string
+	}{
+		"changed": {func(t *testing.T, dir string) {
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "docs/settings.md"), []byte("x"), 0o600))
+		}, "docs/settings.md"},
+		"missing": {func(t *testing.T, dir string) {
+			require.NoError(t, os.Remove(filepath.Join(dir, "docs/refusals.md")))
+		}, "docs/refusals.md"},
+		"surplus": {func(t *testing.T, dir string) {
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "docs/commands/old.md"), nil, 0o600))
+		}, "docs/commands/old.md"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			code, err := os.ReadFile(filepath.Join(root, "core/fleet/refusal.go"))
+			require.NoError(t, err)
+			require.NoError(t, os.MkdirAll(filepath.Join(dir, "core/fleet"), 0o755))
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "core/fleet/refusal.go"), code, 0o600))
+			require.NoError(t, run(dir, true))
+			require.NoError(t, run(dir, false))
+			tc.change(t, dir)
+			require.ErrorContains(t, run(dir, false), "not current: "+tc.want+";")
+			require.NoError(t, run(dir, true))
+			require.NoError(t, run(dir, false))
+		})
+	}
+}
+
+// Guards against a new refusal code without an explanation.
+func TestUnexplainedCode(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "refusal.go")
+	require.NoError(t, os.WriteFile(file, []byte("package fleet\n\nconst CodeNew Code = \"new\"\n"), 0o600))
+	_, err := refusalsPage(file)
+	require.ErrorContains(t, err, "code new")
+}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -55,7 +55,7 @@
 // SectionOwner lists the operators that may change one section.
 type SectionOwner struct {
 	Section   Section            `key:"@name"`
-	Operators []fleet.OperatorID `key:"@value"`
+	Operators []fleet.OperatorID `key:"@value" doc:"Ids of the operators that may change the section NAME."`
 }
 
 // Regions is the geography of the deployment.
@@ -137,7 +137,7 @@
 // Adapter is a small set of weights applied on top of a base model.
 type Adapter struct {
 	Name   fleet.AdapterID `key:"@name"`
-	Memory fleet.Bytes     `key:"@value" min:"1KiB"`
+	Memory fleet.Bytes     `key:"@value" min:"1KiB" doc:"Memory of the adapter NAME; callers address it as MODEL:NAME."`
 }
 
 // Capacity is what the deployment may spend on loading and idling.
@@ -158,7 +158,7 @@
 // FenceOverride replaces what one backend server announces about fencing tokens.
 type FenceOverride struct {
 	Backend fleet.BackendID `key:"@name"`
-	Checks  bool            `key:"@value"`
+	Checks  bool            `key:"@value" doc:"Whether the backend server NAME refuses stale fencing tokens."`
 }
 
 // Callers are the customers of the deployment.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -56,7 +56,7 @@
 // Voter is a member of the replicated groups.
 type Voter struct {
 	ID      fleet.HostID `key:"@name"`
-	Address Address      `key:"@value"`
+	Address Address      `key:"@value" doc:"Address for hosts of the voter NAME."`
 }
 
 // TLS are the TLS files of the interfaces.
@@ -79,7 +79,7 @@
 // Log is the level of one subsystem.
 type Log struct {
 	Subsystem Subsystem     `key:"@name"`
-	Level     zapcore.Level `key:"@value"`
+	Level     zapcore.Level `key:"@value" doc:"Level of the subsystem NAME."`
 }
 
 // Subsystem names a part of the daemon that has a log level of its own.
