--- a/core/capacity/world_test.go
+++ b/core/capacity/world_test.go
@@ -294,7 +294,7 @@
 		w := newWorld(t)
 		order := fleet.OrderID(1)
 		t.Repeat(map[string]func(*rapid.T){
-			"acquire":  w.acquire,
+			"acquire": w.acquire,
 			"burst": func(t *rapid.T) {
 				for range worldSlots {
 					w.acquire(t)
--- /dev/null
+++ b/core/routing/budget.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+const (
+	// budgetBurst is the time for which an unused budget accumulates.
+	budgetBurst = 10 * time.Second
+	// maxBudgets bounds the tenants with a running account; all accounts start anew when it is reached.
+	maxBudgets = 4096
+)
+
+// budgets counts the bytes that tenants move between regions.
+type budgets struct {
+	rate     func(fleet.TenantID) fleet.Bytes
+	accounts map[fleet.TenantID]*account
+}
+
+type account struct {
+	spent float64
+	at    time.Time
+}
+
+// drain lets the spent bytes flow off at the tenant's rate.
+func (a *account) drain(now time.Time, rate fleet.Bytes) {
+	a.spent = max(0, a.spent-float64(rate)*now.Sub(a.at).Seconds())
+	a.at = now
+}
+
+// over says whether a tenant has used up its budget.
+func (b *budgets) over(now time.Time, id fleet.TenantID) bool {
+	if b.rate == nil {
+		return false
+	}
+	a := b.accounts[id]
+	if a == nil {
+		return false
+	}
+	rate := b.rate(id)
+	a.drain(now, rate)
+	return a.spent > float64(rate)*budgetBurst.Seconds()
+}
+
+// Charge counts bytes that a tenant moved between regions.
+func (r *Router) Charge(now time.Time, id fleet.TenantID, n fleet.Bytes) {
+	b := &r.budgets
+	if b.rate == nil {
+		return
+	}
+	a := b.accounts[id]
+	if a == nil {
+		if b.accounts == nil || len(b.accounts) >= maxBudgets {
+			b.accounts = map[fleet.TenantID]*account{}
+		}
+		a = &account{at: now}
+		b.accounts[id] = a
+	}
+	a.drain(now, b.rate(id))
+	a.spent += float64(n)
+}
--- /dev/null
+++ b/core/routing/load.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"cmp"
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+const (
+	// othersHalf is the age at which a report of other hosts' load counts half against its running mean.
+	othersHalf = 2 * time.Second
+	// othersGain is the weight of a new report in the running mean.
+	othersGain = 0.1
+	// holdGain is the weight of a new service time in the running mean.
+	holdGain = 0.1
+	// samples is the number of past counts of own requests; at one every sampleEvery they cover the lag of reports.
+	samples     = 16
+	sampleEvery = 100 * time.Millisecond
+)
+
+// load estimates the requests that a backend server runs and holds queued.
+type load struct {
+	own    int
+	others float64
+	mean   float64
+	at     time.Time
+	seq    uint64
+	hold   float64
+	past   [samples]ownSample
+	head   int
+}
+
+type ownSample struct {
+	at  time.Time
+	own int
+}
+
+// change counts own requests and keeps past counts, so that a late report can be told apart from own traffic.
+func (l *load) change(now time.Time, by int) {
+	if last := &l.past[l.head]; now.Sub(last.at) >= sampleEvery {
+		l.head = (l.head + 1) % samples
+		l.past[l.head] = ownSample{at: now, own: l.own}
+	}
+	l.own = max(0, l.own+by)
+}
+
+// ownAt returns the own requests at a past time.
+func (l *load) ownAt(at time.Time) int {
+	own := l.own
+	for i := range samples {
+		s := &l.past[(l.head-i+samples)%samples]
+		if s.at.IsZero() || s.at.Before(at) {
+			break
+		}
+		own = s.own
+	}
+	return own
+}
+
+// report takes the total at a past time and keeps the part of other hosts.
+func (l *load) report(at time.Time, total int) {
+	if at.Before(l.at) {
+		return
+	}
+	others := float64(max(0, total-l.ownAt(at)))
+	if l.at.IsZero() {
+		l.mean = others
+	}
+	l.mean += othersGain * (others - l.mean)
+	l.others = others
+	l.at = at
+}
+
+// estimate returns the expected number of requests now: own ones exactly, those of others drifting to their mean as the
+// report ages.
+func (l *load) estimate(now time.Time) float64 {
+	if l.at.IsZero() {
+		return float64(l.own)
+	}
+	w := 1 / (1 + float64(max(0, now.Sub(l.at)))/float64(othersHalf))
+	return float64(l.own) + w*l.others + (1-w)*l.mean
+}
+
+func (l *load) observeHold(hold time.Duration) {
+	l.hold = l.holdSeconds() + holdGain*(hold.Seconds()-l.holdSeconds())
+}
+
+func (l *load) holdSeconds() float64 { return cmp.Or(l.hold, DefaultHold.Seconds()) }
+
+// Report takes a backend server's load report; late ones and those of another incarnation are dropped.
+func (r *Router) Report(now time.Time, rep fleet.LoadReport) {
+	i, ok := r.index[rep.Backend]
+	if !ok {
+		return
+	}
+	b := &r.backends[i]
+	if b.incarnation != rep.Incarnation || rep.Seq <= b.load.seq {
+		return
+	}
+	b.load.seq = rep.Seq
+	b.load.report(now.Add(-rep.Age), rep.Running+rep.Queued)
+}
+
+// OwnerState takes what the capacity owner says of a backend server with its answers: granted and waiting requests.
+func (r *Router) OwnerState(now time.Time, id fleet.BackendID, granted, waiting int) {
+	if i, ok := r.index[id]; ok {
+		r.backends[i].load.report(now, granted+waiting)
+	}
+}
+
+// Begin counts a request sent to a backend server or its owner.
+func (r *Router) Begin(now time.Time, id fleet.BackendID) {
+	if i, ok := r.index[id]; ok {
+		r.backends[i].load.change(now, 1)
+	}
+}
+
+// End counts a request that ended there; hold is how long it had its slot, zero when it got none.
+func (r *Router) End(now time.Time, id fleet.BackendID, hold time.Duration) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	l := &r.backends[i].load
+	l.change(now, -1)
+	if hold > 0 {
+		l.observeHold(hold)
+	}
+}
