--- /dev/null
+++ b/core/poison/fingerprint.go
@@ -0,0 +1,48 @@
+package poison
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanway/core/fleet"
+)
+
+// ignoredFields are fields of a request body that differ between resends of the same request.
+var ignoredFields = [...]string{"stream", "stream_options", "user", "metadata", "request_id"}
+
+// Fingerprint returns the fingerprint of a request by tenant, target name and body. A JSON object counts without the order
+// of its fields, its white space and fields that differ between resends; any other body counts as it is.
+func Fingerprint(tenant fleet.TenantID, target string, body []byte) fleet.Fingerprint {
+	d := xxhash.New()
+	write := func(part []byte) {
+		// The length keeps parts apart, so that no two splits of the same bytes are equal.
+		var n [8]byte
+		binary.LittleEndian.PutUint64(n[:], uint64(len(part)))
+		_, _ = d.Write(n[:])
+		_, _ = d.Write(part)
+	}
+	write([]byte(tenant))
+	write([]byte(target))
+	write(normalise(body))
+	return fleet.Fingerprint(d.Sum64())
+}
+
+func normalise(body []byte) []byte {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.UseNumber()
+	var fields map[string]any
+	if err := dec.Decode(&fields); err != nil || dec.More() {
+		return body
+	}
+	for _, name := range ignoredFields {
+		delete(fields, name)
+	}
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return body
+	}
+	return out
+}
--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,127 @@
+package retry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// Defaults of Settings.
+const (
+	DefaultShare       = 0.1
+	DefaultFloor       = 1.0
+	DefaultBurst       = 10.0
+	DefaultAttempts    = 3
+	DefaultBackoff     = 25 * time.Millisecond
+	DefaultBackoffMost = time.Second
+	DefaultTenants     = 4096
+)
+
+// Settings configure a Budget; zero fields mean the defaults above.
+type Settings struct {
+	// Share is the number of retries and hedges allowed for each request of a tenant.
+	Share float64
+	// Floor is the number allowed in a second in any case.
+	Floor float64
+	// Burst bounds the unused allowance.
+	Burst float64
+	// Attempts bounds the attempts of one request, the first included.
+	Attempts int
+	// Backoff is the mean wait before the first retry times two; it doubles up to BackoffMost.
+	Backoff, BackoffMost time.Duration
+	// Tenants bounds the tenants with an allowance of their own; the least recently used one is dropped.
+	Tenants int
+	// Rand draws the jitter; required.
+	Rand *rand.Rand
+}
+
+// Budget allows retries and hedges by tenant. It is not safe for concurrent use.
+type Budget struct {
+	cfg     Settings
+	tenants map[fleet.TenantID]*allowance
+}
+
+type allowance struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewBudget returns a budget in which each tenant starts with one second's floor.
+func NewBudget(cfg Settings) *Budget {
+	cfg.Share = cmp.Or(cfg.Share, DefaultShare)
+	cfg.Floor = cmp.Or(cfg.Floor, DefaultFloor)
+	cfg.Burst = cmp.Or(cfg.Burst, DefaultBurst)
+	cfg.Attempts = cmp.Or(cfg.Attempts, DefaultAttempts)
+	cfg.Backoff = cmp.Or(cfg.Backoff, DefaultBackoff)
+	cfg.BackoffMost = cmp.Or(cfg.BackoffMost, DefaultBackoffMost)
+	cfg.Tenants = cmp.Or(cfg.Tenants, DefaultTenants)
+	return &Budget{cfg: cfg, tenants: map[fleet.TenantID]*allowance{}}
+}
+
+// Request adds a tenant's new request to its allowance.
+func (b *Budget) Request(now time.Time, id fleet.TenantID) {
+	a := b.allowance(now, id)
+	a.tokens = min(b.cfg.Burst, a.tokens+b.cfg.Share)
+}
+
+// Spend takes one retry or hedge from a tenant's allowance and says whether there was one.
+func (b *Budget) Spend(now time.Time, id fleet.TenantID) bool {
+	a := b.allowance(now, id)
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+// Retry decides on another attempt after attempts have failed: it returns the wait before it, and false when the request
+// is to be refused. A wait that ends after the deadline, left from now, counts as no attempt.
+func (b *Budget) Retry(now time.Time, id fleet.TenantID, attempts int, left time.Duration) (time.Duration, bool) {
+	if attempts >= b.cfg.Attempts {
+		return 0, false
+	}
+	wait := b.Wait(attempts)
+	if wait >= left || !b.Spend(now, id) {
+		return 0, false
+	}
+	return wait, true
+}
+
+// Wait draws the backoff after a number of failed attempts: uniform between zero and a bound that doubles each time.
+func (b *Budget) Wait(attempts int) time.Duration {
+	most := b.cfg.BackoffMost
+	if shift := max(attempts-1, 0); shift < 16 {
+		most = min(most, b.cfg.Backoff<<shift)
+	}
+	return time.Duration(b.cfg.Rand.Int64N(int64(most) + 1))
+}
+
+func (b *Budget) allowance(now time.Time, id fleet.TenantID) *allowance {
+	a := b.tenants[id]
+	if a == nil {
+		if len(b.tenants) >= b.cfg.Tenants {
+			b.dropOldest()
+		}
+		a = &allowance{tokens: b.cfg.Floor, at: now}
+		b.tenants[id] = a
+	}
+	if d := now.Sub(a.at); d > 0 {
+		a.tokens = min(b.cfg.Burst, a.tokens+b.cfg.Floor*d.Seconds())
+		a.at = now
+	}
+	return a
+}
+
+func (b *Budget) dropOldest() {
+	var oldest fleet.TenantID
+	first := true
+	for id, a := range b.tenants {
+		o := b.tenants[oldest]
+		if first || a.at.Before(o.at) || a.at.Equal(o.at) && id < oldest {
+			oldest, first = id, false
+		}
+	}
+	delete(b.tenants, oldest)
+}
