dispatch: request policies in place of the simple choice

Cause: the path ran with the least loaded replica, unbounded retries and no hedging. Change: io/dispatch uses core/routing, length, retry, poison and advice; a second attempt races a late first token within the tenant's budget; attempts that a dead backend server makes necessary are not charged to the tenant; a suspect waits for a second replica, which the planner now decides for it. Scenarios run in parallel.

--- a/cmd/toucanway-lab/internal/scenario/expect.go
+++ b/cmd/toucanway-lab/internal/scenario/expect.go
@@ -17,7 +17,7 @@
 // [at=HOST], replicas MODEL N, loads MODEL max=N, owner BACKEND HOST, leader not=HOST, sessions N.
 func expect(r *run, args []string, opt options) error {
 	if len(args) == 0 {
-		return errors.New("usage: expect WHAT ...")
+		return errors.New("usage: expect WHAT [argument]")
 	}
 	what, rest := args[0], args[1:]
 	switch what {
--- a/cmd/toucanway-lab/internal/scenario/scenario_test.go
+++ b/cmd/toucanway-lab/internal/scenario/scenario_test.go
@@ -25,7 +25,10 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) { play(t, file) })
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			play(t, file)
+		})
 	}
 }
 
--- a/cmd/toucanway-lab/internal/scenario/world.go
+++ b/cmd/toucanway-lab/internal/scenario/world.go
@@ -50,7 +50,6 @@
 	slots                                     int
 	memory                                    fleet.Bytes
 	seed                                      uint64
-	loads                                     int
 }
 
 // world is one scenario under way.
--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -31,6 +31,8 @@
 	Earliest time.Duration `cbor:"7,keyasint,omitempty"`
 	// Oldest is the time that the oldest waiting request has waited.
 	Oldest time.Duration `cbor:"8,keyasint,omitempty"`
+	// Alone counts waiting requests that must run alone and not on the last replica of the model.
+	Alone int `cbor:"9,keyasint,omitempty"`
 }
 
 // LoadResult is the measured end of one load.
@@ -62,6 +64,8 @@
 	changed bool
 	waiting int
 	running int
+	// alone is the number of waiting requests that must not run on the last replica.
+	alone int
 	// class is the most urgent class that waits.
 	class fleet.Class
 	// earliest is the time left until the earliest deadline of a waiting request; 0 means none.
@@ -139,13 +143,14 @@
 		return
 	}
 	d.changed = false
-	d.waiting, d.running, d.earliest, d.class = 0, 0, 0, fleet.Classes
+	d.waiting, d.running, d.alone, d.earliest, d.class = 0, 0, 0, 0, fleet.Classes
 	clear(d.regions)
 	for _, c := range d.hosts {
 		for i := range c.entries {
 			e := &c.entries[i]
 			d.waiting += e.Waiting
 			d.running += e.Running
+			d.alone += e.Alone
 			if n := e.Waiting + e.Running + e.Calls; n > 0 && e.Region != "" {
 				if d.regions == nil {
 					d.regions = map[fleet.Region]int{}
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -138,6 +138,10 @@
 	need := 0
 	if m.active() {
 		need = max(1, m.steady(), m.backlog())
+		if m.alone > 0 {
+			// A request suspected of crashes needs a replica that is not the model's last one.
+			need = max(need, 2)
+		}
 		m.evicted = false
 		if m.waiting > 0 && m.serving == 0 {
 			m.burst = max(m.burst, 0.5*m.burst+0.5*float64(m.waiting))
--- a/core/poison/view.go
+++ b/core/poison/view.go
@@ -86,7 +86,10 @@
 // Run lets a request run as usual.
 type Run struct{}
 
-// RunAlone lets a suspect run on a backend server of its own.
+// MinReplicas is the number of ready replicas of its model without which a suspect must wait.
+const MinReplicas = 2
+
+// RunAlone lets a suspect run on a backend server of its own, and not on the last replica of its model.
 type RunAlone struct{}
 
 // Refuse refuses a request.
@@ -96,33 +99,25 @@
 func (RunAlone) isDecision() {}
 func (Refuse) isDecision()   {}
 
-// Decide says how a request may run, given the number of ready replicas of its model. A suspect never runs on the last one.
-func (v *View) Decide(now time.Time, f fleet.Fingerprint, replicas int) Decision {
+// Decide says how a request may run.
+func (v *View) Decide(now time.Time, f fleet.Fingerprint) Decision {
 	s, marked := v.marks[f]
 	if left := s.since.Add(v.cfg.Expiry).Sub(now); marked && left > 0 {
 		if s.mark.Poison {
 			return Refuse{fleet.Refuse(fleet.CodePoisonRequest, left,
 				"this request crashed %d backend servers; change it or send it again later", s.mark.Crashes)}
 		}
-		return alone(replicas, left)
+		return RunAlone{}
 	}
 	if at, ok := v.locals[f]; ok {
 		if left := at.Add(v.cfg.LocalExpiry).Sub(now); left > 0 {
-			return alone(replicas, left)
+			return RunAlone{}
 		}
 		delete(v.locals, f)
 	}
 	return Run{}
 }
 
-func alone(replicas int, left time.Duration) Decision {
-	if replicas < 2 {
-		return Refuse{fleet.Refuse(fleet.CodePoisonRequest, left,
-			"this request is suspected of crashing a backend server and the model has one replica left")}
-	}
-	return RunAlone{}
-}
-
 // Completed drops the suspicion of a request that ran to its end, and says whether the control state holds one to clear.
 func (v *View) Completed(f fleet.Fingerprint) (clear bool) {
 	delete(v.locals, f)
--- a/io/callers/request.go
+++ b/io/callers/request.go
@@ -21,8 +21,9 @@
 
 const (
 	maxKeyBytes = 256
-	// bytesPerToken is the usual size of a token of text, used where no tokenizer of the model is at hand.
-	bytesPerToken = 4
+	// bytesPerToken is below the size of a token of usual text, so that the estimate of KV cache without the model's
+	// tokenizer errs on the safe side.
+	bytesPerToken = 2
 	// defaultMaxTokens is the output limit of a request that states none, as in the OpenAI completions interface.
 	defaultMaxTokens fleet.Tokens = 256
 )
@@ -51,7 +52,7 @@
 	Body []byte
 }
 
-// PromptTokens estimates the prompt's length in tokens, rounded up.
+// PromptTokens estimates the prompt's length in tokens from above.
 func (c *Completion) PromptTokens() fleet.Tokens {
 	return fleet.Tokens((len(c.Prompt) + bytesPerToken - 1) / bytesPerToken)
 }
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -62,7 +62,7 @@
 	// Call carries out a call of a plain service.
 	Call(ctx context.Context, c *ServiceCall) (*ServiceAnswer, *fleet.Refusal)
 	// Hosts returns the entry hosts to use for a model or a service; both may be empty.
-	Hosts(model string, service fleet.ServiceID, from string) (Hosts, *fleet.Refusal)
+	Hosts(model string, service fleet.ServiceID) (Hosts, *fleet.Refusal)
 	// Models returns the names that callers may use as a model, sorted.
 	Models() []string
 	// HostsHint returns the value of the X-Toucanway-Hosts header, which tells a caller that holds an old answer to ask
@@ -358,7 +358,7 @@
 
 func (s *Server) hosts(ctx *fasthttp.RequestCtx) *fleet.Refusal {
 	q := ctx.QueryArgs()
-	h, r := s.cfg.Handler.Hosts(string(q.Peek("model")), fleet.ServiceID(q.Peek("service")), ctx.RemoteIP().String())
+	h, r := s.cfg.Handler.Hosts(string(q.Peek("model")), fleet.ServiceID(q.Peek("service")))
 	if r != nil {
 		return r
 	}
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -9,11 +9,12 @@
 
 	"toucanway/core/capacity"
 	"toucanway/core/config"
-	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/length"
+	"toucanway/core/poison"
+	"toucanway/core/routing"
 	"toucanway/io/callers"
 	"toucanway/io/engines"
-	"toucanway/io/hosts"
 	"toucanway/io/planning"
 )
 
@@ -24,6 +25,10 @@
 	busyRetry = time.Second
 	// turnaround is kept of the deadline for the answer's way back to the caller.
 	turnaround = 20 * time.Millisecond
+	// progressTokens is the number of tokens between two observations of an engine's speed.
+	progressTokens = 16
+	// eventBytes is the usual size of one token's event on the network.
+	eventBytes = 256
 )
 
 // Complete admits a completion, waits for a replica and a slot, and returns the answer once its first token is there.
@@ -58,18 +63,24 @@
 	}
 	a := &answer{
 		d: d, call: c, doc: doc, model: model, body: body,
-		deadline:    now.Add(deadlineOf(doc, c.Deadline)),
-		fingerprint: d.fingerprint(c),
-		prompt:      c.PromptTokens(),
+		deadline: now.Add(deadlineOf(doc, c.Deadline)), fingerprint: fingerprintOf(c), prompt: c.PromptTokens(),
 	}
-	if r := a.checkPoison(now); r != nil {
-		return nil, r
+	a.features = length.Request{
+		Caller: c.Identity.Caller, Class: c.Identity.Class, Model: c.Target.Model, Prompt: a.prompt, Limit: c.MaxTokens,
+	}
+	a.predicted = d.policy.predict(a.features)
+	a.route = routing.Request{
+		Target: c.Target, Tenant: c.Identity.Tenant, Prompt: a.prompt, Prefixes: engines.Prefixes(c.Target, c.Prompt),
+		Bytes: a.traffic(int(a.predicted.Mean)),
 	}
-	a.predict(now)
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.finish = d.requests.begin()
-	d.budget.Request(now, c.Identity.Tenant)
-	a.waiter = d.cfg.Reporter.Wait(c.Target, c.Identity.Class, a.deadline, !d.hasReplica(c.Target.Model))
+	d.policy.request(now, c.Identity.Tenant)
+	a.waiter = d.cfg.Reporter.Wait(c.Target, c.Identity.Class, a.deadline, d.policy.replicas(c.Target.Model) == 0)
+	if r := a.checkPoison(now); r != nil {
+		a.Close()
+		return nil, r
+	}
 	return a, nil
 }
 
@@ -93,10 +104,11 @@
 	body        []byte
 	deadline    time.Time
 	fingerprint fleet.Fingerprint
-	prompt      fleet.Tokens
-	// expected is the predicted output, long whether it counts as long work.
-	expected fleet.Tokens
-	long     bool
+	// prompt is the estimated length of the prompt.
+	prompt    fleet.Tokens
+	features  length.Request
+	predicted length.Prediction
+	route     routing.Request
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -105,32 +117,25 @@
 
 	attempts int
 	// sent says that some attempt reached an engine.
-	sent    bool
+	sent bool
+	// alone says that the request is suspected of crashing backend servers.
+	alone    bool
+	outgrown bool
+	// crashed says that the last attempt ended with its backend server.
+	crashed bool
 	current *attempt
 	// received counts the tokens passed on or held in ready.
 	received int
 	ready    *callers.Chunk
 	ended    bool
-	// rejected is the last owner's refusal since a grant.
-	rejected *fleet.Refusal
-	// alone says that the request is suspected of crashing backend servers.
-	alone bool
 }
 
-// attempt is one dispatch to one backend server.
-type attempt struct {
-	grant   capacity.Grant
-	backend control.Backend
-	owner   ownerAddress
-	stream  *engines.Stream
-	cancel  context.CancelFunc
-	began   time.Time
-	alone   bool
-	last    time.Time
-	tokens  int
+// traffic estimates the bytes between this host and an engine for a number of output tokens.
+func (a *answer) traffic(tokens int) fleet.Bytes {
+	return fleet.Bytes(len(a.call.Body)) + fleet.Bytes(tokens)*eventBytes
 }
 
-// first makes the first attempt and reads its first token.
+// first makes attempts until one has its first token.
 func (a *answer) first() *fleet.Refusal {
 	ctx, cancel := context.WithDeadline(a.ctx, a.deadline.Add(-turnaround))
 	defer cancel()
@@ -147,7 +152,6 @@
 	if a.ready != nil {
 		c := *a.ready
 		a.ready = nil
-		a.ended = c.Finish != "" || a.ended
 		return c, nil
 	}
 	if a.ended {
@@ -167,9 +171,20 @@
 func (a *answer) advance(ctx context.Context) (*callers.Chunk, *fleet.Refusal) {
 	for {
 		if a.current == nil {
-			if r := a.attempt(ctx); r != nil {
+			t, at, err := a.race(ctx)
+			var r *fleet.Refusal
+			switch {
+			case err == nil:
+				a.current = at
+				a.waiter.Run()
+				return a.chunk(t), nil
+			case errors.As(err, &r):
+				return nil, a.truthful(r)
+			}
+			if r := a.mayRetry(ctx, time.Now(), err); r != nil {
 				return nil, r
 			}
+			continue
 		}
 		t, err := a.current.stream.Next()
 		now := time.Now()
@@ -184,7 +199,7 @@
 		at := a.current
 		a.current = nil
 		a.waiter.Again()
-		a.leave(at)
+		at.close()
 		a.failed(now, at, err)
 		if r := a.mayRetry(ctx, now, err); r != nil {
 			return nil, r
@@ -192,6 +207,7 @@
 	}
 }
 
+// chunk turns a token of the present attempt into a chunk for the caller.
 func (a *answer) chunk(t engines.Token) *callers.Chunk {
 	a.received = a.current.stream.Received()
 	c := &callers.Chunk{Text: t.Text, Finish: t.Finish}
@@ -200,185 +216,101 @@
 			PromptTokens: t.Usage.Prompt, CompletionTokens: t.Usage.Completion,
 			TotalTokens: t.Usage.Prompt + t.Usage.Completion,
 		}
-		a.d.observeCache(a, t.Usage.Cached)
+		a.d.policy.answered(time.Now(), a.current, &a.route, t.Usage.Cached)
 	}
 	return c
 }
 
-// attempt finds a replica, gets a slot and dispatches the request.
-func (a *answer) attempt(ctx context.Context) *fleet.Refusal {
-	tried := map[fleet.BackendID]bool{}
-	for {
-		b, r := a.choose(ctx, tried)
-		if r != nil {
-			return r
-		}
-		tried[b.Announcement.ID] = true
-		at, again, r := a.acquire(ctx, b)
-		if r != nil {
-			return r
-		}
-		if again {
-			continue
-		}
-		a.attempts++
-		err := a.send(ctx, at)
-		if err == nil {
-			a.current = at
-			a.waiter.Run()
-			return nil
-		}
-		now := time.Now()
-		a.failed(now, at, err)
-		if r := a.mayRetry(ctx, now, err); r != nil {
-			return r
-		}
-	}
-}
-
-// choose waits for a ready replica and returns the best one.
-func (a *answer) choose(ctx context.Context, tried map[fleet.BackendID]bool) (control.Backend, *fleet.Refusal) {
-	for {
-		changed := a.d.cfg.Follower.Changed()
-		now := time.Now()
-		if b, ok := a.d.router.choose(now, a, tried); ok {
-			return b, nil
-		}
-		if a.rejected != nil && a.rejected.Code != fleet.CodeNoCapacity && a.rejected.Code != fleet.CodeStillRunning {
-			// Every replica's owner refused, and for a reason that waiting here does not change.
-			return control.Backend{}, a.rejected
-		}
-		// Backend servers that failed before may serve again; a retry is bounded by the budget, not by their number.
-		if len(tried) > 0 {
-			clear(tried)
-			if !sleep(ctx, choosePause) {
-				return control.Backend{}, a.timedOut(ctx)
-			}
-			continue
-		}
-		if r := a.hopeless(now); r != nil {
-			return control.Backend{}, r
-		}
-		t := time.NewTimer(chooseInterval)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return control.Backend{}, a.timedOut(ctx)
-		case <-changed:
-		case <-t.C:
-		}
-		t.Stop()
-	}
+// refuse returns a refusal that tells truthfully whether the request may have run.
+func (a *answer) refuse(code fleet.Code, retryAfter time.Duration, format string, args ...any) *fleet.Refusal {
+	return a.truthful(fleet.Refuse(code, retryAfter, format, args...))
 }
 
-const (
-	choosePause = 20 * time.Millisecond
-	// chooseInterval is how often a waiting request checks the planner's estimate again.
-	chooseInterval = time.Second
-)
-
-// hopeless refuses at once a request whose model cannot be ready before its deadline.
-func (a *answer) hopeless(now time.Time) *fleet.Refusal {
-	ready, ok := a.d.cfg.Reporter.Estimate(a.call.Target.Model)
-	if !ok || now.Add(ready).Before(a.deadline) {
-		return nil
+func (a *answer) truthful(r *fleet.Refusal) *fleet.Refusal {
+	if a.sent && r.Execution == fleet.NotRun {
+		out := *r
+		out.Execution = fleet.MayHaveRun
+		return &out
 	}
-	return a.refuse(fleet.CodeDeadlineTooShort, ready, "model %s is expected to be ready in %s, after the deadline; send a longer %s",
-		a.call.Target.Model, ready.Round(time.Millisecond), callers.HeaderDeadline)
+	return r
 }
 
-// refuse returns a refusal that tells truthfully whether the request may have run.
-func (a *answer) refuse(code fleet.Code, retryAfter time.Duration, format string, args ...any) *fleet.Refusal {
-	r := fleet.Refuse(code, retryAfter, format, args...)
-	if a.sent {
-		r.Execution = fleet.MayHaveRun
+// timedOut is the refusal of a request whose time is over.
+func (a *answer) timedOut() *fleet.Refusal {
+	if a.ctx.Err() != nil {
+		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "the caller went away")
 	}
-	return r
+	return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "no slot of model %s came free before the deadline; send the request again", a.call.Target)
 }
 
-func (a *answer) timedOut(ctx context.Context) *fleet.Refusal {
-	if a.ctx.Err() != nil && ctx.Err() != context.DeadlineExceeded {
-		return a.refuse(fleet.CodeDeadlineExceeded, busyRetry, "the caller went away")
+// checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
+func (a *answer) checkPoison(now time.Time) *fleet.Refusal {
+	switch dec := a.d.policy.decide(now, a.fingerprint).(type) {
+	case poison.Run:
+		a.alone = false
+	case poison.RunAlone:
+		a.alone = true
+		a.waiter.Alone()
+	case poison.Refuse:
+		return a.truthful(dec.Refusal)
+	default:
+		panic("dispatch: poison decision without a handler")
 	}
-	return a.refuse(fleet.CodeDeadlineExceeded, busyRetry, "no slot of model %s came free before the deadline; send the request again", a.call.Target)
+	return nil
 }
 
-// acquire gets a grant from the owner of a backend server. again asks for another choice.
-func (a *answer) acquire(ctx context.Context, b control.Backend) (at *attempt, again bool, _ *fleet.Refusal) {
-	sent := time.Now()
-	left := a.deadline.Sub(sent)
-	if a.received > 0 {
-		// The caller has the beginning of its answer; the rest is due within the silence it bears.
-		left = tokenSilence
-	}
-	owner, ok := a.d.ownerOf(b)
-	if !ok {
-		return a.chooseAgain(ctx)
-	}
-	req := a.acquireRequest(b, left)
-	res, err := a.d.callAcquire(ctx, owner, req)
-	now := time.Now()
-	switch {
-	case err != nil, res.Status != hosts.StatusOK:
-		return a.chooseAgain(ctx)
-	}
-	a.d.router.queue(now, b.Announcement.ID, res.Answer.Queue)
-	if r := res.Answer.Refusal; r != nil {
-		a.rejected = a.refuse(r.Code, r.RetryAfter, "%s", r.Message)
-		return nil, true, nil
+// observeToken takes note of one token of the present attempt.
+func (a *answer) observeToken(now time.Time) {
+	at := a.current
+	a.d.metrics.tokenGap.With(a.call.Identity.Class.String()).Update(int64(now.Sub(at.last)))
+	at.tokens++
+	at.last = now
+	if at.tokens%progressTokens != 0 {
+		return
 	}
-	a.rejected = nil
-	g := *res.Answer.Grant
-	at = &attempt{grant: g, backend: b, owner: owner, began: sent, alone: req.Alone}
-	if !now.Before(g.DispatchBefore(sent)) || !a.d.cfg.Follower.HasLease(now) {
-		a.d.release(at, capacity.OutcomeUnused, 0)
-		return nil, true, nil
+	a.reportProgress(now, at)
+	if !a.outgrown && a.d.policy.outgrown(a.predicted, fleet.Tokens(a.received)) {
+		a.outgrown = true
+		a.d.release(at, capacity.OutcomeOutgrown, 0)
 	}
-	return at, false, nil
 }
 
-// chooseAgain pauses before another choice, and refuses when the time of the request is over.
-func (a *answer) chooseAgain(ctx context.Context) (*attempt, bool, *fleet.Refusal) {
-	if !sleep(ctx, choosePause) {
-		return nil, false, a.timedOut(ctx)
+func (a *answer) reportProgress(now time.Time, at *attempt) {
+	if n := at.tokens - at.reported; n > 0 {
+		a.d.policy.progress(now, routing.Progress{
+			Backend: at.backend.Announcement.ID, Model: a.call.Target.Model,
+			Tokens: fleet.Tokens(n), Elapsed: now.Sub(at.reportedAt),
+		})
+		at.reported, at.reportedAt = at.tokens, now
 	}
-	return nil, true, nil
 }
 
-// send dispatches the request under its grant.
-func (a *answer) send(ctx context.Context, at *attempt) error {
-	streamCtx, cancel := context.WithCancel(a.ctx)
-	stop := context.AfterFunc(ctx, cancel)
-	at.cancel = cancel
-	a.d.inflight.add(at.life(), a.call.ID, a.fingerprint)
-	s, err := a.d.cfg.Engines.Complete(streamCtx, engines.Completion{
-		Address: at.backend.Announcement.Address, Request: a.call.ID, Fence: at.grant.Fence,
-		Priority: a.call.Identity.Class, ResumeFrom: a.received, Chat: a.call.Chat, Body: a.body,
-		Silence: max(tokenSilence, time.Until(a.deadline)),
-	})
-	if err == nil {
-		// From here on the stream ends with the request, not with the wait for its first token.
-		stop()
-		at.stream = s
-		a.d.release(at, capacity.OutcomeDispatched, 0)
-		return nil
+// complete ends the present attempt after the whole answer.
+func (a *answer) complete(now time.Time) {
+	at := a.current
+	a.current = nil
+	a.ended = true
+	at.close()
+	a.reportProgress(now, at)
+	a.finishAttempt(now, at)
+	a.d.release(at, capacity.OutcomeDone, a.prompt+fleet.Tokens(a.received))
+	a.d.policy.observeLength(a.features, fleet.Tokens(a.received))
+	if a.d.policy.completed(a.fingerprint) {
+		a.d.clearSuspect(a.fingerprint)
 	}
-	stop()
-	cancel()
-	return err
 }
 
-func (at *attempt) life() control.Life {
-	return control.Life{Backend: at.backend.Announcement.ID, Incarnation: at.backend.Announcement.Incarnation}
+// finishAttempt ends the account of an attempt that reached its engine.
+func (a *answer) finishAttempt(now time.Time, at *attempt) {
+	a.d.inflight.remove(at.life(), a.call.ID)
+	a.d.policy.end(now, at, a.call.Identity.Tenant, a.traffic(at.tokens))
 }
 
 // Close ends the work behind the answer, wherever it is.
 func (a *answer) Close() {
 	if at := a.current; at != nil {
 		a.current = nil
-		a.leave(at)
-		a.d.inflight.remove(at.life(), a.call.ID)
-		a.d.cancelAtEngine(at, a.call.ID)
+		a.abandon(at)
 	}
 	if a.waiter != nil {
 		a.waiter.Done()
@@ -388,8 +320,9 @@
 	a.finish()
 }
 
-// leave ends this host's part in an attempt whose stream was open.
-func (a *answer) leave(at *attempt) {
-	at.stream.Close()
-	at.cancel()
+// abandon gives up an attempt whose answer nobody waits for any more.
+func (a *answer) abandon(at *attempt) {
+	at.close()
+	a.finishAttempt(time.Now(), at)
+	a.d.cancelAtEngine(at, a.call.ID)
 }
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -97,8 +97,8 @@
 // failed releases the grant of an attempt by what is known of its outcome, and reports the crash of the backend server if
 // that is the cause.
 func (a *answer) failed(now time.Time, at *attempt, err error) {
-	defer a.d.inflight.remove(at.life(), a.call.ID)
-	a.d.router.failed(now, a, at, err)
+	defer a.finishAttempt(now, at)
+	a.crashed = false
 	switch {
 	case errorx.IsOfType(err, engines.ErrRefused):
 		a.d.release(at, capacity.OutcomeUnused, 0)
@@ -108,7 +108,7 @@
 			a.d.reportDead(at.life())
 		}
 	case errorx.IsOfType(err, backend.ErrLost) && a.ctx.Err() == nil && a.d.isGone(a.ctx, at):
-		a.sent = true
+		a.sent, a.crashed = true, true
 		a.d.reportCrash(a.ctx, at)
 		a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
 	default:
@@ -167,6 +167,7 @@
 	defer close(k.done)
 	life := at.life()
 	fps := d.inflight.on(life)
+	d.policy.suspect(time.Now(), fps)
 	d.metrics.crashes.With().Inc(1)
 	// A lost commit leaves the requests unsuspected until the next crash; other hosts report the same crash.
 	commit, cancel := context.WithTimeout(ctx, crashTimeout)
@@ -177,33 +178,34 @@
 	d.removeDead(ctx, life)
 }
 
-// checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
-func (a *answer) checkPoison(time.Time) *fleet.Refusal {
-	var mark control.Mark
-	known := false
-	a.d.cfg.Follower.Read(func(s *control.State) { mark, known = s.Mark(a.fingerprint) })
-	a.alone = known
-	if !known || !mark.Poison {
-		return nil
-	}
-	return a.refuse(fleet.CodePoisonRequest, 0,
-		"this request crashed %d backend servers and is refused for a while; change its content or report it to the operators", mark.Crashes)
-}
-
 // mayRetry pauses before another attempt, or refuses when the budget, the attempts or the time are used up.
 func (a *answer) mayRetry(ctx context.Context, now time.Time, cause error) *fleet.Refusal {
 	if r := a.checkPoison(now); r != nil {
 		return r
 	}
 	if a.ctx.Err() != nil || ctx.Err() != nil {
-		return a.timedOut(ctx)
+		return a.truthful(a.timedOut())
+	}
+	left := a.deadline.Sub(now)
+	if a.received > 0 {
+		left = tokenSilence
 	}
-	if a.attempts >= a.doc.Limits.MaxAttempts || !a.d.budget.Retry(now, a.call.Identity.Tenant) {
+	free := errorx.IsOfType(cause, backend.ErrNotSent) || a.crashed
+	wait, ok := a.d.policy.retry(now, a.call.Identity.Tenant, a.attempts, a.doc.Limits.MaxAttempts, left, free)
+	if !ok {
 		return a.refuse(fleet.CodeBackendFailed, busyRetry, "no backend server gave the whole answer in %d attempts: %v", a.attempts, cause)
 	}
 	a.d.metrics.retries.With(string(a.call.Identity.Tenant)).Inc(1)
-	if !sleep(ctx, a.d.backoff(a.attempts)) {
-		return a.timedOut(ctx)
+	if !sleep(ctx, wait) {
+		return a.truthful(a.timedOut())
 	}
 	return nil
 }
+
+// clearSuspect commits that a request completed, so that it is no longer suspected on any host.
+func (d *Dispatcher) clearSuspect(fp fleet.Fingerprint) {
+	d.jobs.Run(func(ctx context.Context) {
+		// A lost commit leaves the suspicion to its expiry.
+		_, _ = d.cfg.Follower.Propose(ctx, &control.ClearSuspects{Fingerprints: []fleet.Fingerprint{fp}})
+	})
+}
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanway/core/config"
@@ -10,6 +11,7 @@
 	"toucanway/io/engines"
 	"toucanway/io/follow"
 	"toucanway/io/hosts"
+	"toucanway/io/jobs"
 	"toucanway/io/ledgers"
 	"toucanway/io/metrics"
 	"toucanway/io/network"
@@ -34,6 +36,42 @@
 	Seed     uint64
 }
 
+// Dispatcher carries requests to backend servers. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg         Settings
+	policy      *policy
+	metrics     dispatchMetrics
+	jobs        jobs.Group
+	requests    gate
+	outstanding counts
+	inflight    inflight
+	crashes     crashes
+	draining    atomic.Bool
+}
+
+// New returns a dispatcher.
+func New(cfg Settings) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, policy: newPolicy(cfg), metrics: newDispatchMetrics(cfg.Metrics),
+	}
+}
+
+// Run takes work until the context ends, and waits for what goes on behind finished requests.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	d.jobs.Start(ctx)
+	<-ctx.Done()
+	return d.jobs.Stop()
+}
+
+// Drain refuses new requests from now on.
+func (d *Dispatcher) Drain() { d.draining.Store(true) }
+
+// WaitIdle returns once no request is under way, or with the context's error.
+func (d *Dispatcher) WaitIdle(ctx context.Context) error { return d.requests.wait(ctx) }
+
+// Requests returns the number of requests under way.
+func (d *Dispatcher) Requests() int { return d.requests.count() }
+
 // admit checks that this host may take new work and returns the document in force.
 func (d *Dispatcher) admit() (*config.Document, *fleet.Refusal) {
 	if !d.cfg.Follower.HasLease(time.Now()) {
--- a/io/dispatch/grant.go
+++ b/io/dispatch/grant.go
@@ -38,7 +38,7 @@
 }
 
 // acquireRequest describes the request to the owner of a backend server.
-func (a *answer) acquireRequest(b control.Backend, left time.Duration) *capacity.Acquire {
+func (a *answer) acquireRequest(b control.Backend, left time.Duration, alone bool) *capacity.Acquire {
 	adapter, _ := a.doc.AdapterMemory(a.call.Target)
 	if a.call.Target.Adapter == "" {
 		adapter = 0
@@ -47,8 +47,8 @@
 	return &capacity.Acquire{
 		Backend: b.Announcement.ID, Host: a.d.cfg.Host, Request: a.call.ID, Target: a.call.Target,
 		Class: a.call.Identity.Class, Deadline: max(left-acquireMargin, time.Millisecond), Tenant: a.call.Identity.Tenant,
-		Memory: fleet.Bytes(tokens) * a.model.KVBytesPerToken, Tokens: a.prompt + a.expected, Long: a.long,
-		Alone: a.alone, AdapterMemory: adapter,
+		Memory: fleet.Bytes(tokens) * a.model.KVBytesPerToken, Tokens: a.prompt + a.predicted.Mean, Long: a.predicted.Long,
+		Alone: alone, AdapterMemory: adapter,
 	}
 }
 
--- /dev/null
+++ b/io/dispatch/policy.go
@@ -0,0 +1,295 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"toucanway/core/capacity"
+	"toucanway/core/config"
+	"toucanway/core/control"
+	"toucanway/core/fleet"
+	"toucanway/core/length"
+	"toucanway/core/poison"
+	"toucanway/core/retry"
+	"toucanway/core/routing"
+	"toucanway/io/callers"
+	"toucanway/io/follow"
+)
+
+// policy holds the request decisions of this host, learnt from its own requests and told by backend servers. Lock order:
+// mu, then the follower's lock.
+type policy struct {
+	follower *follow.Follower
+	document func() *config.Document
+
+	mu      sync.Mutex
+	router  *routing.Router
+	length  *length.Predictor
+	hedges  retry.Hedges
+	budget  *retry.Budget
+	poison  *poison.View
+	rng     *rand.Rand
+	applied fleet.Index
+	known   map[fleet.BackendID]bool
+	models  map[fleet.ModelID]bool
+	version fleet.DocumentVersion
+}
+
+func newPolicy(cfg Settings) *policy {
+	p := &policy{
+		follower: cfg.Follower, length: length.New(length.Settings{}), poison: poison.New(poison.Settings{}),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), known: map[fleet.BackendID]bool{}, models: map[fleet.ModelID]bool{},
+	}
+	p.document = func() *config.Document {
+		doc, _ := cfg.Follower.Document()
+		return doc
+	}
+	p.router = routing.New(routing.Settings{Place: cfg.Place, Rand: p.rng, RegionBudget: p.regionBudget})
+	p.budget = retry.NewBudget(retry.Settings{Rand: p.rng})
+	return p
+}
+
+// regionBudget divides the deployment's traffic between regions among its tenants by weight.
+func (p *policy) regionBudget(id fleet.TenantID) fleet.Bytes {
+	doc := p.document()
+	total := doc.Regions.CrossRegionPerHour
+	if total == 0 {
+		return unboundedTraffic
+	}
+	sum, own := 0, 0
+	for _, t := range doc.Callers.Tenants {
+		sum += t.Weight
+		if t.ID == id {
+			own = t.Weight
+		}
+	}
+	return total * fleet.Bytes(max(own, 1)) / fleet.Bytes(max(sum, 1)) / secondsPerHour
+}
+
+const (
+	secondsPerHour   = 3600
+	unboundedTraffic = fleet.Bytes(1) << 50
+)
+
+// sync takes over changes of the control state since the last call; mu is held.
+func (p *policy) sync(now time.Time) {
+	p.follower.Read(func(s *control.State) {
+		if s.Applied() == p.applied {
+			return
+		}
+		p.applied = s.Applied()
+		p.syncBackends(s)
+		p.syncReplicas(s)
+		p.poison.SetMarks(now, s.Marks())
+	})
+	p.syncLimits()
+}
+
+func (p *policy) syncBackends(s *control.State) {
+	standing := map[fleet.BackendID]bool{}
+	for _, b := range s.Backends() {
+		if b.Lost || b.Announcement.Kind != fleet.KindEngine {
+			continue
+		}
+		standing[b.Announcement.ID] = true
+		p.router.SetBackend(b.Announcement)
+	}
+	for id := range p.known {
+		if !standing[id] {
+			p.router.RemoveBackend(id)
+		}
+	}
+	p.known = standing
+}
+
+func (p *policy) syncReplicas(s *control.State) {
+	ready := map[fleet.ModelID][]fleet.BackendID{}
+	for _, r := range s.AllReplicas() {
+		if b, ok := s.Backend(r.Backend); r.State == control.ReplicaReady && ok && !b.Leaving && !b.Lost {
+			ready[r.Model] = append(ready[r.Model], r.Backend)
+		}
+	}
+	for id := range p.models {
+		if ready[id] == nil {
+			p.router.SetReplicas(id, nil)
+			delete(p.models, id)
+		}
+	}
+	for id, on := range ready {
+		p.router.SetReplicas(id, on)
+		p.models[id] = true
+	}
+}
+
+// syncLimits takes over the document's limits of retries.
+func (p *policy) syncLimits() {
+	doc, version := p.follower.Document()
+	if version == p.version {
+		return
+	}
+	p.version = version
+	l := doc.Limits
+	p.budget = retry.NewBudget(retry.Settings{
+		Share: l.RetryShare, Floor: float64(l.RetriesPerSecond), Attempts: l.MaxAttempts, Rand: p.rng,
+	})
+	p.poison = poison.New(poison.Settings{Expiry: l.PoisonExpiry})
+	p.follower.Read(func(s *control.State) { p.poison.SetMarks(time.Now(), s.Marks()) })
+}
+
+// replicas returns the number of ready replicas of a model.
+func (p *policy) replicas(m fleet.ModelID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sync(time.Now())
+	return p.router.Replicas(m)
+}
+
+// choose returns the backend server for a request, with what is known of it.
+func (p *policy) choose(now time.Time, q *routing.Request) (routing.Choice, control.Backend, bool) {
+	p.mu.Lock()
+	p.sync(now)
+	c, ok := p.router.Choose(now, q)
+	p.mu.Unlock()
+	if !ok {
+		return c, control.Backend{}, false
+	}
+	var b control.Backend
+	p.follower.Read(func(s *control.State) { b, ok = s.Backend(c.Backend) })
+	return c, b, ok && !b.Lost && !b.Leaving
+}
+
+// owner takes what a capacity owner says of a backend server.
+func (p *policy) owner(now time.Time, id fleet.BackendID, q capacity.QueueState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.OwnerState(now, id, q.Granted, q.Waiting, q.Wait)
+}
+
+func (p *policy) begin(now time.Time, id fleet.BackendID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Begin(now, id)
+}
+
+// end takes the end of an attempt and, if it was remote, its traffic between regions.
+func (p *policy) end(now time.Time, at *attempt, who fleet.TenantID, traffic fleet.Bytes) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.End(now, at.backend.Announcement.ID, now.Sub(at.sent))
+	if at.choice.CrossRegion {
+		p.router.Charge(now, who, traffic)
+	}
+}
+
+func (p *policy) progress(now time.Time, o routing.Progress) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Observe(now, o)
+	if o.FirstToken > 0 && !o.Waiting {
+		p.hedges.Observe(o.Model, o.FirstToken)
+	}
+}
+
+// answered takes what an engine found in its prefix cache.
+func (p *policy) answered(now time.Time, at *attempt, q *routing.Request, cached fleet.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := at.backend.Announcement.ID
+	p.router.Answered(now, id, q, at.choice.Match, cached)
+	if q.Target.Adapter != "" {
+		p.router.SetAdapter(id, q.Target, true)
+	}
+}
+
+// hedgeAfter returns when a request that has no first token is hedged.
+func (p *policy) hedgeAfter(m fleet.ModelID) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hedges.After(m, true)
+}
+
+// request counts a new request for the tenant's budget of retries.
+func (p *policy) request(now time.Time, id fleet.TenantID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Request(now, id)
+}
+
+// spend takes one retry or hedge from the tenant's budget.
+func (p *policy) spend(now time.Time, id fleet.TenantID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Spend(now, id)
+}
+
+// retry decides on another attempt. One that a dead backend server makes necessary is not charged to the tenant, since
+// the number of such attempts is bounded by the requests that it ran.
+func (p *policy) retry(now time.Time, id fleet.TenantID, attempts, most int, left time.Duration, free bool) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !free {
+		return p.budget.Retry(now, id, attempts, left)
+	}
+	wait := p.budget.Wait(attempts)
+	return wait, attempts < most && wait < left
+}
+
+func (p *policy) predict(r length.Request) length.Prediction {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.length.Predict(r)
+}
+
+func (p *policy) outgrown(pred length.Prediction, produced fleet.Tokens) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.length.Outgrown(pred, produced)
+}
+
+func (p *policy) observeLength(r length.Request, output fleet.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.length.Observe(r, output)
+}
+
+// decide says how a request may run after crashes of backend servers.
+func (p *policy) decide(now time.Time, f fleet.Fingerprint) poison.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sync(now)
+	return p.poison.Decide(now, f)
+}
+
+func (p *policy) suspect(now time.Time, fps []fleet.Fingerprint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poison.Suspect(now, fps...)
+}
+
+// completed drops the suspicion of a request that ran to its end, and reports whether a commit has to clear it.
+func (p *policy) completed(f fleet.Fingerprint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.poison.Completed(f)
+}
+
+// Report takes a load report.
+func (d *Dispatcher) Report(now time.Time, r fleet.LoadReport) {
+	d.policy.mu.Lock()
+	defer d.policy.mu.Unlock()
+	d.policy.router.Report(now, r)
+}
+
+// CacheEvents takes cache events.
+func (d *Dispatcher) CacheEvents(now time.Time, events []fleet.CacheEvent) {
+	d.policy.mu.Lock()
+	defer d.policy.mu.Unlock()
+	for _, ev := range events {
+		d.policy.router.CacheEvent(now, ev)
+	}
+}
+
+func fingerprintOf(c *callers.Completion) fleet.Fingerprint {
+	return poison.Fingerprint(c.Identity.Tenant, c.Target.String(), c.Body)
+}
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -53,7 +53,7 @@
 func (d *Dispatcher) callRepeatable(ctx context.Context, doc *config.Document, c *callers.ServiceCall, deadline time.Time) (*callers.ServiceAnswer, *fleet.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	d.budget.Request(time.Now(), c.Identity.Tenant)
+	d.policy.request(time.Now(), c.Identity.Tenant)
 	tried := map[fleet.BackendID]bool{}
 	sent := false
 	for attempt := 1; ; attempt++ {
@@ -67,7 +67,7 @@
 			return a, nil
 		}
 		sent = sent || !errorx.IsOfType(err, backend.ErrNotSent)
-		if ctx.Err() != nil || attempt >= doc.Limits.MaxAttempts || !d.budget.Retry(time.Now(), c.Identity.Tenant) {
+		if ctx.Err() != nil || attempt >= doc.Limits.MaxAttempts || !d.policy.spend(time.Now(), c.Identity.Tenant) {
 			return nil, d.serviceRefusal(ctx, c, sent)
 		}
 	}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -57,8 +57,8 @@
 }
 
 // Hosts returns the entry hosts to use.
-func (a handler) Hosts(model string, service fleet.ServiceID, from string) (callers.Hosts, *fleet.Refusal) {
-	return a.h.advise(time.Now(), model, service, from)
+func (a handler) Hosts(model string, service fleet.ServiceID) (callers.Hosts, *fleet.Refusal) {
+	return a.h.advise(model, service)
 }
 
 // Models returns the declared models and adapters, sorted.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -62,6 +62,7 @@
 	dispatch *dispatch.Dispatcher
 	callers  *callers.Server
 	loads    capacity.LoadShare
+	adviser  adviser
 	// voter is nil on a host that is no voter.
 	voter    *voter
 	draining atomic.Bool
--- a/io/planning/reporter.go
+++ b/io/planning/reporter.go
@@ -50,6 +50,7 @@
 	waiting map[*Waiter]struct{}
 	running int
 	calls   int
+	alone   int
 }
 
 type estimate struct {
@@ -64,6 +65,7 @@
 	key      demandKey
 	since    time.Time
 	deadline time.Time
+	alone    bool
 }
 
 // NewReporter returns a reporter.
@@ -119,11 +121,26 @@
 	}
 }
 
+// Alone says that the request must run alone and not on the last replica of its model.
+func (w *Waiter) Alone() {
+	w.r.mu.Lock()
+	defer w.r.mu.Unlock()
+	if !w.alone {
+		w.alone = true
+		w.r.count(w.key).alone++
+		w.r.wakeUp()
+	}
+}
+
 // Done says that the request ended, running or not.
 func (w *Waiter) Done() {
 	w.r.mu.Lock()
 	defer w.r.mu.Unlock()
 	n := w.r.count(w.key)
+	if w.alone {
+		w.alone = false
+		n.alone--
+	}
 	if _, ok := n.waiting[w]; ok {
 		delete(n.waiting, w)
 		return
@@ -220,7 +237,7 @@
 	for k, n := range r.table {
 		e := placement.DemandEntry{
 			Target: k.target, Class: k.class, Region: r.cfg.Place.Region,
-			Waiting: len(n.waiting), Running: n.running, Calls: n.calls,
+			Waiting: len(n.waiting), Running: n.running, Calls: n.calls, Alone: n.alone,
 		}
 		n.calls = 0
 		if e.Waiting == 0 && e.Running == 0 && e.Calls == 0 {
--- a/io/planning/service.go
+++ b/io/planning/service.go
@@ -12,6 +12,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/core/placement"
+	"toucanway/core/poison"
 	"toucanway/io/hosts"
 	"toucanway/io/sessions"
 )
@@ -21,7 +22,8 @@
 	// gatherTime joins the first requests of a burst at many hosts into one round.
 	gatherTime = 10 * time.Millisecond
 	// commitTimeout bounds the commit of one phase of a round's commands.
-	commitTimeout = 2 * time.Second
+	commitTimeout  = 2 * time.Second
+	expireInterval = time.Second
 )
 
 // Settings of a Service.
@@ -47,6 +49,8 @@
 	planner *placement.Planner
 	since   time.Time
 	version fleet.DocumentVersion
+	marks   *poison.View
+	cleared time.Time
 	wake    chan struct{}
 }
 
@@ -107,11 +111,13 @@
 	if s.planner == nil || !since.Equal(s.since) {
 		s.since = since
 		s.planner = placement.New(settingsOf(doc, version, s.cfg.Seed))
+		s.marks = poison.New(poison.Settings{Expiry: doc.Limits.PoisonExpiry})
 		s.version = version
 	}
 	if version != s.version {
 		s.version = version
 		s.planner.SetCatalogue(now, catalogueOf(doc, version))
+		s.marks = poison.New(poison.Settings{Expiry: doc.Limits.PoisonExpiry})
 	}
 	return s.planner
 }
@@ -157,13 +163,28 @@
 	var commands []control.Command
 	s.mu.Lock()
 	p := s.current(now, since)
-	s.cfg.Group.View(func() { commands = p.Round(now, &s.cfg.Machine.State) })
+	s.cfg.Group.View(func() {
+		commands = append(p.Round(now, &s.cfg.Machine.State), s.expireMarks(now)...)
+	})
 	s.mu.Unlock()
 	for _, phase := range phases(commands) {
 		s.commit(ctx, phase)
 	}
 }
 
+// expireMarks returns the command that clears crash records past their expiry; mu and the group's lock are held.
+func (s *Service) expireMarks(now time.Time) []control.Command {
+	if now.Sub(s.cleared) < expireInterval {
+		return nil
+	}
+	s.cleared = now
+	s.marks.SetMarks(now, s.cfg.Machine.State.Marks())
+	if old := s.marks.Expired(now); len(old) > 0 {
+		return []control.Command{&control.ClearSuspects{Fingerprints: old}}
+	}
+	return nil
+}
+
 // phases splits the commands of a round into groups that may commit in any order: a load needs its target first.
 func phases(commands []control.Command) [][]control.Command {
 	var first, second []control.Command
