disk: entries that replace those of a dropped segment are read back

Cause: a crash between the removals of two segments left a first segment whose entries replace some of the removed one; Open took that for a gap and refused the directory. Tests crash the store at each change of the file system, with names and unsynced bytes lost in part or whole, and damage its files.

--- a/io/disk/recover.go
+++ b/io/disk/recover.go
@@ -196,9 +196,11 @@
 	}
 	for _, e := range r.Entries {
 		first := s.last + 1 - fleet.Index(len(s.saved.Entries))
-		if e.Index > s.last+1 || e.Index < first {
-			return s.corrupt(name, "entry %d follows entry %d", e.Index, s.last)
+		if e.Index > s.last+1 {
+			return s.corrupt(name, "entries %d to %d are missing", s.last+1, e.Index-1)
 		}
+		// An entry before the first one replaces entries of a segment that was dropped after a snapshot.
+		first = min(first, e.Index)
 		s.saved.Entries = append(s.saved.Entries[:e.Index-first], e)
 		s.last, seg.high = e.Index, max(seg.high, e.Index)
 	}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -77,7 +77,9 @@
 	}
 	s := &Store{set: set, lock: lock}
 	if err := s.recover(); err != nil {
-		return nil, errors.Join(err, s.closeFile(), lock.Close())
+		// What went wrong is in err; the files are closed only to let go of them.
+		_, _ = s.closeFile(), lock.Close()
+		return nil, err
 	}
 	return s, nil
 }
--- /dev/null
+++ b/io/disk/store_test.go
@@ -0,0 +1,285 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+)
+
+var errInjected = errors.New("injected")
+
+// fakeFS keeps files in memory, fails from its failAt-th change on, and forgets at a crash what was not synced.
+type fakeFS struct {
+	files, durable map[string]*fakeFile
+	ops, failAt    int
+}
+
+type fakeFile struct {
+	fs     *fakeFS
+	data   []byte
+	synced int
+}
+
+func newFakeFS() *fakeFS {
+	return &fakeFS{files: map[string]*fakeFile{}, durable: map[string]*fakeFile{}}
+}
+
+func (f *fakeFS) change() error {
+	f.ops++
+	if f.failAt > 0 && f.ops >= f.failAt {
+		return errInjected
+	}
+	return nil
+}
+
+// crash drops unsynced names, if namesLost, and all but a share of the unsynced bytes of each file.
+func (f *fakeFS) crash(namesLost bool, kept float64) {
+	if namesLost {
+		f.files = maps.Clone(f.durable)
+	}
+	for _, file := range f.files {
+		unsynced := float64(max(len(file.data)-file.synced, 0))
+		file.data = file.data[:min(len(file.data), file.synced)+int(unsynced*kept)]
+		file.synced = len(file.data)
+	}
+	f.durable, f.ops, f.failAt = maps.Clone(f.files), 0, 0
+}
+
+func (f *fakeFS) MkdirAll(string) error { return nil }
+
+func (f *fakeFS) ReadDir(string) ([]string, error) {
+	var names []string
+	for n := range f.files {
+		names = append(names, filepath.Base(n))
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (f *fakeFS) ReadFile(name string) ([]byte, error) { return slices.Clone(f.files[name].data), nil }
+
+func (f *fakeFS) Create(name string) (File, error) {
+	if err := f.change(); err != nil {
+		return nil, err
+	}
+	f.files[name] = &fakeFile{fs: f}
+	return f.files[name], nil
+}
+
+func (f *fakeFS) Append(name string) (File, error) { return f.files[name], nil }
+
+func (f *fakeFS) Rename(from, to string) error {
+	if err := f.change(); err != nil {
+		return err
+	}
+	f.files[to] = f.files[from]
+	delete(f.files, from)
+	return nil
+}
+
+func (f *fakeFS) Remove(name string) error {
+	if err := f.change(); err != nil {
+		return err
+	}
+	delete(f.files, name)
+	return nil
+}
+
+func (f *fakeFS) SyncDir(string) error {
+	if err := f.change(); err != nil {
+		return err
+	}
+	f.durable = maps.Clone(f.files)
+	return nil
+}
+
+func (f *fakeFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+func (f *fakeFile) Write(b []byte) (int, error) {
+	err := f.fs.change()
+	if err != nil {
+		b = b[:len(b)/2]
+	}
+	f.data = append(f.data, b...)
+	return len(b), err
+}
+
+func (f *fakeFile) Sync() error {
+	if err := f.fs.change(); err != nil {
+		return err
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *fakeFile) Truncate(size int64) error {
+	if err := f.fs.change(); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
+
+// storage is what Store and Memory have in common, so that Memory serves as the reference.
+type storage interface {
+	Load() (raft.Saved, error)
+	Save(*raft.HardState, []raft.Entry) error
+	Install(raft.Snapshot) error
+	Compact(raft.Snapshot, fleet.Index) error
+}
+
+func open(fs FS) (*Store, error) {
+	return Open(Settings{Dir: "d", NewStorageID: 7, SegmentSize: 150, FS: fs})
+}
+
+func entries(from, to fleet.Index, term raft.Term) []raft.Entry {
+	var es []raft.Entry
+	for i := from; i <= to; i++ {
+		es = append(es, raft.Entry{Index: i, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", i, term)})
+	}
+	return es
+}
+
+// script is a life of a store: growth over segments, overwritten entries, own and received snapshots.
+var script = []func(storage) error{
+	func(s storage) error { return s.Save(&raft.HardState{Term: 1, Vote: "a"}, entries(1, 4, 1)) },
+	func(s storage) error { return s.Save(nil, entries(5, 9, 1)) },
+	func(s storage) error { return s.Save(nil, entries(10, 10, 1)) },
+	func(s storage) error { return s.Save(&raft.HardState{Term: 2}, entries(7, 8, 2)) },
+	func(s storage) error { return s.Compact(raft.Snapshot{Index: 6, Term: 1, Data: []byte("six")}, 4) },
+	func(s storage) error { return s.Save(nil, entries(9, 20, 2)) },
+	func(s storage) error { return s.Save(nil, entries(21, 21, 2)) },
+	func(s storage) error { return s.Compact(raft.Snapshot{Index: 20, Term: 2, Data: []byte("twenty")}, 20) },
+	func(s storage) error { return s.Install(raft.Snapshot{Index: 21, Term: 3, Data: []byte("other")}) },
+	func(s storage) error { return s.Save(&raft.HardState{Term: 3, Admitted: true}, entries(22, 24, 3)) },
+	func(s storage) error { return s.Install(raft.Snapshot{Index: 40, Term: 4, Data: []byte("forty")}) },
+	func(s storage) error { return s.Save(nil, entries(41, 43, 4)) },
+}
+
+// content returns what a storage holds, without entries that its snapshot covers.
+func content(t *testing.T, s storage) raft.Saved {
+	saved, err := s.Load()
+	require.NoError(t, err)
+	saved.Entries = slices.DeleteFunc(saved.Entries, func(e raft.Entry) bool { return e.Index <= saved.Snapshot.Index })
+	if len(saved.Entries) == 0 {
+		saved.Entries = nil
+	}
+	return saved
+}
+
+// Guards against a crash, full disk or failed sync at any step that loses something acknowledged, mixes old and new, or
+// leaves a directory that can't be opened.
+func TestCrashAtEachStep(t *testing.T) {
+	for failAt, done := 1, false; !done; failAt++ {
+		for _, namesLost := range []bool{true, false} {
+			for _, kept := range []float64{0, 0.5, 1} {
+				fs, ref := newFakeFS(), NewMemory(7)
+				fs.failAt = failAt
+				s, err := open(fs)
+				before, k := content(t, ref), 0
+				for ; err == nil && k < len(script); k++ {
+					before = content(t, ref)
+					require.NoError(t, script[k](ref))
+					if err = script[k](s); err != nil {
+						require.Error(t, s.Save(nil, entries(99, 99, 9)), "a store works on after a failure")
+					}
+				}
+				done = err == nil
+				if err != nil {
+					require.True(t, errorx.IsOfType(err, ErrFailed), "%v", err)
+				} else {
+					before = content(t, ref)
+				}
+				fs.crash(namesLost, kept)
+				s, err = open(fs)
+				require.NoError(t, err, "fail at %d, names lost %v, kept %v", failAt, namesLost, kept)
+				got := content(t, s)
+				require.Contains(t, allowed(before, content(t, ref)), got,
+					"fail at %d in step %d, names lost %v, kept %v", failAt, k, namesLost, kept)
+				next := got.Snapshot.Index + fleet.Index(len(got.Entries)) + 1
+				require.NoError(t, s.Save(nil, entries(next, next, 9)))
+				s, err = open(fs)
+				require.NoError(t, err)
+				require.Equal(t, append(got.Entries, entries(next, next, 9)...), content(t, s).Entries)
+			}
+		}
+	}
+}
+
+// allowed returns what a crash during the step from before to after may leave.
+func allowed(before, after raft.Saved) []raft.Saved {
+	return []raft.Saved{before, after}
+}
+
+// Guards against damage before the tail that is taken for a torn tail, which would lose acknowledged entries.
+func TestDamage(t *testing.T) {
+	for name, c := range map[string]struct {
+		damage func(fs *fakeFS, segments []string)
+		want   string // empty: the tail is cut and the store opens
+	}{
+		"torn tail":         {func(fs *fakeFS, n []string) { f := fs.files[n[len(n)-1]]; f.data = f.data[:len(f.data)-3] }, ""},
+		"zeros at the tail": {func(fs *fakeFS, n []string) { f := fs.files[n[len(n)-1]]; f.data = append(f.data, make([]byte, 64)...) }, ""},
+		"flipped bit":       {func(fs *fakeFS, n []string) { fs.files[n[0]].data[40] ^= 1 }, "is damaged"},
+		"flipped length":    {func(fs *fakeFS, n []string) { fs.files[n[len(n)-1]].data[5] ^= 0x40 }, "is damaged"},
+		"missing segment":   {func(fs *fakeFS, n []string) { delete(fs.files, n[1]) }, "is missing"},
+		"missing start":     {func(fs *fakeFS, n []string) { delete(fs.files, n[0]); delete(fs.files, n[1]) }, "are missing"},
+		"missing id":        {func(fs *fakeFS, n []string) { delete(fs.files, "d/id") }, "is missing"},
+		"snapshot":          {func(fs *fakeFS, n []string) { fs.files["d/"+snapshotName(6)].data[20] ^= 1 }, "checksum"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fs := newFakeFS()
+			s, err := open(fs)
+			require.NoError(t, err)
+			for _, step := range script[:7] {
+				require.NoError(t, step(s))
+			}
+			var segments []string
+			for n := range fs.files {
+				if strings.HasPrefix(n, "d/wal-") {
+					segments = append(segments, n)
+				}
+			}
+			slices.Sort(segments)
+			c.damage(fs, segments)
+			_, err = open(fs)
+			if c.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.want)
+			require.ErrorContains(t, err, "add it as a learner", "the message names the remedy")
+		})
+	}
+}
+
+// Guards against two processes that write one directory, and covers the operating system's files.
+func TestOS(t *testing.T) {
+	set := Settings{Dir: filepath.Join(t.TempDir(), "x", "y"), SegmentSize: 150}
+	s, err := Open(set)
+	require.NoError(t, err)
+	_, err = Open(set)
+	require.ErrorContains(t, err, "in use")
+	for _, step := range script {
+		require.NoError(t, step(s))
+	}
+	require.NoError(t, s.Close())
+	s, err = Open(set)
+	require.NoError(t, err)
+	got := content(t, s)
+	require.Equal(t, entries(41, 43, 4), got.Entries)
+	require.NotZero(t, got.Storage)
+	require.NoError(t, s.Close())
+}
