raft: model check with lossy network, crashes and lost disks

Cause: the invariants of elections, logs, leases and membership had no check. Change: a rapid model of up to six hosts with clocks up to 1% apart; the storage id of a vote counts from the election on. io/voters is tested in synthetic time with silent cuts, lost disks, full disks and restarts.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -54,7 +54,7 @@
 
 // poll asks the other voters and counts this host's own vote.
 func (n *Node) poll(k MessageKind, t Term) {
-	n.votes = map[fleet.HostID]bool{n.set.Self: true}
+	n.votes = map[fleet.HostID]StorageID{n.set.Self: n.set.Storage}
 	for _, m := range n.members() {
 		if m.Host == n.set.Self || m.Learner {
 			continue
@@ -94,14 +94,16 @@
 	if pre != (n.role == PreCandidate) || !pre && n.role != Candidate || pre && !m.Reject && m.Term != n.state.Term+1 {
 		return
 	}
-	n.votes[m.From] = !m.Reject
-	n.countVotes()
+	if !m.Reject {
+		n.votes[m.From] = m.Storage
+		n.countVotes()
+	}
 }
 
 func (n *Node) countVotes() {
 	yes, voters := 0, n.members().Voters()
 	for _, h := range voters {
-		if n.votes[h] {
+		if n.votes[h] != 0 {
 			yes++
 		}
 	}
@@ -118,10 +120,14 @@
 }
 
 func (n *Node) becomeLeader() {
+	votes := n.votes
 	n.role, n.leader, n.votes, n.transfer = Leader, n.set.Self, nil, false
 	n.leaseBarred = false
 	n.peers = map[fleet.HostID]*progress{}
 	n.membersChanged()
+	for h, p := range n.peers {
+		p.storage = votes[h]
+	}
 	n.heartbeatAt = n.now
 	n.termStart = n.log.last() + 1
 	n.appendOwn(Entry{Kind: EntryNoop})
--- /dev/null
+++ b/core/raft/model_test.go
@@ -0,0 +1,423 @@
+package raft
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/fleet"
+)
+
+// modelHost is one host with its disk, clock and state machine.
+type modelHost struct {
+	id   fleet.HostID
+	node *Node // nil while crashed
+	disk Saved
+	// rate is the clock's error, at most half of MaxClockSkewRate either way.
+	rate  float64
+	given fleet.Index
+	hash  uint64
+	// crash is the point at which the next save ends the host, if not empty.
+	crash string
+}
+
+// model is a group of hosts on a lossy network, and what was observed of it.
+type model struct {
+	t        *rapid.T
+	rng      *rand.Rand
+	now      time.Duration
+	voters   []fleet.HostID
+	hosts    []*modelHost
+	net      []Message
+	cuts     map[[2]fleet.HostID]bool
+	loss     float64
+	reorder  bool
+	election time.Duration
+	nextID   StorageID
+	nextCmd  uint64
+
+	leaders   map[Term]fleet.HostID
+	seen      map[[2]uint64][2]uint64 // index and term of an entry: its hash and the term before it
+	committed []Entry
+	hashes    []uint64 // state machine's hash after each committed entry
+	members   Membership
+	lost      fleet.HostID
+	reads     map[fleet.HostID]map[ReadID]fleet.Index
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
+		leaders: map[Term]fleet.HostID{}, seen: map[[2]uint64][2]uint64{},
+		hashes: []uint64{0}, committed: make([]Entry, 1), reads: map[fleet.HostID]map[ReadID]fleet.Index{},
+	}
+	ids := []fleet.HostID{"a", "b", "c", "d", "e", "f"}
+	m.voters = ids[:rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")]
+	m.election = rapid.SampledFrom([]time.Duration{DefaultElectionMax, DefaultElectionMin + 10*time.Millisecond}).Draw(t, "election")
+	for _, h := range m.voters {
+		m.members = m.members.with(Member{Host: h})
+	}
+	for _, id := range ids {
+		h := &modelHost{id: id, rate: (m.rng.Float64() - 0.5) * MaxClockSkewRate}
+		m.hosts = append(m.hosts, h)
+		m.wipe(h)
+		m.boot(h)
+	}
+	return m
+}
+
+// clock is the host's own time.
+func (m *model) clock(h *modelHost) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(m.now) * (1 + h.rate)))
+}
+
+func (m *model) wipe(h *modelHost) {
+	m.nextID++
+	h.disk = Saved{Storage: m.nextID}
+}
+
+func (m *model) boot(h *modelHost) {
+	saved := h.disk
+	saved.Entries = slices.Clone(saved.Entries)
+	set := Settings{
+		Self: h.id, Storage: saved.Storage, Seed: m.rng.Uint64(), ElectionMax: m.election,
+		Chunk: 9, MaxBatch: 200, MaxInflight: 4,
+	}
+	if slices.Contains(m.voters, h.id) {
+		set.Voters = m.voters
+	}
+	n, err := New(set, saved, m.clock(h))
+	require.NoError(m.t, err)
+	h.node, h.given, h.hash, h.crash = n, saved.Snapshot.Index, 0, ""
+	m.reads[h.id] = map[ReadID]fleet.Index{}
+	if len(saved.Snapshot.Data) > 0 {
+		h.hash = binary.BigEndian.Uint64(saved.Snapshot.Data)
+	}
+}
+
+func (m *model) send(msgs []Message) {
+	for _, msg := range msgs {
+		if m.cuts[[2]fleet.HostID{msg.From, msg.To}] || m.rng.Float64() < m.loss {
+			continue
+		}
+		m.net = append(m.net, msg)
+		if m.rng.Float64() < m.loss/4 {
+			m.net = append(m.net, msg)
+		}
+	}
+}
+
+// deliver hands one message over, through its encoded form.
+func (m *model) deliver(msg Message) {
+	for _, h := range m.hosts {
+		if h.id != msg.To || h.node == nil {
+			continue
+		}
+		b, err := cbor.Marshal(msg)
+		require.NoError(m.t, err)
+		var got Message
+		require.NoError(m.t, cbor.Unmarshal(b, &got))
+		h.node.Step(m.clock(h), got)
+		m.work(h)
+	}
+}
+
+// work carries out a host's outputs; at its crash point it stops and loses what is in memory.
+func (m *model) work(h *modelHost) {
+	for {
+		o, ok := h.node.Ready()
+		if !ok {
+			return
+		}
+		m.send(o.Send)
+		saves := o.State != nil || o.Snapshot != nil || len(o.Entries) > 0
+		if saves && h.crash == "before-sync" {
+			h.node = nil
+			return
+		}
+		m.save(h, &o)
+		if saves && h.crash == "after-sync" {
+			h.node = nil
+			return
+		}
+		m.send(o.SendSaved)
+		m.apply(h, &o)
+		h.node.Done(o)
+		m.check()
+	}
+}
+
+func (m *model) save(h *modelHost, o *Output) {
+	d := &h.disk
+	if o.State != nil {
+		d.State = *o.State
+	}
+	if o.Snapshot != nil {
+		d.Snapshot, d.Entries = *o.Snapshot, nil
+	}
+	for _, e := range o.Entries {
+		d.Entries = append(slices.DeleteFunc(d.Entries, func(x Entry) bool { return x.Index >= e.Index }), e)
+		prev, _ := h.node.log.term(e.Index - 1)
+		key, val := [2]uint64{uint64(e.Index), uint64(e.Term)}, [2]uint64{xxhash.Sum64(e.Data), uint64(prev)}
+		if old, ok := m.seen[key]; ok {
+			require.Equal(m.t, old, val, "log matching: entry %d of term %d", e.Index, e.Term)
+		}
+		m.seen[key] = val
+	}
+}
+
+func (m *model) apply(h *modelHost, o *Output) {
+	if s := o.Snapshot; s != nil {
+		require.Less(m.t, int(s.Index), len(m.committed), "snapshot of entries that nobody committed")
+		h.given, h.hash = s.Index, binary.BigEndian.Uint64(s.Data)
+		require.Equal(m.t, m.hashes[s.Index], h.hash, "state of the snapshot at %d", s.Index)
+	}
+	for _, e := range o.Committed {
+		require.Equal(m.t, h.given+1, e.Index, "order of application on %s", h.id)
+		h.given = e.Index
+		h.hash = xxhash.Sum64(binary.BigEndian.AppendUint64(slices.Clone(e.Data), h.hash))
+		if int(e.Index) < len(m.committed) {
+			require.Equal(m.t, m.committed[e.Index], e, "committed entry on %s", h.id)
+			continue
+		}
+		m.committed, m.hashes = append(m.committed, e), append(m.hashes, h.hash)
+		if e.Kind == EntryMembers {
+			m.members = nil
+			require.NoError(m.t, cbor.Unmarshal(e.Data, &m.members))
+		}
+	}
+	for _, r := range o.Reads {
+		require.GreaterOrEqual(m.t, r.Index, m.reads[h.id][r.ID], "barrier on %s", h.id)
+	}
+	if l := m.host(m.lost); l != nil {
+		mem, ok := m.members.find(l.id)
+		if !ok || !mem.Learner && mem.Storage == l.disk.Storage {
+			m.lost = ""
+		}
+	}
+}
+
+func (m *model) host(id fleet.HostID) *modelHost {
+	for _, h := range m.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// check verifies what must hold between any two steps.
+func (m *model) check() {
+	for _, h := range m.hosts {
+		if h.node == nil || h.node.role != Leader {
+			continue
+		}
+		n := h.node
+		if l, ok := m.leaders[n.state.Term]; ok {
+			require.Equal(m.t, l, h.id, "second leader of term %d", n.state.Term)
+		} else {
+			m.leaders[n.state.Term] = h.id
+			// Leader completeness: it starts with all that was ever committed.
+			require.GreaterOrEqual(m.t, int(n.log.last()), len(m.committed)-1, "leader of term %d lacks entries", n.state.Term)
+			for i := n.log.offset + 1; int(i) < len(m.committed); i++ {
+				term, _ := n.log.term(i)
+				require.Equal(m.t, m.committed[i].Term, term, "leader's entry %d", i)
+			}
+		}
+		if n.LeaseValid(m.clock(h)) {
+			for t := range m.leaders {
+				require.LessOrEqual(m.t, t, n.state.Term, "%s holds a lease although a newer leader exists", h.id)
+			}
+			if last := len(m.committed) - 1; last > int(n.commit) {
+				require.Equal(m.t, n.state.Term, m.committed[n.commit+1].Term, "%s holds a lease without earlier leaders' entries", h.id)
+			}
+		}
+	}
+}
+
+// run lets time pass in steps of 5 ms.
+func (m *model) run(d time.Duration) {
+	for end := m.now + d; m.now < end; m.now += 5 * time.Millisecond {
+		for _, h := range m.hosts {
+			if h.node != nil && !m.clock(h).Before(h.node.NextTick()) {
+				h.node.Tick(m.clock(h))
+				m.work(h)
+			}
+			if h.node != nil && m.rng.IntN(20) == 0 {
+				m.barrier(h)
+				m.work(h)
+			}
+		}
+		for k := len(m.net); k > 0 && len(m.net) > 0; k-- {
+			i := 0
+			if m.reorder {
+				i = m.rng.IntN(len(m.net))
+				if m.rng.IntN(3) == 0 {
+					continue
+				}
+			}
+			msg := m.net[i]
+			m.net = slices.Delete(m.net, i, i+1)
+			m.deliver(msg)
+		}
+		m.check()
+	}
+}
+
+// leader returns the leader of the newest term, or nil.
+func (m *model) leader() *modelHost {
+	var best *modelHost
+	for _, h := range m.hosts {
+		if h.node != nil && h.node.role == Leader && (best == nil || h.node.state.Term > best.node.state.Term) {
+			best = h
+		}
+	}
+	return best
+}
+
+// propose asks all hosts, of which those that aren't leaders refuse.
+func (m *model) propose() {
+	for _, h := range m.hosts {
+		m.nextCmd++
+		if h.node != nil {
+			_, _, _ = h.node.Propose(m.clock(h), binary.BigEndian.AppendUint64(nil, m.nextCmd))
+		}
+	}
+}
+
+func (m *model) barrier(h *modelHost) {
+	if id, err := h.node.ReadIndex(m.clock(h)); err == nil {
+		m.reads[h.id][id] = fleet.Index(len(m.committed) - 1)
+	}
+}
+
+// isolate cuts all links from and to a host.
+func (m *model) isolate(h *modelHost) {
+	for _, o := range m.hosts {
+		m.cuts[[2]fleet.HostID{h.id, o.id}] = true
+		m.cuts[[2]fleet.HostID{o.id, h.id}] = true
+	}
+}
+
+// swap lets a quorum without x commit, hurts one of its hosts, and then leaves the rest of it to x: what was
+// committed has to survive, or nothing may be committed any more.
+func (m *model) swap(x, y, z *modelHost, fault string) {
+	m.isolate(x)
+	m.propose()
+	m.run(time.Duration(m.rng.IntN(1500)) * time.Millisecond)
+	m.propose()
+	if fault == "disk" {
+		m.loseDisk(y)
+	} else {
+		y.crash = fault
+	}
+	m.run(time.Duration(m.rng.IntN(4)) * 5 * time.Millisecond)
+	clear(m.cuts)
+	m.isolate(z)
+	if y.node == nil {
+		m.boot(y)
+	}
+	m.run(time.Duration(m.rng.IntN(2500)) * time.Millisecond)
+	m.propose()
+	m.run(time.Duration(m.rng.IntN(1000)) * time.Millisecond)
+	clear(m.cuts)
+}
+
+// loseDisk empties one host's disk, if no other loss is unrepaired and three voters remain to repair it.
+func (m *model) loseDisk(h *modelHost) {
+	for _, o := range m.hosts {
+		if o.node != nil && len(o.node.members()) > 0 && len(o.node.members().Voters()) < 3 {
+			return
+		}
+	}
+	if m.lost != "" || len(m.members.Voters()) < 3 {
+		return
+	}
+	if _, ok := m.members.find(h.id); ok {
+		m.lost = h.id
+	}
+	m.wipe(h)
+	m.boot(h)
+}
+
+// operate carries out one step of an operator on the leader: first the repair of a lost disk.
+func (m *model) operate(random bool) {
+	l := m.leader()
+	if l == nil {
+		return
+	}
+	n, now := l.node, m.clock(l)
+	h := m.hosts[m.rng.IntN(len(m.hosts))].id
+	for _, mem := range n.members() {
+		if random {
+			break
+		}
+		if mem.Learner || mem.Host == m.lost {
+			h = mem.Host
+		}
+	}
+	mem, ok := n.members().find(h)
+	// Each request is refused while it doesn't fit, which is what the operator's next step is for.
+	switch {
+	case !ok:
+		_, _ = n.AddLearner(now, h)
+	case mem.Learner:
+		_, _ = n.Promote(now, h)
+	case h == m.lost || random && len(n.members().Voters()) > 3 && m.rng.IntN(3) == 0:
+		_, _ = n.Remove(now, h)
+	case random:
+		_ = n.TransferLeadership(now, h)
+	}
+	m.work(l)
+}
+
+func (m *model) compact(h *modelHost) {
+	if h.node == nil {
+		return
+	}
+	s, ok := h.node.SnapshotAt(h.given)
+	if !ok || s.Index <= h.disk.Snapshot.Index {
+		return
+	}
+	s.Data = append(binary.BigEndian.AppendUint64(nil, h.hash), make([]byte, 20)...)
+	h.disk.Snapshot = s
+	h.disk.Entries = slices.DeleteFunc(h.disk.Entries, func(e Entry) bool { return e.Index <= s.Index })
+	h.node.Compact(s, s.Index-min(s.Index, fleet.Index(m.rng.IntN(4))))
+}
+
+// settle repairs all and requires that the group works again and agrees.
+func (m *model) settle() {
+	m.cuts, m.loss, m.reorder = map[[2]fleet.HostID]bool{}, 0, false
+	for _, h := range m.hosts {
+		h.crash = ""
+	}
+	for range 300 {
+		for _, h := range m.hosts {
+			if h.node == nil {
+				m.boot(h)
+			}
+		}
+		m.run(100 * time.Millisecond)
+		if m.lost != "" {
+			m.operate(false)
+		}
+	}
+	require.Empty(m.t, m.lost, "the lost disk was not repaired within 30 s")
+	l := m.leader()
+	require.NotNil(m.t, l, "no leader 30 s after the last fault")
+	before := len(m.committed)
+	m.propose()
+	m.work(l)
+	m.run(time.Second)
+	require.Greater(m.t, len(m.committed), before, "the group commits nothing after the last fault")
+	for _, mem := range m.members {
+		h := m.host(mem.Host)
+		require.Equal(m.t, l.hash, h.hash, "state of %s: %+v", mem.Host, h.node.Status())
+	}
+}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -114,8 +114,9 @@
 	// contact is when this host last heard from a leader, or started.
 	contact    time.Time
 	electionAt time.Time
-	votes      map[fleet.HostID]bool
-	transfer   bool
+	// votes holds the folders under which voters granted their vote.
+	votes    map[fleet.HostID]StorageID
+	transfer bool
 
 	accepted map[fleet.HostID]bool
 	helloAt  time.Time
--- /dev/null
+++ b/core/raft/raft_test.go
@@ -0,0 +1,146 @@
+package raft
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/fleet"
+)
+
+// Seed and number of runs of the model check, unless -rapid.seed and -rapid.checks give others.
+const (
+	modelSeed   = "20261204"
+	modelChecks = "40"
+)
+
+// A longer run: go test ./core/raft -run TestModel -rapid.checks=2000 -rapid.seed=SEED -timeout=60m
+func TestMain(m *testing.M) {
+	flag.Parse()
+	defaults := map[string]string{"rapid.seed": modelSeed, "rapid.checks": modelChecks}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against two leaders in a term, diverging logs, lost or changed committed entries, leases that overlap a newer
+// leader and stale barriers, under message loss, reordering, duplication, silent one-way cuts, crashes before and after
+// a sync, and disks lost one at a time.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.run(time.Second)
+		host := func() *modelHost {
+			if rapid.IntRange(0, 4).Draw(t, "any") == 0 {
+				return rapid.SampledFrom(m.hosts).Draw(t, "host")
+			}
+			return m.host(rapid.SampledFrom(m.members).Draw(t, "member").Host)
+		}
+		point := func() string { return rapid.SampledFrom([]string{"before-sync", "after-sync"}).Draw(t, "point") }
+		run := func(*rapid.T) { m.run(time.Duration(rapid.IntRange(1, 160).Draw(t, "run")) * 5 * time.Millisecond) }
+		propose := func(*rapid.T) {
+			for range rapid.IntRange(1, 8).Draw(t, "commands") {
+				m.propose()
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run": run, "run2": run, "run3": run, "propose": propose, "propose2": propose,
+			"network": func(*rapid.T) {
+				m.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss")
+				m.reorder = rapid.Bool().Draw(t, "reorder")
+			},
+			"cut":     func(*rapid.T) { m.cuts[[2]fleet.HostID{host().id, host().id}] = true },
+			"isolate": func(*rapid.T) { m.isolate(host()) },
+			"heal":    func(*rapid.T) { clear(m.cuts) },
+			"swap": func(*rapid.T) {
+				m.swap(host(), host(), host(), rapid.SampledFrom([]string{"disk", "before-sync", "after-sync"}).Draw(t, "fault"))
+			},
+			"crash": func(*rapid.T) { host().crash = point() },
+			"bounce": func(*rapid.T) {
+				h := host()
+				m.boot(h)
+				m.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "run")) * 5 * time.Millisecond)
+			},
+			"power-cut": func(*rapid.T) {
+				m.propose()
+				for _, h := range m.hosts {
+					h.crash = point()
+				}
+				m.run(time.Duration(rapid.IntRange(0, 4).Draw(t, "run")) * 5 * time.Millisecond)
+				for _, h := range m.hosts {
+					m.boot(h)
+				}
+			},
+			"boot": func(*rapid.T) {
+				for _, h := range m.hosts {
+					if h.node == nil {
+						m.boot(h)
+					}
+				}
+			},
+			"lose-disk":     func(*rapid.T) { m.loseDisk(host()) },
+			"repair":        func(*rapid.T) { m.operate(false) },
+			"reconfigure":   func(*rapid.T) { m.operate(true) },
+			"reconfigure2":  func(*rapid.T) { m.operate(true) },
+			"take-snapshot": func(*rapid.T) { m.compact(host()) },
+			"":              func(*rapid.T) { m.check() },
+		})
+		m.settle()
+	})
+}
+
+// lead returns a leader of three voters that continues from a log, in a term after the log's.
+func lead(t *testing.T, es []Entry) *Node {
+	ms := Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}}
+	now := time.Unix(0, 0)
+	n, err := New(Settings{Self: "a", Storage: 1}, Saved{
+		Storage: 1, Snapshot: Snapshot{Index: 1, Term: 1, Members: ms}, State: HardState{Term: 2}, Entries: es,
+	}, now)
+	require.NoError(t, err)
+	drain := func() {
+		for o, ok := n.Ready(); ok; o, ok = n.Ready() {
+			n.Done(o)
+		}
+	}
+	n.Tick(now.Add(time.Second))
+	n.Step(now.Add(time.Second), Message{Kind: MsgPreVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
+	drain()
+	n.Step(now.Add(time.Second), Message{Kind: MsgVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
+	drain()
+	require.Equal(t, Leader, n.role)
+	return n
+}
+
+// Guards against a leader that counts copies of an earlier term's entry, which a later leader may still replace.
+func TestCommitOwnTermOnly(t *testing.T) {
+	n := lead(t, []Entry{{Index: 2, Term: 2}})
+	ack := func(i fleet.Index) {
+		n.Step(n.now, Message{Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 2, Index: i, Round: n.round})
+	}
+	ack(2)
+	require.Equal(t, fleet.Index(1), n.commit)
+	ack(3)
+	require.Equal(t, fleet.Index(3), n.commit)
+}
+
+// Guards against a lease that counts an answer from when it came, a clock that runs 1% slow, or a foreign folder.
+func TestLeaseBound(t *testing.T) {
+	n := lead(t, nil)
+	sent := n.now
+	reply := Message{Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 9, Index: 2, Sent: sent.Sub(n.epoch), Round: n.round}
+	n.Step(sent.Add(50*time.Millisecond), reply)
+	require.False(t, n.LeaseValid(n.now), "an answer from a replaced folder counts")
+	reply.Storage = 2
+	n.Step(sent.Add(50*time.Millisecond), reply)
+	bound := DefaultElectionMin * 99 / 100
+	require.True(t, n.LeaseValid(sent.Add(bound-time.Millisecond)))
+	require.False(t, n.LeaseValid(sent.Add(bound)))
+}
--- a/io/voters/group_test.go
+++ b/io/voters/group_test.go
@@ -74,7 +74,6 @@
 	t       testing.TB
 	mesh    *mesh
 	voters  []fleet.HostID
-	raft    raft.Settings
 	tune    func(*Settings)
 	storage map[fleet.HostID]*disk.Memory
 	machine map[fleet.HostID]*tally
@@ -215,3 +214,197 @@
 		c.agree(l, "a", "b", "c")
 	})
 }
+
+// Guards against a leader that keeps its lease or commits while it is cut off without any connection error, and against
+// a rest of the group that waits for it.
+func TestLeaderCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.close()
+		old := c.leader()
+		c.propose(old, 10)
+		c.cut(old, true)
+		at := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, _, err := c.group(old).Propose(ctx, []byte("lost"))
+		cancel()
+		require.True(t, MayCommit(err), "%v", err)
+		next := c.leader(old)
+		for time.Since(at) < 5*time.Minute {
+			c.propose(next, 1)
+			require.False(t, c.group(old).LeaseValid(time.Now()))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, next, c.leader(old), "the leadership changed without need")
+		_, _, err = c.group(old).Propose(t.Context(), []byte("refused"))
+		require.ErrorAs(t, err, new(*NotLeader))
+		require.ErrorAs(t, c.group(old).Barrier(t.Context()), new(*NotLeader))
+		c.cut(old, false)
+		time.Sleep(time.Second)
+		require.Equal(t, next, c.leader(), "the returning host disturbed the leader")
+		c.agree(next, "a", "b", "c")
+		require.Equal(t, next, c.group(old).Status().Leader)
+	})
+}
+
+// Guards against an election that takes longer than the 1.5 s that the design states.
+func TestRecoveryAfterLeaderDeath(t *testing.T) {
+	for seed := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, "a", "b", "c", "d", "e")
+			defer c.close()
+			c.nextID = raft.StorageID(1000 * seed)
+			for _, h := range c.voters {
+				c.stop(h)
+				c.wipe(h)
+				c.start(h)
+			}
+			old := c.leader()
+			c.propose(old, 3)
+			time.Sleep(time.Duration(seed) * 7 * time.Millisecond)
+			c.stop(old)
+			at := time.Now()
+			next := c.leader()
+			took := time.Since(at)
+			t.Logf("storage ids from %d: new leader with a lease after %v", 1000*seed+1, took)
+			require.Less(t, took, 1500*time.Millisecond)
+			c.propose(next, 1)
+		})
+	}
+}
+
+// replace repairs a host whose disk was lost, as an operator does.
+func (c *cluster) replace(h fleet.HostID) {
+	c.stop(h)
+	c.wipe(h)
+	c.start(h)
+	l := c.leader(h)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	time.Sleep(2 * time.Second)
+	require.True(c.t, c.group(h).Status().Refused, "host %s forgot that it voted", h)
+	g := c.group(l)
+	require.NoError(c.t, g.Remove(ctx, h))
+	require.NoError(c.t, g.AddLearner(ctx, h))
+	require.NoError(c.t, g.Promote(ctx, h))
+}
+
+// Guards against a replacement that counts before it holds the data: the voters lost right after each repair must not
+// take anything committed with them.
+func TestVotersLostInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.close()
+		c.propose(c.leader(), 300)
+		for _, h := range []fleet.HostID{"a", "b", "c", "a"} {
+			c.replace(h)
+			// The next one is lost at once, the repaired one has to stand in for it.
+			next := map[fleet.HostID]fleet.HostID{"a": "b", "b": "c", "c": "a"}[h]
+			c.stop(next)
+			l := c.leader()
+			c.propose(l, 20)
+			c.start(next)
+		}
+		l := c.leader()
+		c.agree(l, "a", "b", "c")
+		require.Equal(t, uint64(380), c.machine[l].count)
+		require.Equal(t, c.voters, c.group(l).Status().Voters)
+	})
+}
+
+// Guards against a loss of entries or of the snapshot's state when all hosts stop at once.
+func TestRestartOfAll(t *testing.T) {
+	for name, every := range map[string]int{"from the log": 0, "from a snapshot": 70} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				c.voters = []fleet.HostID{"a", "b", "c"}
+				c.tune = func(s *Settings) { s.SnapshotEntries, s.KeepEntries = every, 20 }
+				defer c.close()
+				for _, h := range c.voters {
+					c.wipe(h)
+					c.start(h)
+				}
+				c.propose(c.leader(), 500)
+				want := *c.machine[c.leader()]
+				for _, h := range c.voters {
+					c.stop(h)
+				}
+				at := time.Now()
+				for _, h := range c.voters {
+					c.start(h)
+				}
+				l := c.leader()
+				require.Less(t, time.Since(at), 1500*time.Millisecond)
+				require.NoError(t, c.group(l).Barrier(t.Context()))
+				c.group(l).View(func() { require.Equal(t, want, *c.machine[l]) })
+				c.agree(l, c.voters...)
+				_, ok := c.group(l).EntriesAfter(0, fleet.MiB)
+				require.Equal(t, every == 0, ok, "entries are kept exactly without snapshots")
+			})
+		})
+	}
+}
+
+// Guards against a lagging host that is never served once the entries it lacks are compacted.
+func TestSnapshotInstall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.voters = []fleet.HostID{"a", "b", "c"}
+		c.tune = func(s *Settings) { s.SnapshotEntries, s.KeepEntries, s.Raft.Chunk = 50, 5, 5 }
+		defer c.close()
+		for _, h := range c.voters {
+			c.wipe(h)
+			c.start(h)
+		}
+		l := c.leader()
+		lag := map[fleet.HostID]fleet.HostID{"a": "b", "b": "c", "c": "a"}[l]
+		c.stop(lag)
+		c.propose(l, 200)
+		c.start(lag)
+		c.agree(l, c.voters...)
+	})
+}
+
+// Guards against a voter that acknowledges what it couldn't save, and against one that stays leader without a disk.
+func TestFailedStorage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.close()
+		old := c.leader()
+		c.propose(old, 5)
+		full := disk.ErrFailed.New("no space left on device")
+		c.storage[old].Fail(full)
+		_, _, err := c.group(old).Propose(t.Context(), []byte("x"))
+		require.ErrorIs(t, err, full)
+		require.Equal(t, full, c.group(old).Status().Failed)
+		require.False(t, c.group(old).LeaseValid(time.Now()))
+		next := c.leader()
+		require.NotEqual(t, old, next)
+		c.propose(next, 5)
+		// With a second one gone there is no quorum: the failed one must not stand in.
+		for _, h := range c.voters {
+			if h != old && h != next {
+				c.stop(h)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, _, err = c.group(next).Propose(ctx, []byte("y"))
+		require.True(t, MayCommit(err), "%v", err)
+	})
+}
+
+// Guards against a transfer that leaves the group without a leader for an election timeout.
+func TestTransferLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.close()
+		old := c.leader()
+		to := map[fleet.HostID]fleet.HostID{"a": "b", "b": "c", "c": "a"}[old]
+		at := time.Now()
+		require.NoError(t, c.group(old).TransferLeadership(t.Context(), to))
+		require.Equal(t, to, c.leader())
+		require.Less(t, time.Since(at), raft.DefaultElectionMin)
+	})
+}
