--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -251,6 +251,27 @@
 	require.True(t, errors.As(err, &problems), "a merge that is not valid is not returned")
 }
 
+// Guards against texts of another kind, or with lines that repeat, that take a host's processor for seconds.
+func BenchmarkHostile(b *testing.B) {
+	const lines = 100_000
+	var unknown, repeated, moved strings.Builder
+	for i := range lines {
+		fmt.Fprintf(&unknown, "k%d: v\n", i)
+		fmt.Fprintf(&repeated, "  v%d\n", i%300)
+		fmt.Fprintf(&moved, "  v%d\n", (i*7)%300)
+	}
+	b.Run("unknown-keys", func(b *testing.B) {
+		for b.Loop() {
+			Parse("f", unknown.String())
+		}
+	})
+	b.Run("repeated-lines", func(b *testing.B) {
+		for b.Loop() {
+			hunks(repeated.String(), moved.String())
+		}
+	})
+}
+
 // Guards against operators changing sections of other teams.
 func TestCheckOwner(t *testing.T) {
 	d := parsed(t, sample())
--- a/core/config/hunks.go
+++ b/core/config/hunks.go
@@ -95,11 +95,31 @@
 	if from.a == to.a && from.b == to.b {
 		return out
 	}
-	for _, op := range difflib.NewMatcher(a[from.a:to.a], b[from.b:to.b]).GetOpCodes() {
+	old, fresh := a[from.a:to.a], b[from.b:to.b]
+	if matchingCost(old, fresh) > maxMatchingCost {
+		return append(out, control.Hunk{Start: from.a, End: to.a, Lines: slices.Clone(fresh)})
+	}
+	for _, op := range difflib.NewMatcher(old, fresh).GetOpCodes() {
 		if op.Tag != 'e' {
-			lines := b[from.b+op.J1 : from.b+op.J2]
-			out = append(out, control.Hunk{Start: from.a + op.I1, End: from.a + op.I2, Lines: slices.Clone(lines)})
+			out = append(out, control.Hunk{Start: from.a + op.I1, End: from.a + op.I2, Lines: slices.Clone(fresh[op.J1:op.J2])})
 		}
 	}
 	return out
 }
+
+// maxMatchingCost bounds the pairs of equal lines between two unique lines. Beyond it, matching takes longer than to send all
+// lines of the piece.
+const maxMatchingCost = 500_000
+
+// matchingCost counts the pairs of equal lines, which SequenceMatcher goes through at least once.
+func matchingCost(a, b []string) int {
+	counts := make(map[string]int, len(b))
+	for _, line := range b {
+		counts[line]++
+	}
+	cost := 0
+	for _, line := range a {
+		cost += counts[line]
+	}
+	return cost
+}
--- a/core/schema/decode.go
+++ b/core/schema/decode.go
@@ -19,6 +19,8 @@
 	root     *yaml.Node
 	sections bool
 	problems Problems
+	// dropped counts problems beyond the bound of those collected.
+	dropped int
 }
 
 // Options are the properties of a schema.
@@ -43,7 +45,7 @@
 }
 
 // Problems returns all problems in the order of lines.
-func (s *Source) Problems() Problems { return s.problems.sorted() }
+func (s *Source) Problems() Problems { return s.problems.sorted(s.dropped) }
 
 // Root returns the lines of the top-level keys in the order of the text.
 func (s *Source) Root() []Key {
@@ -65,6 +67,10 @@
 
 // Report adds a problem at the key or list item at a path; the nearest line above is used where there is none.
 func (s *Source) Report(path []string, message, remedy string) {
+	if s.full() {
+		s.dropped++
+		return
+	}
 	section := ""
 	if len(path) > 0 {
 		section = path[0]
@@ -75,7 +81,14 @@
 // ReportLine adds a problem at a line.
 func (s *Source) ReportLine(line int, message, remedy string) { s.add(line, "", message, remedy) }
 
+// full reports whether no more problems are collected. Without a bound, a large text of another kind would cost seconds.
+func (s *Source) full() bool { return len(s.problems) >= maxCollected }
+
 func (s *Source) add(line int, section, message, remedy string) {
+	if s.full() {
+		s.dropped++
+		return
+	}
 	if !s.sections {
 		section = ""
 	}
@@ -200,6 +213,10 @@
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key, val := n.Content[i], n.Content[i+1]
 		at, ok := p.byKey[key.Value]
+		if !ok && d.src.full() {
+			d.src.dropped++
+			continue
+		}
 		if !ok || key.Kind != yaml.ScalarNode {
 			d.path = append(d.path, key.Value)
 			d.problem(key, "unknown key "+d.what(), p.remedyForUnknown(key.Value))
--- a/core/schema/problem.go
+++ b/core/schema/problem.go
@@ -9,6 +9,9 @@
 // MaxProblems bounds the problems reported of one text; the last one says that there are more.
 const MaxProblems = 200
 
+// maxCollected bounds the problems that are collected before those of the first lines are chosen.
+const maxCollected = 5 * MaxProblems
+
 // Problem is one fault of a text and what to do about it.
 type Problem struct {
 	File    string `json:"file"`
@@ -48,9 +51,9 @@
 }
 
 // sorted orders problems by line and drops those beyond the bound.
-func (p Problems) sorted() Problems {
+func (p Problems) sorted(dropped int) Problems {
 	slices.SortStableFunc(p, func(a, b Problem) int { return a.Line - b.Line })
-	if over := len(p) - MaxProblems; over > 0 {
+	if over := len(p) + dropped - MaxProblems; over > 0 {
 		p = p[:MaxProblems]
 		p = append(p, Problem{
 			File: p[0].File, Line: p[MaxProblems-1].Line,
--- a/io/operators/client.go
+++ b/io/operators/client.go
@@ -206,12 +206,12 @@
 	if status >= fasthttp.StatusBadRequest {
 		var e ErrorAnswer
 		if err := json.Unmarshal(body, &e); err != nil || e.Error.Code == "" {
-			return fmt.Errorf("answer with status %d is none of the operators' interface; check the port", status)
+			return ErrProtocol.New("answer with status %d is none of the operators' interface; check the port", status)
 		}
 		return &e.Error
 	}
 	if err := json.Unmarshal(body, answer); err != nil {
-		return fmt.Errorf("answer cannot be read; use a client of the host's version: %w", err)
+		return ErrProtocol.Wrap(err, "answer cannot be read; use a client of the host's version")
 	}
 	return nil
 }
--- a/io/operators/errors.go
+++ b/io/operators/errors.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
 	"toucanway/core/config"
@@ -12,6 +13,12 @@
 	"toucanway/core/schema"
 )
 
+// Errors is the namespace of errors that no host answered.
+var Errors = errorx.NewNamespace("operators")
+
+// ErrProtocol reports an answer that is none of this interface or version.
+var ErrProtocol = Errors.NewType("protocol")
+
 // Code is the stable kebab-case code of an error of this interface.
 type Code string
 
--- a/io/operators/follow.go
+++ b/io/operators/follow.go
@@ -66,7 +66,7 @@
 			Error *Error `json:"error"`
 		}
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
-			return true, fmt.Errorf("watch stream cannot be read; use a client of the host's version: %w", err)
+			return true, ErrProtocol.Wrap(err, "watch stream cannot be read; use a client of the host's version")
 		}
 		if line.Error != nil {
 			return true, line.Error
@@ -76,7 +76,7 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return true, fmt.Errorf("watch stream broke; watch again from the last index: %w", err)
+		return true, ErrProtocol.Wrap(err, "watch stream broke; watch again from the last index")
 	}
 	return true, nil
 }
--- a/io/operators/server.go
+++ b/io/operators/server.go
@@ -52,7 +52,8 @@
 
 // Server answers operators.
 type Server struct {
-	cfg ServerSettings
+	cfg    ServerSettings
+	routes map[route]handler
 
 	mu     sync.Mutex
 	digest string
@@ -70,7 +71,9 @@
 	if cfg.Heartbeat <= 0 {
 		cfg.Heartbeat = DefaultHeartbeat
 	}
-	return &Server{cfg: cfg}
+	s := &Server{cfg: cfg}
+	s.routes = s.handlers()
+	return s
 }
 
 // Serve answers on a listener until ctx ends, then waits a few seconds for requests under way.
@@ -134,8 +137,11 @@
 // route is a method on a path.
 type route struct{ method, path string }
 
-func (s *Server) routes() map[route]func(request) (any, error) {
-	return map[route]func(request) (any, error){
+// handler answers a request with a JSON body, or has written the answer itself when the body is nil.
+type handler func(request) (any, error)
+
+func (s *Server) handlers() map[route]handler {
+	return map[route]handler{
 		{fasthttp.MethodGet, PathDocument}:  s.getDocument,
 		{fasthttp.MethodPost, PathDocument}: s.submit,
 		{fasthttp.MethodGet, PathHistory}:   s.history,
@@ -175,13 +181,12 @@
 		pprofhandler.PprofHandler(r)
 		return
 	}
-	routes := s.routes()
-	handler, ok := routes[route{method, path}]
+	answer, ok := s.routes[route{method, path}]
 	if !ok {
-		answerError(r, unknownRoute(routes, path))
+		answerError(r, s.unknownRoute(path))
 		return
 	}
-	body, err := handler(req)
+	body, err := answer(req)
 	if err != nil {
 		answerError(r, errorOf(err))
 		return
@@ -191,8 +196,8 @@
 	}
 }
 
-func unknownRoute(routes map[route]func(request) (any, error), path string) *Error {
-	for known := range routes {
+func (s *Server) unknownRoute(path string) *Error {
+	for known := range s.routes {
 		if known.path == path || path == PathWatch {
 			return &Error{Code: CodeMethodNotAllowed, Message: "this path has no such method; see docs/operators.md"}
 		}
--- /dev/null
+++ b/io/operators/silence_test.go
@@ -0,0 +1,91 @@
+package operators_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/io/operators"
+)
+
+// bubble runs a test in synthetic time. Cleaning goroutines of fasthttp sleep for some seconds after their server or client
+// has ended, and must end within the bubble.
+func bubble(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		const cleanersEnd = time.Minute
+		t.Cleanup(func() { time.Sleep(cleanersEnd) })
+		test(t)
+	})
+}
+
+// Guards against a watch stream that ends while nothing changes.
+func TestWatchKeepsAlive(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		_, _, ana, _ := started(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const enough = 100
+		beats, began := 0, time.Now()
+		err := ana.Watch(ctx, 1, func(e operators.EventAnswer) error {
+			require.Equal(t, string(operators.EventHeartbeat), e.Kind)
+			if beats++; beats == enough {
+				cancel()
+			}
+			return nil
+		})
+		require.ErrorIs(t, err, context.Canceled)
+		require.Equal(t, (enough-1)*operators.DefaultHeartbeat, time.Since(began))
+	})
+}
+
+// silentHost takes a request, sends an answer and then nothing more, as behind a partition without reset.
+func silentHost(t *testing.T, answer string) func(context.Context, string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) {
+		client, host := net.Pipe()
+		t.Cleanup(func() { _ = host.Close() })
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(host)); err == nil {
+				_, _ = host.Write([]byte(answer))
+			}
+		}()
+		return client, nil
+	}
+}
+
+// Guards against a client that waits forever for a host behind a silent partition.
+func TestSilentHost(t *testing.T) {
+	const beat = "{\"kind\":\"heartbeat\"}\n"
+	began := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(beat), beat)
+	for name, tc := range map[string]struct {
+		answer string
+		ask    func(context.Context, *operators.Client) error
+	}{
+		"no answer": {"", func(ctx context.Context, c *operators.Client) error {
+			_, err := c.Status(ctx)
+			return err
+		}},
+		"watch without answer": {"", watchAll},
+		"watch broken off":     {began, watchAll},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := operators.NewClient(operators.ClientSettings{Addresses: []string{"127.0.0.1:2"}, Dial: silentHost(t, tc.answer)})
+				t.Cleanup(c.Close)
+				began := time.Now()
+				require.Error(t, tc.ask(t.Context(), c))
+				require.Equal(t, 4*operators.DefaultHeartbeat, time.Since(began), "in synthetic time")
+			})
+		})
+	}
+}
+
+func watchAll(ctx context.Context, c *operators.Client) error {
+	return c.Watch(ctx, 0, func(operators.EventAnswer) error { return nil })
+}
--- a/io/settings/logger.go
+++ b/io/settings/logger.go
@@ -28,7 +28,7 @@
 	encoder  zapcore.Encoder
 }
 
-// NewLoggers returns loggers that write to w, which must be safe for concurrent use or locked by the caller.
+// NewLoggers returns loggers that write to w, one line at a time.
 func NewLoggers(s *Settings, w io.Writer) *Loggers {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.TimeKey, cfg.MessageKey, cfg.NameKey = "time", "message", "subsystem"
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap/zapcore"
 
 	"toucanway/core/config"
@@ -14,6 +15,12 @@
 	"toucanway/core/schema"
 )
 
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("settings")
+
+// ErrUnreadable reports a file that the settings need and that cannot be read.
+var ErrUnreadable = Errors.NewType("unreadable")
+
 // Settings are the settings of one host.
 type Settings struct {
 	ID            fleet.HostID     `key:"id,required" doc:"Name of the host, unique in the deployment and unchanged for its life."`
@@ -151,7 +158,7 @@
 func Load(file string) (*Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("settings cannot be read; name the file with --settings: %w", err)
+		return nil, ErrUnreadable.Wrap(err, "settings cannot be read; name the file with --settings")
 	}
 	s, problems := Parse(file, string(text))
 	if len(problems) > 0 {
--- a/io/settings/tls.go
+++ b/io/settings/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
 	"os"
 )
 
@@ -51,7 +50,7 @@
 func (f Files) pair() (*tls.Config, error) {
 	cert, err := tls.LoadX509KeyPair(string(f.Certificate), string(f.Key))
 	if err != nil {
-		return nil, fmt.Errorf("TLS certificate %s or key %s cannot be loaded; give matching PEM files: %w", f.Certificate, f.Key, err)
+		return nil, ErrUnreadable.Wrap(err, "TLS certificate %s or key %s cannot be loaded; give matching PEM files", f.Certificate, f.Key)
 	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}, nil
 }
@@ -59,11 +58,11 @@
 func (f File) pool() (*x509.CertPool, error) {
 	pem, err := os.ReadFile(string(f))
 	if err != nil {
-		return nil, fmt.Errorf("TLS authority cannot be read; give a PEM file: %w", err)
+		return nil, ErrUnreadable.Wrap(err, "TLS authority cannot be read; give a PEM file")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("TLS authority %s holds no certificate; give a PEM file", f)
+		return nil, ErrUnreadable.New("TLS authority %s holds no certificate; give a PEM file", f)
 	}
 	return pool, nil
 }
--- a/io/terminal/base.go
+++ b/io/terminal/base.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io/fs"
 	"os"
 )
@@ -24,11 +23,11 @@
 		return base{}, nil
 	}
 	if err != nil {
-		return base{}, fmt.Errorf("base cannot be read; write it again with show --file: %w", err)
+		return base{}, ErrFile.Wrap(err, "base cannot be read; write it again with show --file")
 	}
 	var b base
 	if err := json.Unmarshal(data, &b); err != nil {
-		return base{}, fmt.Errorf("base %s%s is damaged; write it again with show --file: %w", file, baseSuffix, err)
+		return base{}, ErrFile.Wrap(err, "base %s%s is damaged; write it again with show --file", file, baseSuffix)
 	}
 	return b, nil
 }
@@ -42,11 +41,18 @@
 	return replaceFile(file+baseSuffix, data)
 }
 
-// replaceFile writes a file whole or not at all.
+// replaceFile writes a file whole or not at all, and keeps its permissions.
 func replaceFile(name string, data []byte) error {
+	mode := fs.FileMode(0o600)
+	if info, err := os.Stat(name); err == nil {
+		mode = info.Mode().Perm()
+	}
 	next := name + ".new"
-	if err := os.WriteFile(next, data, 0o600); err != nil {
-		return fmt.Errorf("file cannot be written; check the folder: %w", err)
+	if err := os.WriteFile(next, data, mode); err != nil {
+		return ErrFile.Wrap(err, "file cannot be written; check the folder")
+	}
+	if err := os.Rename(next, name); err != nil {
+		return ErrFile.Wrap(err, "file cannot be replaced; check the folder")
 	}
-	return os.Rename(next, name)
+	return nil
 }
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
 
 	"toucanway/core/config"
 	"toucanway/core/schema"
@@ -19,6 +20,12 @@
 	"toucanway/io/settings"
 )
 
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("terminal")
+
+// ErrFile reports a file that a command cannot read or write.
+var ErrFile = Errors.NewType("file")
+
 // Environment is what the commands work with.
 type Environment struct {
 	Stdout, Stderr io.Writer
@@ -260,7 +267,7 @@
 func readFile(name string) (string, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
-		return "", fmt.Errorf("file cannot be read; check its name: %w", err)
+		return "", ErrFile.Wrap(err, "file cannot be read; check its name")
 	}
 	return string(text), nil
 }
