--- a/io/operators/operatorstest/server.go
+++ b/io/operators/operatorstest/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"testing"
@@ -27,12 +28,22 @@
 
 // Serve starts a server that ends with the test.
 func Serve(t *testing.T, s operators.System, first config.Operator) *Server {
+	t.Helper()
+	return ServeTLS(t, s, first, nil)
+}
+
+// ServeTLS starts a server with TLS, unless the configuration is nil, that ends with the test.
+func ServeTLS(t *testing.T, s operators.System, first config.Operator, cfg *tls.Config) *Server {
 	t.Helper()
 	out := &Server{t: t, ln: fasthttputil.NewInmemoryListener()}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	server := operators.NewServer(operators.ServerSettings{System: s, FirstOperator: first})
-	go func() { done <- server.Serve(ctx, out.ln) }()
+	var ln net.Listener = out.ln
+	if cfg != nil {
+		ln = tls.NewListener(ln, cfg)
+	}
+	go func() { done <- server.Serve(ctx, ln) }()
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-done)
--- a/io/settings/tls_test.go
+++ b/io/settings/tls_test.go
@@ -1,50 +1,23 @@
 package settings
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"net"
-	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp/fasthttputil"
+
+	"toucanway/io/internal/certificates"
 )
 
-// certificate writes a self-signed certificate for 127.0.0.1, which is its own authority.
-func certificate(t *testing.T, name string) Files {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0), IsCA: true,
-		BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	require.NoError(t, err)
-	dir := t.TempDir()
-	write := func(kind, suffix string, data []byte) File {
-		path := filepath.Join(dir, name+suffix)
-		require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
-		return File(path)
-	}
-	cert := write("CERTIFICATE", ".pem", der)
-	return Files{Certificate: cert, Key: write("PRIVATE KEY", ".key", keyDER), Authority: cert}
+func filesOf(t *testing.T) Files {
+	c := certificates.New(t)
+	return Files{Certificate: File(c.Certificate), Key: File(c.Key), Authority: File(c.Certificate)}
 }
 
 // Guards against peers that are accepted without the certificate that the settings ask for.
 func TestTLS(t *testing.T) {
-	host, other := certificate(t, "host"), certificate(t, "other")
+	host, other := filesOf(t), filesOf(t)
 	for name, tc := range map[string]struct {
 		client Files
 		ok     bool
--- a/io/terminal/terminal_test.go
+++ b/io/terminal/terminal_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanway/core/config"
+	"toucanway/io/internal/certificates"
 	"toucanway/io/operators/operatorstest"
 	"toucanway/io/settings"
 )
@@ -207,3 +208,30 @@
 	require.Equal(t, ExitUnavailable, code, out.String())
 	require.Len(t, ExitCodes(), int(ExitCheck)+1)
 }
+
+// Guards against a client that does not use TLS, or sends the token to a host that it cannot verify.
+func TestTLS(t *testing.T) {
+	host, other := certificates.New(t), certificates.New(t)
+	files := settings.Files{Certificate: settings.File(host.Certificate), Key: settings.File(host.Key), Authority: settings.File(host.Certificate)}
+	cfg, err := files.Server()
+	require.NoError(t, err)
+	first := config.Operator{ID: "ana", Credentials: []config.Credential{config.HashToken("", "token-ana")}}
+	r := &runner{t: t, system: operatorstest.New()}
+	r.server = operatorstest.ServeTLS(t, r.system, first, cfg)
+	pair := []string{"--certificate=" + host.Certificate, "--key=" + host.Key}
+	for name, tc := range map[string]struct {
+		code ExitCode
+		args []string
+	}{
+		"both sides verified": {ExitDone, append(pair, "--authority="+host.Certificate)},
+		"other authority":     {ExitUnavailable, append(pair, "--authority="+other.Certificate)},
+		"no certificate":      {ExitUnavailable, []string{"--authority=" + host.Certificate}},
+		"plain TCP":           {ExitUnavailable, nil},
+		"missing file":        {ExitFailed, []string{"--authority=nothing.pem"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r.t = t
+			r.require(tc.code, "ana", append([]string{"runners"}, tc.args...)...)
+		})
+	}
+}
