capacity, queue: adaptive share of long work, preemption, wait by kind of work

A share of three quarters left short work two slots of eight when it needed 2.5, and stragglers that nobody predicted filled the rest. The share now follows the slots that short work needs, waits are estimated from the kinds of work that hold the slots, and an owner may ask hosts to stop and resume long requests (off by default).

--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -97,6 +97,7 @@
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind = "fifo", true, true },
 			func(p *settings) { p.name = "ours" },
+			func(p *settings) { p.name, p.preempt = "ours, preemption", 2 },
 			func(p *settings) { p.name, p.oracle = "oracle", true },
 		),
 		measure: func(s *simulation) []float64 {
--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -59,7 +59,7 @@
 	if !s.p.fifo {
 		v.table = capacity.New(capacity.Settings{
 			Backend: id, Fence: 1, Memory: 1 << 40, Slots: slots, Taken: epoch.Add(-time.Hour),
-			Long: queue.LongRule{Share: s.p.longShare, Hold: s.p.longHold}, Queue: s.p.queue,
+			Preempt: s.p.preempt > 0, Long: queue.LongRule{Share: s.p.longShare, Hold: s.p.longHold}, Queue: s.p.queue,
 		})
 		v.handle(capacity.ReplicasEvent{})
 	}
@@ -84,6 +84,8 @@
 		case capacity.ReadInventory:
 			asked := v.s.now
 			v.s.after(oneWay, func() { v.handle(capacity.InventoryEvent{Asked: asked, Inventory: v.inventory()}) })
+		case capacity.Preempt:
+			v.s.after(2*oneWay, func() { v.stop(e.Grant.Request) })
 		case capacity.Cancelled, capacity.AdmitLoad, capacity.LoadAdapter, capacity.UnloadAdapter:
 		default:
 			panic("policy: unknown effect")
@@ -114,7 +116,8 @@
 	v.waiting[a.id] = a
 	v.handle(capacity.AcquireEvent{Acquire: capacity.Acquire{
 		Host: "h", Request: a.id, Class: a.r.class, Tenant: a.r.tenant, Deadline: a.r.deadline.Sub(v.s.now),
-		Tokens: a.r.predicted.Mean + fleet.Tokens(a.r.prompt), Long: v.s.p.long(a.r),
+		Tokens: a.r.predicted.Mean + fleet.Tokens(a.r.prompt), Long: v.s.p.long(a.r) || a.r.done > 0,
+		Resumed: a.r.done > 0, Preemptible: a.r.preempted < v.s.p.preempt,
 	}})
 }
 
@@ -140,8 +143,17 @@
 	}})
 }
 
+// tell gives the host that asked the state of the queue.
+func (v *server) tell(h *host) {
+	if v.table != nil {
+		q := v.table.State(v.s.now)
+		h.router.OwnerState(v.s.now, v.id, q.Granted, q.Waiting, q.Wait)
+	}
+}
+
 // begin runs a granted attempt.
 func (v *server) begin(a *attempt) {
+	v.tell(a.host)
 	a.granted = v.s.now
 	v.s.granted(a)
 	a.life = v.life
@@ -154,7 +166,8 @@
 		}
 	}
 	v.remember(a.r)
-	work := time.Duration(a.r.prompt-int(a.cached)) * prefillToken
+	work := time.Duration(a.r.prompt+a.r.done-int(a.cached)) * prefillToken
+	a.produced = a.r.done
 	v.step(a, time.Duration(float64(work)*v.s.slowness(v)), 1)
 }
 
@@ -210,6 +223,24 @@
 	})
 }
 
+// stop preempts a running attempt; its request resumes after the tokens that it has.
+func (v *server) stop(id fleet.RequestID) {
+	for a := range v.running {
+		if a.id == id {
+			a.r.preempted++
+			a.r.done = a.produced
+			a.over = true
+			delete(v.running, a)
+			v.release(a, capacity.OutcomePreempted)
+			v.s.leave(a)
+			v.s.stops++
+			a.r.deadline = v.s.now.Add(time.Minute)
+			v.s.try(a.r, nil)
+			return
+		}
+	}
+}
+
 // end stops an attempt and frees its slot.
 func (v *server) end(a *attempt) {
 	a.over = true
--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -40,6 +40,7 @@
 	choose                choosing
 	hedge                 bool
 	unbounded             bool
+	preempt               int
 	resends               int
 	slow                  func(at time.Duration, server int) float64
 	until                 time.Duration
@@ -75,9 +76,11 @@
 	deadline  time.Time
 	predicted length.Prediction
 	tries     int
-	resent    int
-	live      []*attempt
-	answered  bool
+	// done is the number of tokens that the caller has from preempted attempts.
+	done, preempted int
+	resent          int
+	live            []*attempt
+	answered        bool
 
 	waited, first time.Duration
 	finished      time.Time
@@ -104,6 +107,7 @@
 	attempts int
 	hedges   int
 	crashes  int
+	stops    int
 	prompts  int
 	hits     int
 }
@@ -249,7 +253,7 @@
 }
 
 func (s *simulation) granted(a *attempt) {
-	if a.r.waited == 0 {
+	if a.r.tries == 1 {
 		a.r.waited = s.now.Sub(a.r.arrived)
 	}
 	if a.over {
@@ -262,7 +266,7 @@
 func (s *simulation) progress(a *attempt, tokens int, elapsed time.Duration) {
 	r, h := a.r, a.host
 	ev := routing.Progress{Backend: a.server.id, Model: target.Model}
-	if a.produced == tokens {
+	if a.produced == a.r.done+tokens {
 		ev.FirstToken, ev.Prompt, ev.Cached = elapsed, fleet.Tokens(r.prompt), a.cached
 		h.router.Answered(s.now, a.server.id, s.query(r), a.believed, a.cached)
 		s.prompts += r.prompt
--- a/core/capacity/acquire.go
+++ b/core/capacity/acquire.go
@@ -28,7 +28,7 @@
 func (t *Table) acquire(now time.Time, a Acquire) {
 	from := requester{host: a.Host, request: a.Request}
 	entry := queue.Entry{
-		Class: a.Class, Tenant: a.Tenant, Tokens: a.Tokens, Long: a.Long, Deadline: now.Add(a.Deadline),
+		Class: a.Class, Tenant: a.Tenant, Tokens: a.Tokens, Long: a.Long, Exempt: a.Resumed, Deadline: now.Add(a.Deadline),
 	}
 	if r := t.inadmissible(now, from, &a, entry); r != nil {
 		t.refuse(from, r)
@@ -36,13 +36,10 @@
 	}
 	ticket, ok := t.queue.Push(now, entry)
 	if !ok {
-		wait := t.estimate.Wait(t.queue.Len(), 0, t.cfg.Slots)
+		wait := t.wait(t.queue.Len())
 		t.refuse(from, fleet.Refuse(fleet.CodeQueueFull, wait, "%d requests wait for this backend server", t.queue.Len()))
 		return
 	}
-	if !a.Long {
-		t.long.Observe(now)
-	}
 	t.requests[ticket] = &request{Acquire: a, from: from, arrived: now}
 	t.tickets[from] = ticket
 	if a.Target.Adapter != "" {
@@ -69,7 +66,7 @@
 	case a.Memory+a.AdapterMemory > room || a.AdapterMemory > room-t.cfg.KVReserve:
 		return fleet.Refuse(fleet.CodeNoCapacity, 0, "models leave %d bytes on the backend server; choose another", room)
 	}
-	if wait := t.expectedWait(now, a, e); wait >= a.Deadline {
+	if wait := t.expectedWait(now, a, e); wait >= a.Deadline && !a.Resumed {
 		return fleet.Refuse(fleet.CodeDeadlineTooShort, wait, "a slot is expected in %v, after the deadline in %v",
 			wait.Round(time.Millisecond), a.Deadline)
 	}
@@ -78,7 +75,7 @@
 
 // expectedWait estimates the time until a new request is granted.
 func (t *Table) expectedWait(now time.Time, a *Acquire, e queue.Entry) time.Duration {
-	wait := t.estimate.Wait(t.queue.Ahead(e), t.cfg.Slots-t.busy(), t.cfg.Slots)
+	wait := t.wait(t.queue.Ahead(e))
 	if !t.read && !t.cfg.ChecksFence {
 		wait = max(wait, t.cfg.Taken.Add(t.settling()).Sub(now))
 	}
--- a/core/capacity/event.go
+++ b/core/capacity/event.go
@@ -85,6 +85,13 @@
 	Request fleet.RequestID
 }
 
+// Preempt asks a host to stop a long request, report OutcomePreempted and resume it later, so that short work that waits
+// gets the slot. A host may leave it running.
+type Preempt struct {
+	Host  fleet.HostID
+	Grant Grant
+}
+
 // LoadAdapter orders the backend server to load an adapter; its outcome comes back as an AdapterEvent.
 type LoadAdapter struct{ Order fleet.Order }
 
@@ -100,6 +107,7 @@
 func (Granted) isEffect()       {}
 func (Refused) isEffect()       {}
 func (Cancelled) isEffect()     {}
+func (Preempt) isEffect()       {}
 func (LoadAdapter) isEffect()   {}
 func (UnloadAdapter) isEffect() {}
 func (AdmitLoad) isEffect()     {}
--- a/core/capacity/grant.go
+++ b/core/capacity/grant.go
@@ -17,7 +17,9 @@
 	memory fleet.Bytes
 	long   bool
 	alone  bool
-	issued time.Time
+	// preemptible grants may be asked back once; stopping says that this one was.
+	preemptible, stopping bool
+	issued                time.Time
 	// free is the earliest query time of an inventory whose silence proves that the request neither runs nor will.
 	free time.Time
 	// doubt says that only an inventory can end the grant, or confirm it.
@@ -32,7 +34,7 @@
 			Waited: now.Sub(r.arrived), Window: t.cfg.Window,
 		},
 		from: r.from, target: r.Target, class: r.Class, tenant: r.Tenant, tokens: r.Tokens, memory: r.Memory,
-		long: r.Long, alone: r.Alone, issued: now, free: now.Add(t.settling()), doubt: true,
+		long: r.Long, alone: r.Alone, preemptible: r.Preemptible, issued: now, free: now.Add(t.settling()), doubt: true,
 	}
 	t.grants[g.ID] = g
 	t.held[r.from] = g.ID
@@ -54,12 +56,12 @@
 	}
 	switch r.Outcome {
 	case OutcomeDone:
-		t.estimate.Observe(now.Sub(g.issued))
+		t.estimate.Observe(now.Sub(g.issued), g.long)
 		if r.Tokens > 0 {
 			t.queue.Correct(g.class, g.tenant, r.Tokens-g.tokens)
 		}
 		t.end(g)
-	case OutcomeUnused:
+	case OutcomeUnused, OutcomePreempted:
 		t.end(g)
 	case OutcomeInDoubt:
 		g.doubt = true
--- a/core/capacity/message.go
+++ b/core/capacity/message.go
@@ -32,6 +32,11 @@
 	Alone bool `cbor:"11,keyasint,omitempty"`
 	// AdapterMemory is the size of the target's adapter; zero for a base model.
 	AdapterMemory fleet.Bytes `cbor:"12,keyasint,omitempty"`
+	// Preemptible says that the host can stop the request and resume it later on a new grant.
+	Preemptible bool `cbor:"13,keyasint,omitempty"`
+	// Resumed says that the request goes on after a part of its answer was delivered; it is never refused for its expected
+	// wait or for a full queue.
+	Resumed bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Grant allows one dispatch to a backend server.
@@ -82,6 +87,8 @@
 	OutcomeInDoubt
 	// OutcomeDispatched confirms the dispatch; the grant stays held.
 	OutcomeDispatched
+	// OutcomePreempted means that the host stopped the request as a Preempt asked, and will acquire again to resume it.
+	OutcomePreempted
 	// OutcomeOutgrown means that the running request exceeded its predicted length; the grant stays held.
 	OutcomeOutgrown
 )
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -41,6 +41,8 @@
 	Queue queue.Settings
 	// Long keeps predicted-long work from filling every slot.
 	Long queue.LongRule
+	// Preempt lets Preempt effects ask for slots that long work holds above its share while short work waits.
+	Preempt bool
 	// Loads is the owner's share of adapter loads in flight, common to its tables; nil means no bound.
 	Loads *LoadShare
 }
@@ -139,6 +141,8 @@
 	t.admitLoads(now)
 	t.retryLoads(now)
 	t.serve(now)
+	t.long.Observe(now, t.busy()-t.longs+t.queue.Shorts())
+	t.preempt(now)
 	t.readInventory(now)
 	return t.effects
 }
@@ -170,7 +174,7 @@
 	ahead := t.queue.Ahead(queue.Entry{Class: fleet.ClassStandard})
 	return QueueState{
 		Waiting: t.queue.Len(), Granted: t.busy(), Slots: t.cfg.Slots, Free: t.free(),
-		Wait: t.estimate.Wait(ahead, t.cfg.Slots-t.busy(), t.cfg.Slots),
+		Wait: t.wait(ahead),
 	}
 }
 
@@ -179,6 +183,11 @@
 // busy returns the slots in use, those of unknown running requests included.
 func (t *Table) busy() int { return len(t.grants) + len(t.strangers) }
 
+// wait returns the expected time until a request with ahead others before it gets a slot.
+func (t *Table) wait(ahead int) time.Duration {
+	return t.estimate.Wait(ahead, t.cfg.Slots-t.busy(), t.busy()-t.longs, t.longs)
+}
+
 // models returns the memory of replicas that may be in memory, and of those whose load was not admitted yet.
 func (t *Table) models() (counted, intended fleet.Bytes) {
 	for _, r := range t.replicas {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -35,11 +35,13 @@
 
 // Entry is one waiting request.
 type Entry struct {
-	Ticket   Ticket
-	Class    fleet.Class
-	Tenant   fleet.TenantID
-	Tokens   fleet.Tokens
-	Long     bool
+	Ticket Ticket
+	Class  fleet.Class
+	Tenant fleet.TenantID
+	Tokens fleet.Tokens
+	Long   bool
+	// Exempt entries are taken beyond the limit; their number is bounded by what their owner served before.
+	Exempt   bool
 	Enqueued time.Time
 	Deadline time.Time
 }
@@ -64,7 +66,7 @@
 	entries map[Ticket]*waiting
 	order   []*waiting
 	classes [fleet.Classes]class
-	shorts  int
+	shorts  [fleet.Classes]int
 	served  int
 	// due is a lower bound on the next promotion or deadline.
 	due time.Time
@@ -103,7 +105,23 @@
 func (q *Queue) Len() int { return len(q.entries) }
 
 // Shorts returns the number of waiting entries that are not predicted long.
-func (q *Queue) Shorts() int { return q.shorts }
+func (q *Queue) Shorts() int {
+	n := 0
+	for _, k := range q.shorts {
+		n += k
+	}
+	return n
+}
+
+// TopShort returns the highest class that has a waiting entry not predicted long, and whether there is one.
+func (q *Queue) TopShort() (fleet.Class, bool) {
+	for c, n := range q.shorts {
+		if n > 0 {
+			return fleet.Class(c), true
+		}
+	}
+	return 0, false
+}
 
 // Entry returns a waiting entry and whether it is there.
 func (q *Queue) Entry(t Ticket) (Entry, bool) {
@@ -116,7 +134,7 @@
 
 // Push adds an entry and returns its ticket, and false when the queue is full. An unknown class counts as the last one.
 func (q *Queue) Push(now time.Time, e Entry) (Ticket, bool) {
-	if len(q.entries) >= q.cfg.Limit {
+	if len(q.entries) >= q.cfg.Limit && !e.Exempt {
 		return 0, false
 	}
 	q.next++
@@ -131,7 +149,7 @@
 	q.entries[e.Ticket] = w
 	q.order = append(q.order, w)
 	if !e.Long {
-		q.shorts++
+		q.shorts[e.Class]++
 	}
 	q.insert(w)
 	return e.Ticket, true
@@ -330,7 +348,7 @@
 	w.gone = true
 	delete(q.entries, w.Ticket)
 	if !w.Long {
-		q.shorts--
+		q.shorts[w.Class]--
 	}
 	if len(q.order) > 2*len(q.entries)+16 {
 		q.order = slices.DeleteFunc(q.order, func(w *waiting) bool { return w.gone })
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -27,8 +27,12 @@
 	at     time.Time
 	seq    uint64
 	hold   float64
-	past   [samples]ownSample
-	head   int
+	// wait is the owner's estimate at waitAt, when waitOwn own requests were counted.
+	wait    float64
+	waitAt  time.Time
+	waitOwn int
+	past    [samples]ownSample
+	head    int
 }
 
 type ownSample struct {
@@ -102,10 +106,29 @@
 	b.load.report(now.Add(-rep.Age), rep.Running+rep.Queued)
 }
 
-// OwnerState takes what the capacity owner says of a backend server with its answers: granted and waiting requests.
-func (r *Router) OwnerState(now time.Time, id fleet.BackendID, granted, waiting int) {
+// queueWait returns the expected seconds until a slot is free: the owner's estimate with own requests since then, drifting
+// to one from the load as it ages.
+func (l *load) queueWait(now time.Time, slots float64) float64 {
+	hold := l.holdSeconds() / slots
+	byLoad := max(0, l.estimate(now)-slots+1) * hold
+	if l.waitAt.IsZero() {
+		return byLoad
+	}
+	w := 1 / (1 + float64(max(0, now.Sub(l.waitAt)))/float64(othersHalf))
+	byOwner := max(0, l.wait+float64(l.own-l.waitOwn)*hold)
+	if l.wait == 0 {
+		byOwner = byLoad
+	}
+	return w*byOwner + (1-w)*byLoad
+}
+
+// OwnerState takes what the capacity owner says of a backend server with its answers: granted and waiting requests, and the
+// wait that it expects for another one.
+func (r *Router) OwnerState(now time.Time, id fleet.BackendID, granted, waiting int, wait time.Duration) {
 	if i, ok := r.index[id]; ok {
-		r.backends[i].load.report(now, granted+waiting)
+		l := &r.backends[i].load
+		l.report(now, granted+waiting)
+		l.wait, l.waitAt, l.waitOwn = wait.Seconds(), now, l.own
 	}
 }
 
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -306,9 +306,7 @@
 	busy := b.load.estimate(now)
 	prompt := float64(q.Prompt) - float64(r.match[p.backend]) + promptBase
 	c := max(prompt, 1) * m.prefill * slow * (1 + busy/b.slots)
-	if wait := busy - b.slots + 1; wait > 0 {
-		c += wait * b.load.holdSeconds() * slow / b.slots
-	}
+	c += b.load.queueWait(now, b.slots) * slow
 	if b.remote {
 		c += 2 * r.cfg.RegionDelay.Seconds()
 	}
