--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -239,7 +239,8 @@
 }
 
 func resends() experiment {
-	base := settings{hosts: 3, servers: 6, slots: 8, until: 30 * time.Second, resends: 5, crashAt: 10 * time.Second, crashed: 3}
+	base := settings{hosts: 3, servers: 6, slots: 8, until: 30 * time.Second, resends: 5}
+	base.crashAt, base.downFor, base.crashed = 10*time.Second, 5*time.Second, 3
 	base.arrivals = func(s *simulation) {
 		s.poisson(steady(45), 45, func() *request {
 			r := mixed(s, 0)
@@ -267,6 +268,9 @@
 				if r.resent == 0 {
 					origins++
 				}
+				if r.poison {
+					continue
+				}
 				if r.served {
 					served++
 					total = append(total, r.finished.Sub(r.arrived))
--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"toucanway/core/capacity"
@@ -24,6 +25,7 @@
 	id      fleet.BackendID
 	slots   int
 	life    int
+	down    bool
 	running map[*attempt]bool
 	seq     uint64
 	events  uint64
@@ -48,8 +50,10 @@
 	produced int
 	outgrown bool
 	over     bool
+	alone    bool
 	life     int
 	believed fleet.Tokens
+	expected time.Duration
 	cached   fleet.Tokens
 	last     time.Time
 }
@@ -117,7 +121,7 @@
 	v.handle(capacity.AcquireEvent{Acquire: capacity.Acquire{
 		Host: "h", Request: a.id, Class: a.r.class, Tenant: a.r.tenant, Deadline: a.r.deadline.Sub(v.s.now),
 		Tokens: a.r.predicted.Mean + fleet.Tokens(a.r.prompt), Long: v.s.p.long(a.r) || a.r.done > 0,
-		Resumed: a.r.done > 0, Preemptible: a.r.preempted < v.s.p.preempt,
+		Alone: a.alone, Resumed: a.r.done > 0, Preemptible: a.r.preempted < v.s.p.preempt,
 	}})
 }
 
@@ -153,11 +157,24 @@
 
 // begin runs a granted attempt.
 func (v *server) begin(a *attempt) {
+	if a.over {
+		v.release(a, capacity.OutcomeUnused)
+		return
+	}
 	v.tell(a.host)
 	a.granted = v.s.now
 	v.s.granted(a)
 	a.life = v.life
 	v.running[a] = true
+	if v.down {
+		v.s.after(oneWay, func() {
+			if !a.over {
+				v.end(a)
+				v.s.failed(a)
+			}
+		})
+		return
+	}
 	for i, p := range v.cache {
 		if p == a.r.session {
 			a.cached = fleet.Tokens(a.r.shared)
@@ -205,7 +222,7 @@
 			return
 		}
 		if v.s.kills(a) {
-			v.crash()
+			v.crash(time.Second)
 			return
 		}
 		a.produced += tokens
@@ -250,16 +267,30 @@
 	}
 }
 
-// crash ends all running attempts; the server is back at once with an empty cache, as after a quick restart.
-func (v *server) crash() {
+// crash ends all running attempts; the server is back after a while with an empty cache.
+func (v *server) crash(downFor time.Duration) {
+	if v.down {
+		return
+	}
 	v.life++
 	v.cache = nil
 	v.s.crashes++
 	lost := v.s.sorted(v.running)
+	v.s.recordCrash(v, lost)
 	for _, a := range lost {
 		delete(v.running, a)
 		a.over = true
 	}
+	if downFor > 0 {
+		v.down = true
+		v.s.up = slices.DeleteFunc(v.s.up, func(x *server) bool { return x == v })
+		v.s.replicas()
+		v.s.after(downFor, func() {
+			v.down = false
+			v.s.up = append(v.s.up, v)
+			v.s.replicas()
+		})
+	}
 	for _, a := range lost {
 		v.release(a, capacity.OutcomeDone)
 		v.s.failed(a)
--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -8,8 +8,10 @@
 	"slices"
 	"time"
 
+	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/core/length"
+	"toucanway/core/poison"
 	"toucanway/core/queue"
 	"toucanway/core/retry"
 	"toucanway/core/routing"
@@ -39,13 +41,14 @@
 	queue                 queue.Settings
 	choose                choosing
 	hedge                 bool
-	unbounded             bool
-	preempt               int
-	resends               int
-	slow                  func(at time.Duration, server int) float64
-	until                 time.Duration
-	crashAt               time.Duration
-	crashed               int
+	// crashAt is when the first crashed servers end; they are back after downFor.
+	crashAt, downFor time.Duration
+	crashed          int
+	unbounded        bool
+	preempt          int
+	resends          int
+	slow             func(at time.Duration, server int) float64
+	until            time.Duration
 }
 
 // long says whether a request is taken for long when it asks for a slot.
@@ -62,20 +65,23 @@
 
 // request is one call; a resend is a request of its own with the same origin.
 type request struct {
-	id        int
-	class     fleet.Class
-	tenant    fleet.TenantID
-	caller    fleet.CallerID
-	prompt    int
-	output    int
-	long      bool
-	poison    bool
-	session   uint64
-	shared    int
-	arrived   time.Time
-	deadline  time.Time
-	predicted length.Prediction
-	tries     int
+	id     int
+	class  fleet.Class
+	tenant fleet.TenantID
+	caller fleet.CallerID
+	prompt int
+	output int
+	long   bool
+	poison bool
+	origin fleet.Fingerprint
+	// retryAfter is what the refusal told the caller.
+	retryAfter time.Duration
+	session    uint64
+	shared     int
+	arrived    time.Time
+	deadline   time.Time
+	predicted  length.Prediction
+	tries      int
 	// done is the number of tokens that the caller has from preempted attempts.
 	done, preempted int
 	resent          int
@@ -93,6 +99,8 @@
 	hedges retry.Hedges
 	budget *retry.Budget
 	lens   *length.Predictor
+	sent   retry.Resends
+	poison *poison.View
 	own    map[*server]int
 }
 
@@ -103,6 +111,9 @@
 	servers  []*server
 	byID     map[fleet.BackendID]*server
 	hosts    []*host
+	up       []*server
+	control  control.State
+	index    fleet.Index
 	requests []*request
 	attempts int
 	hedges   int
@@ -126,22 +137,56 @@
 		h := &host{own: map[*server]int{}, lens: length.New(length.Settings{LongTokens: longTokens})}
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		h.router = routing.New(routing.Settings{Rand: own})
+		h.poison = poison.New(poison.Settings{})
 		h.budget = retry.NewBudget(retry.Settings{Rand: own})
 		for _, id := range on {
 			h.router.SetBackend(fleet.Announcement{ID: id, Slots: p.slots})
 		}
-		h.router.SetReplicas(target.Model, on)
 		s.hosts = append(s.hosts, h)
 	}
+	s.up = slices.Clone(s.servers)
+	s.replicas()
 	for i, v := range s.servers {
 		s.after(time.Duration(i)*7*time.Millisecond, v.report)
 	}
 	for i := range p.crashed {
-		s.after(p.crashAt, s.servers[i].crash)
+		s.after(p.crashAt, func() { s.servers[i].crash(p.downFor) })
 	}
 	return s
 }
 
+// replicas tells the hosts which servers are up.
+func (s *simulation) replicas() {
+	var on []fleet.BackendID
+	for _, v := range s.up {
+		on = append(on, v.id)
+	}
+	for _, h := range s.hosts {
+		h.router.SetReplicas(target.Model, on)
+	}
+}
+
+// recordCrash tells the control state of a crash; its marks reach the hosts after a while.
+func (s *simulation) recordCrash(v *server, lost []*attempt) {
+	c := &control.RecordCrash{Backend: v.id, Incarnation: fleet.Incarnation(v.life)}
+	for _, a := range lost {
+		c.Fingerprints = append(c.Fingerprints, a.r.origin)
+		c.Alone = a.alone
+		a.host.poison.Suspect(s.now, a.r.origin)
+	}
+	data, err := control.Encode(control.Proposal{Command: c})
+	if err != nil {
+		panic(err)
+	}
+	s.index++
+	s.control.Apply(s.index, data)
+	s.after(300*time.Millisecond, func() {
+		for _, h := range s.hosts {
+			h.poison.SetMarks(s.now, s.control.Marks())
+		}
+	})
+}
+
 // live says that arrivals go on, or that requests are open.
 func (s *simulation) live() bool { return s.since() < s.p.until+20*time.Second }
 
@@ -187,12 +232,33 @@
 	r.arrived = s.now
 	s.requests = append(s.requests, r)
 	h := s.hostOf(r)
+	if r.origin == 0 {
+		r.origin = fleet.Fingerprint(r.id + 1)
+	}
 	r.predicted = h.lens.Predict(s.features(r))
-	h.budget.Request(s.now, r.tenant)
+	resent := h.sent.Seen(s.now, r.origin)
+	if s.p.unbounded {
+		s.try(r, nil)
+		return
+	}
+	if resent && !h.budget.Spend(s.now, r.tenant) {
+		r.retryAfter = time.Second
+		s.again(r)
+		return
+	}
+	if !resent {
+		h.budget.Request(s.now, r.tenant)
+	}
 	s.try(r, nil)
 }
 
-func (s *simulation) hostOf(r *request) *host { return s.hosts[r.id%len(s.hosts)] }
+// hostOf returns the host of a request; callers stay with theirs.
+func (s *simulation) hostOf(r *request) *host {
+	if r.origin != 0 {
+		return s.hosts[int(r.origin-1)%len(s.hosts)]
+	}
+	return s.hosts[r.id%len(s.hosts)]
+}
 
 func (s *simulation) features(r *request) length.Request {
 	return length.Request{Caller: r.caller, Class: r.class, Model: target.Model, Prompt: fleet.Tokens(r.prompt)}
@@ -212,14 +278,25 @@
 		return
 	}
 	h := s.hostOf(r)
+	runAlone := false
+	if !s.p.unbounded {
+		switch h.poison.Decide(s.now, r.origin, len(s.up)).(type) {
+		case poison.Run:
+		case poison.RunAlone:
+			runAlone = true
+		case poison.Refuse:
+			r.answered = true
+			return
+		}
+	}
 	r.tries++
 	s.attempts++
-	a := &attempt{r: r, id: fleet.RequestID(fmt.Sprintf("r%07d-%d", r.id, r.tries)), host: h}
+	a := &attempt{alone: runAlone, r: r, id: fleet.RequestID(fmt.Sprintf("r%07d-%d", r.id, r.tries)), host: h}
 	switch s.p.choose {
 	case chooseRandom:
-		a.server = s.servers[s.rand.IntN(len(s.servers))]
+		a.server = s.up[s.rand.IntN(len(s.up))]
 	case chooseLeast:
-		a.server = slices.MinFunc(s.servers, func(x, y *server) int { return h.own[x] - h.own[y] })
+		a.server = slices.MinFunc(s.up, func(x, y *server) int { return h.own[x] - h.own[y] })
 	case chooseRouter:
 		q := s.query(r)
 		q.Avoid = avoid
@@ -228,7 +305,7 @@
 			q.Avoid = nil
 			c, _ = h.router.Choose(s.now, q)
 		}
-		a.server, a.believed = s.byID[c.Backend], c.Match
+		a.server, a.believed, a.expected = s.byID[c.Backend], c.Match, c.FirstToken
 	default:
 		panic("policy: unknown choice")
 	}
@@ -236,13 +313,10 @@
 	h.own[a.server]++
 	h.router.Begin(s.now, a.server.id)
 	s.after(oneWay, func() { a.server.acquire(a) })
-	if s.p.hedge && len(r.live) == 1 {
-		s.hedge(r, a)
-	}
 }
 
 func (s *simulation) hedge(r *request, a *attempt) {
-	if d, ok := a.host.hedges.After(target.Model, true); ok {
+	if d, ok := a.host.hedges.After(target.Model, a.expected, true); ok {
 		s.after(d, func() {
 			if !a.over && a.produced == 0 && !r.answered && len(r.live) == 1 && a.host.budget.Spend(s.now, r.tenant) {
 				s.hedges++
@@ -256,9 +330,8 @@
 	if a.r.tries == 1 {
 		a.r.waited = s.now.Sub(a.r.arrived)
 	}
-	if a.over {
-		a.server.running[a] = true
-		a.server.end(a)
+	if s.p.hedge && len(a.r.live) == 1 {
+		s.hedge(a.r, a)
 	}
 }
 
@@ -273,7 +346,7 @@
 		s.hits += int(a.cached)
 		if r.first == 0 {
 			r.first = s.now.Sub(r.arrived)
-			h.hedges.Observe(target.Model, r.first)
+			h.hedges.Observe(target.Model, s.now.Sub(a.granted), a.expected)
 		}
 		for _, other := range slices.Clone(r.live) {
 			if other != a {
@@ -294,6 +367,12 @@
 func (s *simulation) drop(a *attempt) {
 	s.leave(a)
 	if a.server.running[a] {
+		if a.produced == 0 {
+			a.host.router.Observe(s.now, routing.Progress{
+				Backend: a.server.id, Model: target.Model, FirstToken: s.now.Sub(a.granted), Waiting: true,
+				Prompt: fleet.Tokens(a.r.prompt), Cached: a.cached,
+			})
+		}
 		a.server.end(a)
 		return
 	}
@@ -305,7 +384,7 @@
 	a.r.live = slices.DeleteFunc(a.r.live, func(x *attempt) bool { return x == a })
 	a.host.own[a.server]--
 	hold := time.Duration(0)
-	if !a.granted.IsZero() {
+	if a.produced >= a.r.output {
 		hold = s.now.Sub(a.granted)
 	}
 	a.host.router.End(s.now, a.server.id, hold)
@@ -314,14 +393,18 @@
 func (s *simulation) finished(a *attempt) {
 	s.leave(a)
 	a.host.lens.Observe(s.features(a.r), fleet.Tokens(a.r.output))
+	a.host.sent.Forget(a.r.origin)
 	a.r.answered, a.r.served, a.r.finished = true, true, s.now
 }
 
-func (s *simulation) refused(a *attempt, _ *fleet.Refusal) {
+func (s *simulation) refused(a *attempt, refusal *fleet.Refusal) {
 	s.leave(a)
 	a.over = true
+	if !s.p.unbounded {
+		a.r.retryAfter = refusal.RetryAfter
+	}
 	if len(a.r.live) == 0 {
-		s.again(a.r, nil)
+		s.again(a.r)
 	}
 }
 
@@ -341,18 +424,26 @@
 		s.after(wait, func() { s.try(a.r, avoid) })
 		return
 	}
-	s.again(a.r, avoid)
+	s.again(a.r)
 }
 
-// again plays the caller of a request that was not answered: it sends it again at once, a bounded number of times.
-func (s *simulation) again(r *request, _ []fleet.BackendID) {
+// again plays the caller of a request that was not answered: it sends it again, a bounded number of times. Half of the callers
+// wait as told by a refusal, the others send again at once.
+func (s *simulation) again(r *request) {
 	r.answered = true
 	if r.resent >= s.p.resends {
 		return
 	}
 	next := &request{
-		class: r.class, tenant: r.tenant, caller: r.caller, prompt: r.prompt, output: r.output, long: r.long,
-		session: r.session, shared: r.shared, poison: r.poison, resent: r.resent + 1, deadline: s.now.Add(r.deadline.Sub(r.arrived)),
+		class: r.class, tenant: r.tenant, caller: r.caller, prompt: r.prompt, output: r.output, long: r.long, origin: r.origin,
+		session: r.session, shared: r.shared, poison: r.poison, resent: r.resent + 1,
+	}
+	wait := 20 * time.Millisecond
+	if s.rand.Float64() < 0.5 {
+		wait = max(wait, r.retryAfter)
 	}
-	s.after(20*time.Millisecond, func() { s.arrive(next) })
+	s.after(wait, func() {
+		next.deadline = s.now.Add(r.deadline.Sub(r.arrived))
+		s.arrive(next)
+	})
 }
--- a/core/advice/adviser.go
+++ b/core/advice/adviser.go
@@ -68,6 +68,10 @@
 	index   map[fleet.HostID]int
 	owned   []int
 	ranking []ranked
+	// places are the data centres of hosts; place is each host's, and points what each is worth for the target asked for.
+	places []fleet.Place
+	place  []int
+	points []float64
 }
 
 type ranked struct {
@@ -90,11 +94,21 @@
 	a.hashes = make([]uint64, len(hosts))
 	a.index = make(map[fleet.HostID]int, len(hosts))
 	a.owned = make([]int, len(hosts))
-	a.ranking = make([]ranked, 0, len(hosts))
+	a.ranking = make([]ranked, 0, a.cfg.Hosts+1)
+	a.places = nil
+	a.place = make([]int, len(hosts))
 	for i, h := range a.hosts {
 		a.hashes[i] = xxhash.Sum64String(string(h.ID))
 		a.index[h.ID] = i
+		at := fleet.Place{Region: h.Place.Region, DataCentre: h.Place.DataCentre}
+		k := slices.Index(a.places, at)
+		if k < 0 {
+			k = len(a.places)
+			a.places = append(a.places, at)
+		}
+		a.place[i] = k
 	}
+	a.points = make([]float64, len(a.places))
 }
 
 // Points of a host for a target. Dead and draining hosts are left out; an overloaded one is behind every other.
@@ -118,32 +132,47 @@
 			a.owned[i]++
 		}
 	}
+	for k, p := range a.places {
+		a.points[k] = near(p, t.Backends)
+		if t.Caller.Region != "" && t.Caller.Region == p.Region {
+			a.points[k] += callerPoints
+		}
+	}
 	seed := xxhash.Sum64String(t.Name)
 	for i := range a.hosts {
 		h := &a.hosts[i]
 		if h.Dead || h.Draining {
 			continue
 		}
-		a.ranking = append(a.ranking, ranked{host: i, score: a.score(h, i, &t), tie: mix(seed, a.hashes[i])})
+		a.rank(ranked{host: i, score: a.score(h, i, len(t.Backends)), tie: mix(seed, a.hashes[i])})
 	}
-	slices.SortFunc(a.ranking, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.tie, y.tie))
-	})
 	out := Advice{Lifetime: a.cfg.Lifetime}
-	for _, r := range a.ranking[:min(len(a.ranking), a.cfg.Hosts)] {
+	for _, r := range a.ranking {
 		out.Addresses = append(out.Addresses, a.hosts[r.host].Address)
 	}
 	return out
 }
 
-func (a *Adviser) score(h *Host, i int, t *Target) float64 {
-	s := 0.0
-	if n := len(t.Backends); n > 0 {
-		s += ownerPoints * float64(a.owned[i]) / float64(n)
-		s += near(h.Place, t.Backends)
+// rank puts a host in its place among the best ones.
+func (a *Adviser) rank(r ranked) {
+	i := len(a.ranking)
+	for i > 0 && r.before(a.ranking[i-1]) {
+		i--
+	}
+	if i < a.cfg.Hosts {
+		a.ranking = slices.Insert(a.ranking, i, r)
+		a.ranking = a.ranking[:min(len(a.ranking), a.cfg.Hosts)]
 	}
-	if t.Caller.Region != "" && t.Caller.Region == h.Place.Region {
-		s += callerPoints
+}
+
+func (r ranked) before(other ranked) bool {
+	return r.score > other.score || r.score == other.score && r.tie < other.tie
+}
+
+func (a *Adviser) score(h *Host, i, backends int) float64 {
+	s := a.points[a.place[i]]
+	if backends > 0 {
+		s += ownerPoints * float64(a.owned[i]) / float64(backends)
 	}
 	if h.Load >= a.cfg.Overload {
 		s += overloadPoints
@@ -153,6 +182,9 @@
 
 // near returns points for the share of backend servers in the host's data centre and region.
 func near(p fleet.Place, backends []Backend) float64 {
+	if len(backends) == 0 {
+		return 0
+	}
 	s := 0.0
 	for _, b := range backends {
 		switch {
--- a/core/retry/hedge.go
+++ b/core/retry/hedge.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,59 +17,61 @@
 	hedgeFloor = 20 * time.Millisecond
 	// hedgeDefault is used while a model has too few outcomes.
 	hedgeDefault = time.Second
-	// hedgeHalve is the number of outcomes after which a new histogram takes over.
-	hedgeHalve = 500
+	// hedgeWindow is the number of outcomes after which a new histogram takes over.
+	hedgeWindow = 500
 	// maxHedgeModels bounds the models with histograms; all are relearnt when it is reached.
 	maxHedgeModels = 1024
-	// hedgeMost is the longest first-token time told apart.
-	hedgeMost = time.Minute
+	// ratioUnit is the ratio of 1 between a first-token time and its expectation; ratios up to ratioMost are told apart.
+	ratioUnit = 1000
+	ratioMost = 1000 * ratioUnit
 )
 
-// Hedges learns the time to the first token of each model and decides when a second attempt starts. The zero value is
-// ready. It is not safe for concurrent use.
+// Hedges learns how much longer than expected first tokens take on each model, and decides when a second attempt starts.
+// Ratios are learnt and not times, since otherwise the longest prompts would always be hedged. The zero value is ready. It is
+// not safe for concurrent use.
 type Hedges struct {
 	models map[fleet.ModelID]*firstTokens
 }
 
-// firstTokens is the histogram that fills and the quantile of the one before.
+// firstTokens is the histogram that fills and the quantile learnt last.
 type firstTokens struct {
 	filling *hdrhistogram.Histogram
-	after   time.Duration
+	ratio   float64
 }
 
-// Observe takes the time to a first token.
-func (h *Hedges) Observe(m fleet.ModelID, first time.Duration) {
+// Observe takes the time from dispatch to a first token and what was expected of it.
+func (h *Hedges) Observe(m fleet.ModelID, first, expected time.Duration) {
+	if expected <= 0 || first < 0 {
+		return
+	}
 	f := h.models[m]
 	if f == nil {
 		if h.models == nil || len(h.models) >= maxHedgeModels {
 			h.models = map[fleet.ModelID]*firstTokens{}
 		}
-		f = &firstTokens{filling: hdrhistogram.New(1, int64(hedgeMost/time.Microsecond), 2)}
+		f = &firstTokens{filling: hdrhistogram.New(1, ratioMost, 2)}
 		h.models[m] = f
 	}
-	// Times above the range count as its end.
-	_ = f.filling.RecordValue(int64(min(max(first, time.Microsecond), hedgeMost) / time.Microsecond))
-	switch n := f.filling.TotalCount(); {
-	case n >= hedgeHalve:
-		f.after = f.quantile()
+	// The value is within the range of the histogram.
+	_ = f.filling.RecordValue(int64(min(max(float64(first)/float64(expected)*ratioUnit, 1), ratioMost)))
+	n := f.filling.TotalCount()
+	if n >= hedgeWindow/2 || f.ratio == 0 && n >= hedgeOutcomes {
+		f.ratio = float64(f.filling.ValueAtQuantile(hedgeQuantile)) / ratioUnit
+	}
+	if n >= hedgeWindow {
 		f.filling.Reset()
-	case f.after == 0 && n >= hedgeOutcomes || n >= hedgeHalve/2:
-		f.after = f.quantile()
 	}
 }
 
-func (f *firstTokens) quantile() time.Duration {
-	return max(hedgeFloor, time.Duration(f.filling.ValueAtQuantile(hedgeQuantile))*time.Microsecond)
-}
-
 // After returns how long after its dispatch a request without a first token is hedged, and false when it must not be,
 // since running it twice could do its work twice.
-func (h *Hedges) After(m fleet.ModelID, idempotent bool) (time.Duration, bool) {
+func (h *Hedges) After(m fleet.ModelID, expected time.Duration, idempotent bool) (time.Duration, bool) {
 	if !idempotent {
 		return 0, false
 	}
-	if f := h.models[m]; f != nil {
-		return cmp.Or(f.after, hedgeDefault), true
+	f := h.models[m]
+	if f == nil || f.ratio == 0 || expected <= 0 {
+		return hedgeDefault, true
 	}
-	return hedgeDefault, true
+	return max(hedgeFloor, time.Duration(f.ratio*float64(expected))), true
 }
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -76,6 +76,8 @@
 	Backend fleet.BackendID
 	// Expected is the estimated time to the first token.
 	Expected time.Duration
+	// FirstToken is the part of it from the dispatch on, on a server that is not slow.
+	FirstToken time.Duration
 	// Match is the length of the prefix believed to be cached.
 	Match fleet.Tokens
 	// CrossRegion says that the traffic is billed, OverBudget that the tenant's budget is used up.
@@ -288,10 +290,11 @@
 	if !probe {
 		k = r.nearTie(m, q, least)
 	}
-	b := &r.backends[m.replicas[k].backend]
+	i := m.replicas[k].backend
+	b := &r.backends[i]
 	return Choice{
-		Backend: b.id, Expected: time.Duration(r.cost[k] * float64(time.Second)),
-		Match: fleet.Tokens(r.match[m.replicas[k].backend]), CrossRegion: b.remote, OverBudget: b.remote && over, Probe: probe,
+		Backend: b.id, Expected: seconds(r.cost[k]), FirstToken: seconds(r.prefill(now, m, i, q)),
+		Match: fleet.Tokens(r.match[i]), CrossRegion: b.remote, OverBudget: b.remote && over, Probe: probe,
 	}, true
 }
 
@@ -303,16 +306,22 @@
 func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) float64 {
 	b := &r.backends[p.backend]
 	slow := b.pace.ratio(now)
-	busy := b.load.estimate(now)
-	prompt := float64(q.Prompt) - float64(r.match[p.backend]) + promptBase
-	c := max(prompt, 1) * m.prefill * slow * (1 + busy/b.slots)
-	c += b.load.queueWait(now, b.slots) * slow
+	c := (r.prefill(now, m, p.backend, q) + b.load.queueWait(now, b.slots)) * slow
 	if b.remote {
 		c += 2 * r.cfg.RegionDelay.Seconds()
 	}
 	return c
 }
 
+// prefill returns the expected seconds from dispatch to the first token on a server that is not slow.
+func (r *Router) prefill(now time.Time, m *model, i int32, q *Request) float64 {
+	b := &r.backends[i]
+	prompt := float64(q.Prompt) - float64(r.match[i]) + promptBase
+	return max(prompt, 1) * m.prefill * (1 + b.load.estimate(now)/b.slots)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // nearTie draws two of the candidates within reach of the least expected time and returns the less loaded one.
 func (r *Router) nearTie(m *model, q *Request, least float64) int {
 	reach := least*(1+r.cfg.TieShare) + tieFloor.Seconds()
--- a/core/routing/slow.go
+++ b/core/routing/slow.go
@@ -20,6 +20,9 @@
 	// paceGain is the weight of a new observation in a server's ratio, tokenGain in a replica's time per token.
 	paceGain  = 0.3
 	tokenGain = 0.1
+	// lateGain is the weight of a late first token. It is large, since each host sees only a few requests of a server that
+	// becomes slow, and those given up for hedges yield no other observation.
+	lateGain = 0.5
 	// maxRatio bounds one observation, so that a single stall does not mark a server for long.
 	maxRatio = 8
 	// forgetAfter is the time without observations after which half of a server's slowness is forgotten.
@@ -59,7 +62,8 @@
 	// Tokens were received within Elapsed, after the first one.
 	Tokens  fleet.Tokens
 	Elapsed time.Duration
-	// FirstToken is the time from dispatch to the first token, or so far if Waiting; zero when told before.
+	// FirstToken is the time from dispatch to the first token, or so far if Waiting; zero when told before. An attempt that is
+	// given up for a hedge has to be told as Waiting, else hedges hide the slow server that caused them.
 	FirstToken time.Duration
 	Waiting    bool
 	// Prompt and Cached are the prompt's tokens and those that the engine found in its cache.
@@ -103,7 +107,10 @@
 	busy := 1 + b.load.estimate(now)/b.slots
 	x := p.FirstToken.Seconds() / work / busy
 	late := x / m.prefill
-	if late > slowFrom || !p.Waiting {
+	switch {
+	case late > slowFrom:
+		b.pace.observe(now, late, lateGain)
+	case !p.Waiting:
 		b.pace.observe(now, late, paceGain/2)
 	}
 	if !p.Waiting && late < slowFrom*slowFrom {
