--- a/io/dispatch/attempt.go
+++ b/io/dispatch/attempt.go
@@ -57,9 +57,10 @@
 // only what never changes.
 type search struct {
 	a *answer
-	// alone and resume are the state of the answer when the search began.
-	alone  bool
-	resume int
+	// alone, resume and preempted are the state of the answer when the search began.
+	alone     bool
+	resume    int
+	preempted int
 	// avoid holds the backend servers that were tried, first those that another attempt runs on.
 	avoid []fleet.BackendID
 	fixed int
@@ -150,7 +151,7 @@
 		return nil, s.pause(ctx)
 	}
 	sent := time.Now()
-	req := a.acquireRequest(b, s.patienceFrom(sent), s.alone)
+	req := s.acquireRequest(b, s.patienceFrom(sent))
 	res, err := a.d.callAcquire(ctx, owner, req)
 	now := time.Now()
 	if err != nil || res.Status != hosts.StatusOK {
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -73,9 +73,11 @@
 		Target: c.Target, Tenant: c.Identity.Tenant, Prompt: a.prompt, Prefixes: engines.Prefixes(c.Target, c.Prompt),
 		Bytes: a.traffic(int(a.predicted.Mean)),
 	}
+	if !d.policy.admit(now, c.Identity.Tenant, a.fingerprint, c.Target.Model) {
+		return nil, fleet.Refuse(fleet.CodeQueueFull, busyRetry, "too many requests are sent again; wait for the given time before the next attempt")
+	}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.finish = d.requests.begin()
-	d.policy.request(now, c.Identity.Tenant)
 	a.waiter = d.cfg.Reporter.Wait(c.Target, c.Identity.Class, a.deadline, d.policy.replicas(c.Target.Model) == 0)
 	if r := a.checkPoison(now); r != nil {
 		a.Close()
@@ -121,6 +123,8 @@
 	// alone says that the request is suspected of crashing backend servers.
 	alone    bool
 	outgrown bool
+	// preempted counts the attempts that gave way to short work.
+	preempted int
 	// crashed says that the last attempt ended with its backend server.
 	crashed bool
 	current *attempt
@@ -177,6 +181,7 @@
 			case err == nil:
 				a.current = at
 				a.waiter.Run()
+				a.d.running.add(a.call.ID, at)
 				return a.chunk(t), nil
 			case errors.As(err, &r):
 				return nil, a.truthful(r)
@@ -200,6 +205,12 @@
 		a.current = nil
 		a.waiter.Again()
 		at.close()
+		if a.d.running.wasPreempted(a.call.ID) && a.ctx.Err() == nil {
+			a.preempted++
+			a.finishAttempt(now, at)
+			a.d.cancelAtEngine(at, a.call.ID, capacity.OutcomePreempted)
+			continue
+		}
 		a.failed(now, at, err)
 		if r := a.mayRetry(ctx, now, err); r != nil {
 			return nil, r
@@ -245,10 +256,10 @@
 
 // checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
 func (a *answer) checkPoison(now time.Time) *fleet.Refusal {
-	switch dec := a.d.policy.decide(now, a.fingerprint).(type) {
+	switch dec := a.d.policy.decide(now, a.fingerprint, a.call.Target.Model).(type) {
 	case poison.Run:
 		a.alone = false
-	case poison.RunAlone:
+	case poison.RunAlone, poison.Wait:
 		a.alone = true
 		a.waiter.Alone()
 	case poison.Refuse:
@@ -294,7 +305,7 @@
 	a.reportProgress(now, at)
 	a.finishAttempt(now, at)
 	a.d.release(at, capacity.OutcomeDone, a.prompt+fleet.Tokens(a.received))
-	a.d.policy.observeLength(a.features, fleet.Tokens(a.received))
+	a.d.policy.whole(a.features, a.fingerprint, fleet.Tokens(a.received))
 	if a.d.policy.completed(a.fingerprint) {
 		a.d.clearSuspect(a.fingerprint)
 	}
@@ -302,6 +313,7 @@
 
 // finishAttempt ends the account of an attempt that reached its engine.
 func (a *answer) finishAttempt(now time.Time, at *attempt) {
+	a.d.running.remove(a.call.ID, at)
 	a.d.inflight.remove(at.life(), a.call.ID)
 	a.d.policy.end(now, at, a.call.Identity.Tenant, a.traffic(at.tokens))
 }
@@ -324,5 +336,5 @@
 func (a *answer) abandon(at *attempt) {
 	at.close()
 	a.finishAttempt(time.Now(), at)
-	a.d.cancelAtEngine(at, a.call.ID)
+	a.d.cancelAtEngine(at, a.call.ID, capacity.OutcomeDone)
 }
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -113,7 +113,7 @@
 		a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
 	default:
 		a.sent = true
-		a.d.cancelAtEngine(at, a.call.ID)
+		a.d.cancelAtEngine(at, a.call.ID, capacity.OutcomeDone)
 	}
 }
 
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -45,6 +45,7 @@
 	requests    gate
 	outstanding counts
 	inflight    inflight
+	running     running
 	crashes     crashes
 	draining    atomic.Bool
 }
--- a/io/dispatch/grant.go
+++ b/io/dispatch/grant.go
@@ -38,7 +38,8 @@
 }
 
 // acquireRequest describes the request to the owner of a backend server.
-func (a *answer) acquireRequest(b control.Backend, left time.Duration, alone bool) *capacity.Acquire {
+func (s *search) acquireRequest(b control.Backend, left time.Duration) *capacity.Acquire {
+	a := s.a
 	adapter, _ := a.doc.AdapterMemory(a.call.Target)
 	if a.call.Target.Adapter == "" {
 		adapter = 0
@@ -48,7 +49,8 @@
 		Backend: b.Announcement.ID, Host: a.d.cfg.Host, Request: a.call.ID, Target: a.call.Target,
 		Class: a.call.Identity.Class, Deadline: max(left-acquireMargin, time.Millisecond), Tenant: a.call.Identity.Tenant,
 		Memory: fleet.Bytes(tokens) * a.model.KVBytesPerToken, Tokens: a.prompt + a.predicted.Mean, Long: a.predicted.Long,
-		Alone: alone, AdapterMemory: adapter,
+		Alone: s.alone, AdapterMemory: adapter, Preemptible: s.preempted < maxPreemptions,
+		Resumed: s.resume > 0 || s.preempted > 0,
 	}
 }
 
@@ -80,10 +82,10 @@
 }
 
 // cancelAtEngine tells an engine that nobody waits for a request any more; closing its connection says the same to
-// engines that watch it.
-func (d *Dispatcher) cancelAtEngine(at *attempt, id fleet.RequestID) {
+// engines that watch it. done is the outcome of the grant once the engine confirmed it.
+func (d *Dispatcher) cancelAtEngine(at *attempt, id fleet.RequestID, done capacity.Outcome) {
 	d.jobs.Run(func(ctx context.Context) {
-		outcome := capacity.OutcomeDone
+		outcome := done
 		if err := d.cfg.Engines.Cancel(ctx, at.backend.Announcement.Address, id); err != nil {
 			outcome = capacity.OutcomeInDoubt
 		}
--- a/io/dispatch/policy.go
+++ b/io/dispatch/policy.go
@@ -27,6 +27,7 @@
 	router  *routing.Router
 	length  *length.Predictor
 	hedges  retry.Hedges
+	resends retry.Resends
 	budget  *retry.Budget
 	poison  *poison.View
 	rng     *rand.Rand
@@ -186,9 +187,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.router.Observe(now, o)
-	if o.FirstToken > 0 && !o.Waiting {
-		p.hedges.Observe(o.Model, o.FirstToken)
-	}
+}
+
+// firstToken takes the time from dispatch to the first token of an attempt.
+func (p *policy) firstToken(now time.Time, at *attempt, o routing.Progress) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Observe(now, o)
+	p.hedges.Observe(o.Model, o.FirstToken, at.choice.FirstToken)
 }
 
 // answered takes what an engine found in its prefix cache.
@@ -202,11 +208,24 @@
 	}
 }
 
-// hedgeAfter returns when a request that has no first token is hedged.
-func (p *policy) hedgeAfter(m fleet.ModelID) (time.Duration, bool) {
+// hedgeAfter returns when an attempt that has no first token is hedged.
+func (p *policy) hedgeAfter(m fleet.ModelID, at *attempt) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.hedges.After(m, true)
+	return p.hedges.After(m, at.choice.FirstToken, true)
+}
+
+// admit counts a new request for the tenant's budget of retries, and a resend against it. Resends of requests for a model
+// that is asleep are free, since their callers were told to wait for it.
+func (p *policy) admit(now time.Time, id fleet.TenantID, f fleet.Fingerprint, m fleet.ModelID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sync(now)
+	if p.resends.Seen(now, f) && p.router.Replicas(m) > 0 {
+		return p.budget.Spend(now, id)
+	}
+	p.budget.Request(now, id)
+	return true
 }
 
 // request counts a new request for the tenant's budget of retries.
@@ -247,18 +266,20 @@
 	return p.length.Outgrown(pred, produced)
 }
 
-func (p *policy) observeLength(r length.Request, output fleet.Tokens) {
+// whole learns from a request that was answered in full.
+func (p *policy) whole(r length.Request, f fleet.Fingerprint, output fleet.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.length.Observe(r, output)
+	p.resends.Forget(f)
 }
 
 // decide says how a request may run after crashes of backend servers.
-func (p *policy) decide(now time.Time, f fleet.Fingerprint) poison.Decision {
+func (p *policy) decide(now time.Time, f fleet.Fingerprint, m fleet.ModelID) poison.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sync(now)
-	return p.poison.Decide(now, f)
+	return p.poison.Decide(now, f, p.router.Replicas(m))
 }
 
 func (p *policy) suspect(now time.Time, fps []fleet.Fingerprint) {
--- a/io/dispatch/race.go
+++ b/io/dispatch/race.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"toucanway/core/capacity"
 	"toucanway/core/fleet"
 	"toucanway/core/routing"
 	"toucanway/io/engines"
@@ -25,13 +26,13 @@
 // requests of its model. The first token decides; the other attempt is cancelled. The error is a *fleet.Refusal, or
 // what broke the last attempt.
 func (a *answer) race(ctx context.Context) (engines.Token, *attempt, error) {
-	at, r := (&search{a: a, alone: a.alone, resume: a.received}).grant(ctx)
+	at, r := (&search{a: a, alone: a.alone, resume: a.received, preempted: a.preempted}).grant(ctx)
 	if r != nil {
 		return engines.Token{}, nil, r
 	}
 	a.attempts++
 	at.start(time.Now())
-	after, ok := a.d.policy.hedgeAfter(a.call.Target.Model)
+	after, ok := a.d.policy.hedgeAfter(a.call.Target.Model, at)
 	if !ok || a.alone || a.received > 0 {
 		return a.settle(a.enter(ctx, at))
 	}
@@ -125,7 +126,7 @@
 	a.sent = true
 	got.at.tokens, got.at.last = 1, now
 	got.at.reported, got.at.reportedAt = 1, now
-	a.d.policy.progress(now, routing.Progress{
+	a.d.policy.firstToken(now, got.at, routing.Progress{
 		Backend: got.at.backend.Announcement.ID, Model: a.call.Target.Model, FirstToken: now.Sub(got.at.sent), Prompt: a.prompt,
 	})
 	return got.token, got.at, nil
@@ -147,7 +148,7 @@
 				got.at.close()
 			}
 			a.finishAttempt(time.Now(), got.at)
-			a.d.cancelAtEngine(got.at, a.call.ID)
+			a.d.cancelAtEngine(got.at, a.call.ID, capacity.OutcomeDone)
 		}
 	})
 }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -98,7 +98,7 @@
 	})
 	h.owner = owner.New(owner.Settings{
 		Host: cfg.ID, Follower: h.follower, Engines: engines.NewClient(h.pool),
-		Measured: h.reporter.Load, Inventory: h.reporter.Inventory, Table: h.tableSettings,
+		Preempt: h.preempt, Measured: h.reporter.Load, Inventory: h.reporter.Inventory, Table: h.tableSettings,
 		Log: cfg.Loggers.Of(settings.LogCapacity),
 	})
 	h.dispatch = dispatch.New(dispatch.Settings{
@@ -117,10 +117,28 @@
 		}
 	}
 	h.owner.Register(&h.server)
+	h.dispatch.Register(&h.server)
 	h.server.TLS = serverTLS
 	return h, nil
 }
 
+// preempt passes the wish of an owned backend server's table on to the host of the grant.
+func (h *Host) preempt(p capacity.Preempt) {
+	if p.Host == h.cfg.ID {
+		h.dispatch.Preempt(p.Grant)
+		return
+	}
+	address := ""
+	h.follower.Read(func(s *control.State) {
+		if v, ok := s.Session(p.Host); ok {
+			address = v.Address
+		}
+	})
+	if address != "" {
+		h.dispatch.AskPreempt(address, p.Grant)
+	}
+}
+
 func (h *Host) newCallers() error {
 	cfg := callers.Settings{Handler: handler{h}, Extra: engines.Intake{Registry: h.registry}.Serve}
 	if h.cfg.TLS.Callers.IsSet() {
--- a/io/entry/table.go
+++ b/io/entry/table.go
@@ -16,6 +16,7 @@
 		Queue:     queue.Settings{Limit: doc.Limits.WaitingPerBackend, Weight: weights(doc)},
 		Long:      queue.LongRule{Share: doc.Limits.LongWorkShare},
 		Loads:     h.adapterShare(doc),
+		Preempt:   true,
 	}
 }
 
--- a/io/hosts/messages.go
+++ b/io/hosts/messages.go
@@ -129,6 +129,7 @@
 const (
 	ProcedureAcquire = "/capacity.v1/Acquire"
 	ProcedureRelease = "/capacity.v1/Release"
+	ProcedurePreempt = "/capacity.v1/Preempt"
 )
 
 // AcquireResponse is the owner's answer; it comes when the request is granted or refused.
@@ -143,6 +144,14 @@
 	Cancels  []capacity.Cancel  `cbor:"2,keyasint,omitempty"`
 }
 
+// PreemptRequest asks the host of a grant to stop its request for now and to acquire again later.
+type PreemptRequest struct {
+	Grant capacity.Grant `cbor:"1,keyasint"`
+}
+
+// PreemptResponse acknowledges a PreemptRequest.
+type PreemptResponse struct{}
+
 // ReleaseResponse acknowledges a ReleaseRequest.
 type ReleaseResponse struct{}
 
--- a/io/owner/entry.go
+++ b/io/owner/entry.go
@@ -157,6 +157,8 @@
 		case capacity.Refused:
 			e.answer(ef.Host, ef.Request, capacity.Answer{Refusal: ef.Refusal, Queue: e.table.State(now)})
 		case capacity.Cancelled:
+		case capacity.Preempt:
+			e.owner.preempt(ef)
 		case capacity.LoadAdapter:
 			e.adapter(ef.Order)
 		case capacity.UnloadAdapter:
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -34,6 +34,8 @@
 	Host     fleet.HostID
 	Follower *follow.Follower
 	Engines  *engines.Client
+	// Preempt asks the host of a grant to stop the request for now; nil means that nobody is asked.
+	Preempt func(capacity.Preempt)
 	// Measured takes the ends of loads, and Inventory the inventories that were read, for the planner.
 	Measured  func(placement.LoadResult)
 	Inventory func(fleet.Inventory)
@@ -219,6 +221,12 @@
 	}
 }
 
+func (o *Owner) preempt(p capacity.Preempt) {
+	if o.cfg.Preempt != nil {
+		o.cfg.Preempt(p)
+	}
+}
+
 // State returns the load of an owned backend server.
 func (o *Owner) State(id fleet.BackendID) (capacity.QueueState, bool) {
 	e := o.entry(id)
