--- a/cmd/toucanway-lab/internal/scenario/commands.go
+++ b/cmd/toucanway-lab/internal/scenario/commands.go
@@ -130,7 +130,8 @@
 	return nil
 }
 
-// submit submits a document: a file of the script, or the one with models=N; as=ok or the code of the expected error.
+// submit submits a document: a file of the script, or the one with models=N; as=ok or the code of the expected error;
+// repeat=N submits N changes of it one after the other.
 func submit(r *run, args []string, opt options) error {
 	text := ""
 	switch {
@@ -140,7 +141,19 @@
 		text = deployment.SmallDocument(opt.number("models", r.world.shape.models))
 	}
 	base := opt.number("base", int(r.world.version))
-	return r.submitText(opt.text("from", "lab"), text, base, opt.text("as", "ok"))
+	as, from := opt.text("as", "ok"), opt.text("from", "lab")
+	repeat := opt.number("repeat", 1)
+	for i := range repeat {
+		one := text
+		if repeat > 1 {
+			one += fmt.Sprintf("# change %d\n", i+1)
+		}
+		if err := r.submitText(from, one, base, as); err != nil {
+			return err
+		}
+		base = int(r.world.version)
+	}
+	return nil
 }
 
 func (r *run) submitText(name, text string, base int, want string) error {
--- a/core/capacity/acquire.go
+++ b/core/capacity/acquire.go
@@ -56,7 +56,7 @@
 			Message: "the request waits or runs on this backend server already",
 		}
 	}
-	if t.draining {
+	if t.draining || t.silent {
 		return leaving()
 	}
 	if t.told && !t.serves(a.Target.Model) {
--- a/core/capacity/event.go
+++ b/core/capacity/event.go
@@ -46,6 +46,10 @@
 	Ready bool
 }
 
+// SilentEvent says that the backend server does not answer: until its next inventory there are no grants, and waiting
+// requests are refused so that they find another one.
+type SilentEvent struct{}
+
 // ReplicasEvent replaces the model replicas on the backend server, those in doubt included.
 type ReplicasEvent struct{ Replicas []Replica }
 
@@ -63,6 +67,7 @@
 func (InventoryEvent) isEvent() {}
 func (ReplicasEvent) isEvent()  {}
 func (DrainEvent) isEvent()     {}
+func (SilentEvent) isEvent()    {}
 func (TickEvent) isEvent()      {}
 
 // Effect is something that the owner has to do; the types below are all of them.
--- a/core/capacity/grant.go
+++ b/core/capacity/grant.go
@@ -116,6 +116,7 @@
 	if inv.Incarnation != t.cfg.Incarnation || ev.Asked.Before(t.asked) {
 		return
 	}
+	t.silent = false
 	past := !ev.Asked.Before(t.cfg.Taken.Add(t.settling()))
 	if !past && !(t.cfg.ChecksFence && inv.Fence >= t.cfg.Fence) {
 		return
@@ -194,7 +195,7 @@
 			sooner(a.resolve, doubtInterval)
 		}
 	}
-	if len(t.strangers) > 0 {
+	if len(t.strangers) > 0 || t.silent {
 		sooner(t.asked, doubtInterval)
 	}
 	return at, want
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -82,6 +82,7 @@
 	shareUsed bool
 	last      time.Time
 	draining  bool
+	silent    bool
 	asked     time.Time
 	reading   time.Time
 	effects   []Effect
@@ -131,6 +132,9 @@
 		t.inventory(now, ev)
 	case ReplicasEvent:
 		t.setReplicas(ev.Replicas)
+	case SilentEvent:
+		t.silent = true
+		t.refuseWaiting(now)
 	case DrainEvent:
 		t.drain(now)
 	case TickEvent:
@@ -284,13 +288,18 @@
 }
 
 // granting says whether grants and loads may be given at all.
-func (t *Table) granting() bool { return t.told && t.read && !t.draining }
+func (t *Table) granting() bool { return t.told && t.read && !t.draining && !t.silent }
 
 func (t *Table) drain(now time.Time) {
 	if t.draining {
 		return
 	}
 	t.draining = true
+	t.refuseWaiting(now)
+}
+
+// refuseWaiting refuses all waiting requests.
+func (t *Table) refuseWaiting(now time.Time) {
 	for {
 		e, ok := t.queue.Pop(now, func(*queue.Entry) queue.Verdict { return queue.Take })
 		if !ok {
--- a/io/dispatch/attempt.go
+++ b/io/dispatch/attempt.go
@@ -19,6 +19,8 @@
 	choosePause = 20 * time.Millisecond
 	// chooseInterval is how often a waiting request checks the planner's estimate again.
 	chooseInterval = time.Second
+	// overdueFactor is the multiple of the expected time after which an engine without a first token counts as mute.
+	overdueFactor = 5
 )
 
 // attempt is one dispatch to one backend server.
@@ -201,7 +203,7 @@
 	s, err := a.d.cfg.Engines.Complete(streamCtx, engines.Completion{
 		Address: at.backend.Announcement.Address, Request: a.call.ID, Fence: at.grant.Fence,
 		Priority: a.call.Identity.Class, ResumeFrom: at.resume, Chat: a.call.Chat, Body: a.body,
-		Silence: max(tokenSilence, time.Until(a.deadline)),
+		Silence: max(tokenSilence, overdueFactor*at.choice.FirstToken),
 	})
 	// From here on the stream ends with the request, not with the wait for its first token.
 	stop()
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -107,7 +107,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			a.d.reportDead(at.life())
 		}
-	case errorx.IsOfType(err, backend.ErrLost) && a.ctx.Err() == nil && a.d.isGone(a.ctx, at):
+	case errorx.IsOfType(err, backend.ErrLost) && !a.isOver(now) && a.d.isGone(a.ctx, at):
 		a.sent, a.crashed = true, true
 		a.d.reportCrash(a.ctx, at)
 		a.d.release(at, capacity.OutcomeInDoubt, fleet.Tokens(at.tokens))
@@ -117,6 +117,11 @@
 	}
 }
 
+// isOver reports whether nobody waits for the answer any more, or its refusal is due now.
+func (a *answer) isOver(now time.Time) bool {
+	return a.ctx.Err() != nil || a.received == 0 && !now.Before(a.deadline.Add(-turnaround))
+}
+
 // reportDead removes a backend server whose process ended without a request of this host.
 func (d *Dispatcher) reportDead(l control.Life) {
 	k, first := d.crashes.enter(l)
--- a/io/operators/client.go
+++ b/io/operators/client.go
@@ -140,7 +140,7 @@
 // Unwrap returns the reasons.
 func (u *Unreachable) Unwrap() error { return u.Err }
 
-// call sends a request to the first address that answers.
+// call sends a request to the first address that answers and can reach the control group.
 func call[A any](ctx context.Context, c *Client, method, path string, body any) (A, error) {
 	var answer A
 	var data []byte
@@ -155,17 +155,26 @@
 		return answer, &Error{Code: CodeTooLarge, Message: tooLargeMessage}
 	}
 	var failed error
+	// A host that is cut off answers that the system is unavailable, while another one may reach the control group.
+	var unavailable *Error
 	for _, address := range c.cfg.Addresses {
 		if err := ctx.Err(); err != nil {
 			return answer, err
 		}
 		err := c.callOne(ctx, address, method, path, data, &answer)
 		var answered *Error
-		if err == nil || errors.As(err, &answered) {
+		if errors.As(err, &answered) && answered.Code == CodeUnavailable {
+			unavailable = answered
+			continue
+		}
+		if err == nil || answered != nil {
 			return answer, err
 		}
 		failed = errors.Join(failed, fmt.Errorf("%s: %w", address, err))
 	}
+	if unavailable != nil {
+		return answer, unavailable
+	}
 	if failed == nil {
 		failed = errors.New("no address is given")
 	}
--- a/io/owner/entry.go
+++ b/io/owner/entry.go
@@ -19,6 +19,9 @@
 	request fleet.RequestID
 }
 
+// silentAfter is the number of inventories without an answer after which a backend server counts as silent.
+const silentAfter = 2
+
 // entry is one owned backend server under one fencing token.
 type entry struct {
 	owner       *Owner
@@ -35,6 +38,8 @@
 	leaving  bool
 	sessions map[fleet.HostID]bool
 	waiters  map[waiterKey]chan capacity.Answer
+	// failures counts inventories without an answer since the last one with.
+	failures int
 	// admitted holds the load orders that the table has memory for.
 	admitted map[fleet.OrderID]bool
 }
@@ -215,9 +220,14 @@
 	e.owner.jobs.Run(func(ctx context.Context) {
 		asked := time.Now()
 		inv, err := e.owner.cfg.Engines.Inventory(ctx, e.address, e.fence)
-		if err != nil || inv.Backend != e.id || inv.Incarnation != e.incarnation {
+		if err != nil {
+			e.unanswered(time.Now())
+			return
+		}
+		if inv.Backend != e.id || inv.Incarnation != e.incarnation {
 			return
 		}
+		e.answered()
 		e.handle(time.Now(), capacity.InventoryEvent{Asked: asked, Inventory: inv})
 		if e.owner.cfg.Inventory != nil {
 			e.owner.cfg.Inventory(inv)
@@ -225,6 +235,23 @@
 	})
 }
 
+func (e *entry) answered() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failures = 0
+}
+
+// unanswered counts inventories that did not come, and tells the table when the backend server is silent.
+func (e *entry) unanswered(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failures++
+	if !e.closed && e.failures >= silentAfter {
+		e.apply(now, e.table.Handle(now, capacity.SilentEvent{}))
+		e.owner.wakeUp()
+	}
+}
+
 // applyOrder carries out one effect of the orders; mu is held.
 func (e *entry) applyOrder(ef orders.Effect) {
 	switch ef := ef.(type) {
