--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +53,19 @@
   default-deadline: 20s
 `
 
+// TestMain fixes the seed of rapid, which -rapid.seed replaces.
+func TestMain(m *testing.M) {
+	const seed = "20261204"
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := flag.Set(f.Name, seed); err != nil {
+			panic(err)
+		}
+		fmt.Println("rapid seed", seed)
+	}
+	os.Exit(m.Run())
+}
+
 func sample() string {
 	return fmt.Sprintf(`owners:
   operators:
@@ -187,6 +202,9 @@
 		"new section":               {[2]string{"\nlimits:", "\ncapacity:\n  kv-reserve: 1GiB\nlimits:"}, []Section{SectionCapacity}},
 		"removed section":           {[2]string{"\nlimits:\n  default-deadline: 20s\n", "\n"}, []Section{SectionLimits}},
 		"first lines":               {[2]string{"owners:", "# Document\nowners:"}, []Section{SectionOwners}},
+		"section after blank lines": {[2]string{"20s\n", "20s\n\n\ncapacity:\n  kv-reserve: 1GiB"}, []Section{SectionCapacity}},
+		"blank lines at the end":    {[2]string{"20s\n", "20s\n\n"}, []Section{SectionLimits}},
+		"no line end":               {[2]string{"20s\n", "20s"}, []Section{SectionLimits}},
 		"nothing":                   {[2]string{"14GiB", "14GiB"}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -272,6 +290,38 @@
 	})
 }
 
+// Guards against a merge that differs from making both changes one after the other; rapid prints its seed.
+func TestRebaseEqualsBothChanges(t *testing.T) {
+	edits := [][2]string{
+		{"14GiB", "15GiB"}, {"20s\n", "25s\n"}, {"weight: 3", "weight: 4"}, {"\nlimits:", "\ncapacity: {kv-reserve: 1GiB}\n\nlimits:"},
+		{"east-1", "east-2"}, {"# Models of the sales team.\n", ""}, {"      - {method: GET, path-prefix: /prices/live, idempotent: false}\n", ""},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		mine, theirs, both := sample(), sample(), sample()
+		for i, e := range edits {
+			switch rapid.IntRange(0, 2).Draw(t, fmt.Sprint("side of edit ", i)) {
+			case 0:
+				mine, both = strings.Replace(mine, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
+			case 1:
+				theirs, both = strings.Replace(theirs, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
+			}
+		}
+		merged, err := Rebase(sample(), mine, theirs)
+		var c *Conflict
+		if errors.As(err, &c) {
+			require.Equal(t, []Section{SectionModels}, c.Sections, "two edits are in the section models")
+			return
+		}
+		require.NoError(t, err)
+		require.Empty(t, changedText(both, merged))
+		want, problems := Parse("both", both)
+		require.NoError(t, problems.Err())
+		got, problems := Parse("merged", merged)
+		require.NoError(t, problems.Err())
+		require.Empty(t, changedValues(want, got))
+	})
+}
+
 // Guards against operators changing sections of other teams.
 func TestCheckOwner(t *testing.T) {
 	d := parsed(t, sample())
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -72,15 +72,21 @@
 			sections = append(sections, changedValues(a, b)...)
 		}
 	}
+	// Blank lines between sections belong to no one in particular, and a change must have an owner.
+	if blocks := splitSections(after); len(sections) == 0 && before != after && len(blocks) > 0 {
+		sections = append(sections, ownedName(blocks[len(blocks)-1].name))
+	}
 	slices.Sort(sections)
 	return Change{Sections: slices.Compact(sections), Hunks: hunks(before, after)}
 }
 
+// changedText compares the lines of sections without blank lines around them, which a section that is added next to them
+// would take over or bring along.
 func changedText(before, after string) []Section {
 	a, b := sectionTexts(before), sectionTexts(after)
 	var out []Section
 	for name, text := range a {
-		if other, ok := b[name]; !ok || other != text {
+		if other, ok := b[name]; !ok || trim(other) != trim(text) {
 			out = append(out, ownedName(name))
 		}
 	}
@@ -92,6 +98,8 @@
 	return out
 }
 
+func trim(text string) string { return strings.Trim(text, " \t\r\n") }
+
 // ownedName gives lines above all sections to the owners of the section owners.
 func ownedName(name Section) Section {
 	if name == "" {
--- a/core/config/rebase.go
+++ b/core/config/rebase.go
@@ -23,7 +23,7 @@
 	mineTexts, theirTexts := sectionTexts(mine), sectionTexts(theirs)
 	var both []Section
 	for _, s := range ours.Sections {
-		if slices.Contains(other.Sections, s) && mineTexts[s] != theirTexts[s] {
+		if slices.Contains(other.Sections, s) && trim(mineTexts[s]) != trim(theirTexts[s]) {
 			both = append(both, s)
 		}
 	}
--- a/io/operators/fuzz_test.go
+++ b/io/operators/fuzz_test.go
@@ -10,10 +10,16 @@
 
 	"toucanway/core/config"
 	"toucanway/core/control"
+	"toucanway/io/metrics"
 )
 
 // emptySystem has no document and accepts nothing; methods that the fuzz target does not reach are left nil.
-type emptySystem struct{ System }
+type emptySystem struct {
+	System
+	reg *metrics.Registry
+}
+
+func (e emptySystem) Metrics() *metrics.Registry { return e.reg }
 
 func (emptySystem) Document(context.Context) (control.Document, error) {
 	return control.Document{}, nil
@@ -26,7 +32,7 @@
 // Guards against panics and statuses without an error code on any body of an operator.
 func FuzzBodies(f *testing.F) {
 	s := NewServer(ServerSettings{
-		System:        emptySystem{},
+		System:        emptySystem{reg: metrics.New(metrics.Options{})},
 		FirstOperator: config.Operator{ID: "ana", Credentials: []config.Credential{config.HashToken("", "t")}},
 	})
 	paths := [...]string{PathDocument, PathDiff, PathDrain}
--- a/io/operators/operators_test.go
+++ b/io/operators/operators_test.go
@@ -124,6 +124,38 @@
 	require.True(t, a.Unchanged)
 }
 
+// overtaken is a system whose document changes right after it was read for the first time.
+type overtaken struct {
+	*operatorstest.System
+	change func()
+}
+
+func (o *overtaken) Document(ctx context.Context) (control.Document, error) {
+	d, err := o.System.Document(ctx)
+	if change := o.change; change != nil {
+		o.change = nil
+		change()
+	}
+	return d, err
+}
+
+// Guards against a change of a section by an operator who lost it while the submission was checked.
+func TestOwnershipLostMeanwhile(t *testing.T) {
+	f, _, ana, _ := started(t)
+	without := strings.Replace(document("1GiB", "20s"), "models: [budi]", "models: [ana]", 1)
+	slow := &overtaken{System: f, change: func() {
+		_, err := ana.Submit(t.Context(), operators.SubmitRequest{Base: 1, Text: without})
+		require.NoError(t, err)
+	}}
+	budi := operatorstest.Serve(t, slow, first).Client("token-budi")
+	text := strings.Replace(without, "1GiB", "2GiB", 1)
+	_, err := budi.Submit(t.Context(), operators.SubmitRequest{Base: 2, Text: text})
+	requireCode(t, err, operators.CodeUnknownBase)
+	_, err = budi.Submit(t.Context(), operators.SubmitRequest{Base: 2, Text: text})
+	requireCode(t, err, operators.CodeNotOwner)
+	require.Equal(t, without, f.Newest().Text)
+}
+
 // Guards against hunks that give another document than the operator saw.
 func TestSubmitHunks(t *testing.T) {
 	f, _, ana, _ := started(t)
@@ -240,7 +272,10 @@
 	f.Registry.Counter("requests", "").With().Inc(2)
 	fams, err := budi.Metrics(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, int64(2), fams[0].Metrics[0].Value)
+	require.Equal(t, "requests", fams[1].Name)
+	require.Equal(t, int64(2), fams[1].Metrics[0].Value)
+	require.Equal(t, "operators-requests", fams[0].Name)
+	require.Equal(t, map[string]string{"path": operators.PathHosts, "code": "ok"}, fams[0].Metrics[3].Labels)
 	diff, err := budi.Diff(t.Context(), operators.DiffRequest{Text: document("2GiB", "25")})
 	require.NoError(t, err)
 	require.Equal(t, []string{"limits", "models"}, diff.Sections)
--- a/io/operators/server.go
+++ b/io/operators/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/core/config"
+	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/io/metrics"
 )
@@ -25,10 +27,12 @@
 	// MaxBody holds a document of 1 MiB in JSON, where a byte may be written as up to three on average.
 	MaxBody        = 4 << 20
 	maxConnections = 256
-	readTimeout    = 20 * time.Second
-	writeTimeout   = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	shutdownBound  = 5 * time.Second
+	// maxWatching leaves connections for requests when many programs watch.
+	maxWatching   = 128
+	readTimeout   = 20 * time.Second
+	writeTimeout  = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	shutdownBound = 5 * time.Second
 	// DefaultRequestTimeout holds an election, a commit and the time for a document to be in force everywhere.
 	DefaultRequestTimeout = 15 * time.Second
 	// DefaultHeartbeat is the interval of heartbeats on the watch stream.
@@ -52,8 +56,10 @@
 
 // Server answers operators.
 type Server struct {
-	cfg    ServerSettings
-	routes map[route]handler
+	cfg      ServerSettings
+	routes   map[route]handler
+	requests metrics.Counters
+	watching atomic.Int64
 
 	mu     sync.Mutex
 	digest string
@@ -73,6 +79,7 @@
 	}
 	s := &Server{cfg: cfg}
 	s.routes = s.handlers()
+	s.requests = cfg.System.Metrics().Counter("operators-requests", "Operators' requests by path and code.", "path", "code")
 	return s
 }
 
@@ -130,7 +137,10 @@
 	ctx      context.Context
 	http     *fasthttp.RequestCtx
 	operator fleet.OperatorID
-	// document is the one in force, nil before the first.
+	// newest is the document that the credential was checked against; a request that uses a later one could change
+	// sections that its operator no longer owns.
+	newest control.Document
+	// document is the decoded newest, nil before the first.
 	document *config.Document
 }
 
@@ -156,7 +166,32 @@
 	}
 }
 
+// codeKey is the key of the error code that an answer was given, for the counters.
+const codeKey = "code"
+
+// handle answers one request and counts it by path and code.
 func (s *Server) handle(ctx context.Context, r *fasthttp.RequestCtx) {
+	s.answer(ctx, r)
+	path, code := string(r.Path()), "ok"
+	if c, ok := r.UserValue(codeKey).(Code); ok {
+		code = string(c)
+	}
+	if !s.knows(path) {
+		path = metrics.Overflow
+	}
+	s.requests.With(path, code).Inc(1)
+}
+
+func (s *Server) knows(path string) bool {
+	for r := range s.routes {
+		if r.path == path {
+			return true
+		}
+	}
+	return path == PathHealth || path == PathReadiness || path == PathWatch
+}
+
+func (s *Server) answer(ctx context.Context, r *fasthttp.RequestCtx) {
 	method, path := string(r.Method()), string(r.Path())
 	switch {
 	case path == PathHealth:
@@ -212,11 +247,15 @@
 	if !ok || token == "" {
 		return request{}, unauthorized
 	}
-	doc, err := s.inForce(ctx)
+	newest, err := s.cfg.System.Document(ctx)
+	if err != nil {
+		return request{}, err
+	}
+	doc, err := s.decoded(newest)
 	if err != nil {
 		return request{}, err
 	}
-	out := request{ctx: ctx, http: r, document: doc}
+	out := request{ctx: ctx, http: r, newest: newest, document: doc}
 	if doc == nil {
 		if len(s.cfg.FirstOperator.Credentials) == 0 {
 			return request{}, &Error{Code: CodeNoFirstOperator, Message: "no document is in force; set first-operator in the host's settings and restart it"}
@@ -235,11 +274,10 @@
 	return out, nil
 }
 
-// inForce returns the decoded document in force, or nil before the first.
-func (s *Server) inForce(ctx context.Context) (*config.Document, error) {
-	d, err := s.cfg.System.Document(ctx)
-	if err != nil || d.Version == 0 {
-		return nil, err
+// decoded returns a decoded document, or nil before the first. The last one is kept.
+func (s *Server) decoded(d control.Document) (*config.Document, error) {
+	if d.Version == 0 {
+		return nil, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -278,6 +316,7 @@
 }
 
 func answerError(r *fasthttp.RequestCtx, e *Error) {
+	r.SetUserValue(codeKey, e.Code)
 	answerJSON(r, statusOf[e.Code], ErrorAnswer{Error: *e})
 	if e.Code == CodeUnavailable {
 		r.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
--- a/io/operators/submit.go
+++ b/io/operators/submit.go
@@ -11,8 +11,7 @@
 )
 
 func (s *Server) getDocument(r request) (any, error) {
-	d, err := s.cfg.System.Document(r.ctx)
-	return documentAnswer(d), err
+	return documentAnswer(r.newest), nil
 }
 
 func (s *Server) history(r request) (any, error) {
@@ -25,10 +24,7 @@
 	if err := r.decode(&body); err != nil {
 		return nil, err
 	}
-	cur, err := s.cfg.System.Document(r.ctx)
-	if err != nil {
-		return nil, err
-	}
+	cur := r.newest
 	_, problems := config.Parse("document", body.Text)
 	change := config.Diff(cur.Text, body.Text)
 	out := DiffAnswer{
@@ -54,10 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cur, err := s.cfg.System.Document(r.ctx)
-	if err != nil {
-		return nil, err
-	}
+	cur := r.newest
 	history, err := s.cfg.System.History(r.ctx)
 	if err != nil {
 		return nil, err
--- a/io/operators/watch.go
+++ b/io/operators/watch.go
@@ -23,9 +23,15 @@
 		answerError(r, &Error{Code: CodeBadRequest, Message: "after is no log index; leave it out to get all changes on record"})
 		return
 	}
+	if s.watching.Add(1) > maxWatching {
+		s.watching.Add(-1)
+		answerError(r, &Error{Code: CodeUnavailable, Message: "too many watch streams; ask another host, or read /v1/status from time to time"})
+		return
+	}
 	conn := r.Conn()
 	r.SetContentType("application/x-ndjson")
 	r.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer s.watching.Add(-1)
 		out := &eventWriter{w: w, conn: conn}
 		stream, cancel := context.WithCancel(ctx)
 		defer cancel()
