--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -217,6 +217,11 @@
 		})
 	}
 	require.Len(t, Diff("", sample()).Sections, 6)
+	blank := sample() + "\n\n"
+	require.Equal(t, []Section{SectionCapacity}, Diff(blank, blank+"capacity:\n  kv-reserve: 1GiB\n").Sections,
+		"blank lines move to the added section")
+	require.Equal(t, []Section{SectionCapacity}, Diff(strings.TrimSuffix(sample(), "\n"), sample()+"capacity:\n  kv-reserve: 1GiB\n").Sections,
+		"a line end is added")
 }
 
 // Guards against hunks that do not give the new text when lines repeat, move, vanish and change; rapid prints its seed.
