metrics: bucket bounds shared by the members of a histogram

Each member held its own copy of the bounds. BenchmarkHistogramLabelSet now gives 1,119 B for a new label set and BenchmarkHistogramUpdate 212 ns for a look-up with an update; earlier figures were not taken.

--- a/io/metrics/metrics_test.go
+++ b/io/metrics/metrics_test.go
@@ -73,7 +73,7 @@
 	const seed = 7
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := newSample(UnitDuration)
+	s := newSample(bucketsOf(UnitDuration))
 	var values []int64
 	for range 5000 {
 		v := int64(time.Millisecond) + rng.Int64N(int64(3*time.Second))
@@ -90,3 +90,19 @@
 	require.Zero(t, s.Count())
 	require.Zero(t, s.Percentile(0.5))
 }
+
+func BenchmarkHistogramUpdate(b *testing.B) {
+	h := New(Options{}).Histogram("first-token", "", UnitDuration, "tenant", "class")
+	for b.Loop() {
+		h.With("sales-west", "critical").Update(int64(37 * time.Millisecond))
+	}
+}
+
+func BenchmarkHistogramLabelSet(b *testing.B) {
+	h := New(Options{MaxLabelSets: 1 << 30}).Histogram("first-token", "", UnitDuration, "tenant", "class")
+	n := 0
+	for b.Loop() {
+		h.With(fmt.Sprint("tenant-", n), "critical").Update(1)
+		n++
+	}
+}
--- a/io/metrics/registry.go
+++ b/io/metrics/registry.go
@@ -9,8 +9,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
-// DefaultMaxLabelSets bounds the label sets of one metric. A histogram takes about 500 bytes for each, so 100 histograms
-// with all label sets take about 25 MB.
+// DefaultMaxLabelSets bounds the label sets of one metric. A histogram takes about 1.1 KB for each, so 20 histograms with
+// all label sets take about 11 MB of the 256 MB that a process may use.
 const DefaultMaxLabelSets = 512
 
 // Overflow is the value of every label of the set that stands for those beyond the bound.
@@ -56,8 +56,10 @@
 	kind       kind
 	unit       Unit
 	labels     []string
-	max        int
-	reg        gometrics.Registry
+	// bounds are the upper bounds of a histogram's buckets, shared by its members.
+	bounds []int64
+	max    int
+	reg    gometrics.Registry
 
 	mu      sync.RWMutex
 	members map[string]*member
@@ -78,6 +80,9 @@
 	return &Registry{max: o.MaxLabelSets, reg: gometrics.NewRegistry(), families: map[string]*family{}}
 }
 
+// GoMetrics returns the registry below, for reporters of that library.
+func (r *Registry) GoMetrics() gometrics.Registry { return r.reg }
+
 // Counters is a counter for each set of label values.
 type Counters struct{ f *family }
 
@@ -119,7 +124,7 @@
 
 // With returns the histogram for label values in the order of the declared labels.
 func (h Histograms) With(values ...string) gometrics.Histogram {
-	return h.f.member(values, func() any { return gometrics.NewHistogram(newSample(h.f.unit)) }).(gometrics.Histogram)
+	return h.f.member(values, func() any { return gometrics.NewHistogram(newSample(h.f.bounds)) }).(gometrics.Histogram)
 }
 
 // declare returns the family of a name. Another declaration of the same name is an error of the program.
@@ -135,6 +140,9 @@
 	f := &family{
 		name: name, help: help, kind: k, unit: unit, labels: labels, max: r.max, reg: r.reg, members: map[string]*member{},
 	}
+	if k == kindHistogram {
+		f.bounds = bucketsOf(unit)
+	}
 	r.families[name] = f
 	return f
 }
--- a/io/metrics/sample.go
+++ b/io/metrics/sample.go
@@ -50,10 +50,8 @@
 
 var _ gometrics.Sample = (*sample)(nil)
 
-func newSample(u Unit) *sample {
-	s := &sample{bounds: bucketsOf(u)}
-	s.counts = make([]int64, len(s.bounds)+1)
-	return s
+func newSample(bounds []int64) *sample {
+	return &sample{bounds: bounds, counts: make([]int64, len(bounds)+1)}
 }
 
 // Update counts one value.
