settings, hosts, entry: TLS files are read again when they change

TLS files were read once, so that a new certificate or authority needed a restart of every host. The files under tls.operators were checked and then ignored: the operators' interface spoke plain TCP.

A Reloader looks at the files in handshakes, at most once a second, and keeps the earlier ones when the new ones cannot be loaded, with one log line per change of state and the counter tls-reloads. hosts.NewClient takes a function that gives the settings of the next connection. entry uses a Reloader for the three interfaces.

--- a/cmd/toucanway-lab/internal/docs/pages.go
+++ b/cmd/toucanway-lab/internal/docs/pages.go
@@ -45,6 +45,11 @@
 Each host has one YAML file, given to [serve](commands/serve.md). It is read once at the start; a changed file takes effect
 with a restart, which is a normal event. Addresses are IP:PORT, and names are not resolved. All problems are reported at once
 with line and remedy: see [check](commands/check.md). A host without TLS files for an interface speaks plain TCP there.
+
+TLS files are the exception: they are looked at in handshakes, at most once a second, and read again when their time of
+change or size differs. Open connections keep the certificates they began with. Files that cannot be loaded leave the earlier
+ones in use; the log and the metric ` + "`tls-reloads`" + ` tell. To replace an authority, first add the new one to the file of every
+host, then replace the certificates, then remove the old authority.
 `)
 	b.WriteString(tableHead)
 	for _, e := range schema.Describe(schema.TypeOf[settings.Settings](), settings.Kinds()) {
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"slices"
 	"syscall"
@@ -14,16 +13,9 @@
 	"toucanway/io/settings"
 )
 
-// hostTLS returns the TLS settings of the interface between hosts, nil for cleartext.
-func hostTLS(f settings.Files) (server, client *tls.Config, err error) {
-	if !f.IsSet() {
-		return nil, nil, nil
-	}
-	if server, err = f.Server(); err != nil {
-		return nil, nil, err
-	}
-	client, err = f.Client()
-	return server, client, err
+// reloader returns the TLS files of one interface, nil for plain TCP.
+func (h *Host) reloader(name string, f settings.Files) (*settings.Reloader, error) {
+	return settings.NewReloader(settings.ReloaderSettings{Files: f, Interface: name, Log: h.log, Metrics: h.metrics})
 }
 
 // isRefused reports whether the other side's system answered that nothing listens on the port.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	callers  *callers.Server
 	loads    capacity.LoadShare
 	adviser  adviser
+	// operatorsTLS is nil for plain TCP.
+	operatorsTLS *settings.Reloader
 	// voter is nil on a host that is no voter.
 	voter    *voter
 	draining atomic.Bool
@@ -79,12 +82,12 @@
 // New assembles a host; nothing runs before Run.
 func New(cfg Settings) (*Host, error) {
 	h := &Host{cfg: cfg, log: cfg.Loggers.Of(settings.LogDefault), metrics: metrics.New(metrics.Options{})}
-	serverTLS, clientTLS, err := hostTLS(cfg.TLS.Hosts)
+	hostsTLS, err := h.reloader("hosts", cfg.TLS.Hosts)
 	if err != nil {
 		return nil, err
 	}
 	members := membersOf(cfg.Settings)
-	h.client = hosts.NewClient(cfg.ID, cfg.Network, clientTLS)
+	h.client = hosts.NewClient(cfg.ID, cfg.Network, hostsTLS.Client())
 	h.control = hosts.NewGroupClient(h.client, members)
 	h.registry = &registry{seen: map[fleet.BackendID]fleet.Incarnation{}}
 	h.follower = follow.New(follow.Settings{
@@ -118,7 +121,11 @@
 	}
 	h.owner.Register(&h.server)
 	h.dispatch.Register(&h.server)
-	h.server.TLS = serverTLS
+	h.server.TLS = hostsTLS.Server()
+	h.operatorsTLS, err = h.reloader("operators", cfg.TLS.Operators)
+	if err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -141,13 +148,11 @@
 
 func (h *Host) newCallers() error {
 	cfg := callers.Settings{Handler: handler{h}, Extra: engines.Intake{Registry: h.registry}.Serve}
-	if h.cfg.TLS.Callers.IsSet() {
-		tlsConfig, err := h.cfg.TLS.Callers.Server()
-		if err != nil {
-			return err
-		}
-		cfg.TLS = tlsConfig
+	callersTLS, err := h.reloader("callers", h.cfg.TLS.Callers)
+	if err != nil {
+		return err
 	}
+	cfg.TLS = callersTLS.Server()
 	h.callers = callers.NewServer(cfg)
 	return nil
 }
@@ -324,6 +329,9 @@
 	g.Go(func() error { return h.owner.Run(ctx) })
 	g.Go(func() error { return h.reporter.Run(ctx) })
 	g.Go(func() error { return h.dispatch.Run(ctx) })
+	if cfg := h.operatorsTLS.Server(); cfg != nil {
+		l.Operators = tls.NewListener(l.Operators, cfg)
+	}
 	g.Go(func() error { return h.operators().Serve(ctx, l.Operators) })
 	if h.voter == nil {
 		return
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -36,8 +36,9 @@
 	clients map[string]any
 }
 
-// NewClient returns a client that dials by the network; without TLS settings it speaks cleartext HTTP/2.
-func NewClient(self fleet.HostID, n network.Network, tlsConfig *tls.Config) *Client {
+// NewClient returns a client that dials by the network. tlsConfig gives the TLS settings of the next connection; nil means
+// cleartext HTTP/2.
+func NewClient(self fleet.HostID, n network.Network, tlsConfig func() *tls.Config) *Client {
 	var protocols http.Protocols
 	scheme := "http"
 	if tlsConfig != nil {
@@ -53,10 +54,11 @@
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return n.Dial(ctx, address)
 			},
-			TLSClientConfig:     tlsConfig,
-			TLSHandshakeTimeout: network.DialTimeout,
-			Protocols:           &protocols,
-			IdleConnTimeout:     time.Minute,
+			DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return dialTLS(ctx, n, address, tlsConfig())
+			},
+			Protocols:       &protocols,
+			IdleConnTimeout: time.Minute,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout:  HeartbeatInterval,
 				PingTimeout:      HeartbeatTimeout,
@@ -67,6 +69,25 @@
 	}
 }
 
+// dialTLS opens a connection with a handshake that is bounded like a dial.
+func dialTLS(ctx context.Context, n network.Network, address string, cfg *tls.Config) (net.Conn, error) {
+	c, err := n.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	cfg.NextProtos = []string{"h2"}
+	ctx, cancel := context.WithTimeout(ctx, network.DialTimeout)
+	defer cancel()
+	conn := tls.Client(c, cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return conn, nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/io/internal/certificates/certificates.go
+++ b/io/internal/certificates/certificates.go
@@ -20,6 +20,21 @@
 // Files are the paths of a certificate and its key in PEM form.
 type Files struct{ Certificate, Key string }
 
+// Replace writes the joined contents of some files over another one. The modification times of later versions differ, also
+// where the file system's clock is coarse.
+func Replace(t *testing.T, version int, file string, from ...string) {
+	t.Helper()
+	var data []byte
+	for _, f := range from {
+		one, err := os.ReadFile(f)
+		require.NoError(t, err)
+		data = append(data, one...)
+	}
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	modified := time.Unix(int64(version), 0)
+	require.NoError(t, os.Chtimes(file, modified, modified))
+}
+
 // New writes a self-signed certificate for 127.0.0.1, which is its own authority and serves both sides.
 func New(t *testing.T) Files {
 	t.Helper()
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -41,9 +41,10 @@
 	l.Of(LogDisk).Info("hidden")
 	require.Contains(t, out.String(), `"subsystem":"raft"`)
 	require.NotContains(t, out.String(), "hidden")
-	cfg, err := s.TLS.Callers.Server()
+	r, err := NewReloader(ReloaderSettings{Files: s.TLS.Callers})
 	require.NoError(t, err)
-	require.Nil(t, cfg)
+	require.Nil(t, r.Server())
+	require.Nil(t, r.Client())
 }
 
 // Guards against a host that starts with settings that cannot work.
--- a/io/settings/tls.go
+++ b/io/settings/tls.go
@@ -9,50 +9,38 @@
 // IsSet reports whether the interface uses TLS.
 func (f Files) IsSet() bool { return f.Certificate != "" }
 
-// Server returns the TLS configuration of a listener, or nil when the interface uses plain TCP.
-func (f Files) Server() (*tls.Config, error) {
-	if !f.IsSet() {
+// Client returns the TLS configuration of connections to this interface of hosts, or nil for plain TCP. The files are
+// read once.
+func (f Files) Client() (*tls.Config, error) {
+	if !f.IsSet() && f.Authority == "" {
 		return nil, nil
 	}
-	cfg, err := f.pair()
+	m, err := f.load()
 	if err != nil {
 		return nil, err
 	}
-	if f.Authority != "" {
-		if cfg.ClientCAs, err = f.Authority.pool(); err != nil {
-			return nil, err
-		}
-		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: m.authority}
+	if m.certificate != nil {
+		cfg.Certificates = []tls.Certificate{*m.certificate}
 	}
 	return cfg, nil
 }
 
-// Client returns the TLS configuration of connections to the same interface of other hosts, or nil for plain TCP.
-func (f Files) Client() (*tls.Config, error) {
-	if !f.IsSet() && f.Authority == "" {
-		return nil, nil
-	}
-	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
-	var err error
+// load reads the files that are set.
+func (f Files) load() (m material, err error) {
 	if f.IsSet() {
-		if cfg, err = f.pair(); err != nil {
-			return nil, err
+		cert, err := tls.LoadX509KeyPair(string(f.Certificate), string(f.Key))
+		if err != nil {
+			return material{}, ErrUnreadable.Wrap(err, "TLS certificate %s or key %s cannot be loaded; give matching PEM files", f.Certificate, f.Key)
 		}
+		m.certificate = &cert
 	}
 	if f.Authority != "" {
-		if cfg.RootCAs, err = f.Authority.pool(); err != nil {
-			return nil, err
+		if m.authority, err = f.Authority.pool(); err != nil {
+			return material{}, err
 		}
 	}
-	return cfg, nil
-}
-
-func (f Files) pair() (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(string(f.Certificate), string(f.Key))
-	if err != nil {
-		return nil, ErrUnreadable.Wrap(err, "TLS certificate %s or key %s cannot be loaded; give matching PEM files", f.Certificate, f.Key)
-	}
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}, nil
+	return m, nil
 }
 
 func (f File) pool() (*x509.CertPool, error) {
--- a/io/settings/tls_test.go
+++ b/io/settings/tls_test.go
@@ -15,6 +15,23 @@
 	return Files{Certificate: File(c.Certificate), Key: File(c.Key), Authority: File(c.Certificate)}
 }
 
+// handshake connects a client to a server in memory.
+func handshake(server, client *tls.Config) (serverErr, clientErr error) {
+	client.ServerName = "127.0.0.1"
+	pipe := fasthttputil.NewPipeConns()
+	done := make(chan error, 1)
+	go func() {
+		c := tls.Client(pipe.Conn1(), client)
+		done <- c.Handshake()
+		_, _ = c.Read(make([]byte, 1)) // takes the alert that a refusing server sends
+		_ = pipe.Conn1().Close()
+	}()
+	s := tls.Server(pipe.Conn2(), server)
+	serverErr = s.Handshake()
+	_ = s.Close()
+	return serverErr, <-done
+}
+
 // Guards against peers that are accepted without the certificate that the settings ask for.
 func TestTLS(t *testing.T) {
 	host, other := filesOf(t), filesOf(t)
@@ -28,28 +45,15 @@
 		"other authority":              {Files{Certificate: host.Certificate, Key: host.Key, Authority: other.Authority}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			serverConfig, err := host.Server()
+			server, err := NewReloader(ReloaderSettings{Files: host})
 			require.NoError(t, err)
 			clientConfig, err := tc.client.Client()
 			require.NoError(t, err)
-			clientConfig.ServerName = "127.0.0.1"
-			pipe := fasthttputil.NewPipeConns()
-			a, b := pipe.Conn1(), pipe.Conn2()
-			done := make(chan error, 1)
-			go func() {
-				client := tls.Client(a, clientConfig)
-				done <- client.Handshake()
-				_, _ = client.Read(make([]byte, 1)) // takes the alert that a refusing server sends
-				_ = a.Close()
-			}()
-			server := tls.Server(b, serverConfig)
-			err = server.Handshake()
-			_ = server.Close()
-			clientErr := <-done
-			require.Equal(t, tc.ok, err == nil && clientErr == nil, "server: %v, client: %v", err, clientErr)
+			serverErr, clientErr := handshake(server.Server(), clientConfig)
+			require.Equal(t, tc.ok, serverErr == nil && clientErr == nil, "server: %v, client: %v", serverErr, clientErr)
 		})
 	}
-	_, err := Files{Certificate: host.Key, Key: host.Key}.Server()
+	_, err := NewReloader(ReloaderSettings{Files: Files{Certificate: host.Key, Key: host.Key}})
 	require.ErrorContains(t, err, "give matching PEM files")
 	_, err = Files{Authority: host.Key}.Client()
 	require.ErrorContains(t, err, "holds no certificate")
--- a/io/terminal/terminal_test.go
+++ b/io/terminal/terminal_test.go
@@ -213,11 +213,11 @@
 func TestTLS(t *testing.T) {
 	host, other := certificates.New(t), certificates.New(t)
 	files := settings.Files{Certificate: settings.File(host.Certificate), Key: settings.File(host.Key), Authority: settings.File(host.Certificate)}
-	cfg, err := files.Server()
+	reloader, err := settings.NewReloader(settings.ReloaderSettings{Files: files})
 	require.NoError(t, err)
 	first := config.Operator{ID: "ana", Credentials: []config.Credential{config.HashToken("", "token-ana")}}
 	r := &runner{t: t, system: operatorstest.New()}
-	r.server = operatorstest.ServeTLS(t, r.system, first, cfg)
+	r.server = operatorstest.ServeTLS(t, r.system, first, reloader.Server())
 	pair := []string{"--certificate=" + host.Certificate, "--key=" + host.Key}
 	for name, tc := range map[string]struct {
 		code ExitCode
