follow, sessions, planning, owner, operators, entry: log messages are constants

Lines of entry and sessions had the key host twice, of which JSON readers keep the last one.

Each message is one constant. The operators' line is "drain requested", and the host of a closed session is the field session-host.

--- a/io/entry/drain.go
+++ b/io/entry/drain.go
@@ -15,13 +15,21 @@
 	leaveTimeout           = 2 * time.Second
 )
 
+// Log messages of the host's life.
+const (
+	logStarted      = "host started"
+	logStopped      = "host stopped"
+	logDrainStarted = "drain started"
+	logDrainBound   = "drain bound reached"
+)
+
 // drain stops naming the host to callers, waits until earlier answers that name it have ended, and lets every request
 // finish within the drain bound.
 func (h *Host) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.drainBound())
 	defer cancel()
 	h.draining.Store(true)
-	h.log.Info("drain started", zap.Int("requests", h.dispatch.Requests()))
+	h.log.Info(logDrainStarted, zap.Int("requests", h.dispatch.Requests()))
 	// Without an answer from the control group the session ends by its lease.
 	_, _ = h.follower.Propose(ctx, &control.DrainSession{Host: h.cfg.ID, Incarnation: h.follower.Incarnation()})
 	t := time.NewTimer(h.addressLifetime())
@@ -32,7 +40,7 @@
 	}
 	h.dispatch.Drain()
 	if err := h.dispatch.WaitIdle(ctx); err != nil {
-		h.log.Warn("drain bound reached", zap.Int("requests", h.dispatch.Requests()))
+		h.log.Warn(logDrainBound, zap.Int("requests", h.dispatch.Requests()))
 	}
 }
 
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -311,11 +311,11 @@
 		cancel()
 		return nil
 	})
-	h.log.Info("host started", zap.String("host", string(h.cfg.ID)))
+	h.log.Info(logStarted)
 	err = g.Wait()
 	h.pool.Close()
 	h.client.Close()
-	h.log.Info("host stopped", zap.String("host", string(h.cfg.ID)), zap.Error(err))
+	h.log.Info(logStopped, zap.Error(err))
 	return err
 }
 
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -20,6 +20,13 @@
 // ErrSuperseded means that another process opened a session under this host's id.
 var ErrSuperseded = Errors.NewType("superseded")
 
+// Log messages of changes of the session and the document.
+const (
+	logUndecodable   = "configuration cannot be decoded; upgrade this host"
+	logInForce       = "configuration in force"
+	logSessionOpened = "session opened"
+)
+
 const (
 	// Hold is how long the leader may keep a poll waiting for news.
 	Hold = 500 * time.Millisecond
@@ -244,13 +251,13 @@
 	}
 	doc, problems := config.Parse("document", d.Text)
 	if len(problems) > 0 {
-		f.cfg.Log.Error("configuration cannot be decoded; upgrade this host",
+		f.cfg.Log.Error(logUndecodable,
 			zap.Uint64("version", uint64(d.Version)), zap.Error(problems))
 		return
 	}
 	f.doc = doc
 	f.docVersion = d.Version
-	f.cfg.Log.Info("configuration in force", zap.Uint64("version", uint64(d.Version)))
+	f.cfg.Log.Info(logInForce, zap.Uint64("version", uint64(d.Version)))
 }
 
 // open registers a new life of the host under the next incarnation.
@@ -272,7 +279,7 @@
 	f.mu.Lock()
 	f.incarnation = next
 	f.mu.Unlock()
-	f.cfg.Log.Info("session opened", zap.Uint64("incarnation", uint64(next)))
+	f.cfg.Log.Info(logSessionOpened, zap.Uint64("incarnation", uint64(next)))
 	return nil
 }
 
--- a/io/operators/server.go
+++ b/io/operators/server.go
@@ -41,6 +41,12 @@
 
 const tooLargeMessage = "the body is larger than 4 MiB; submit hunks or a smaller document"
 
+// Log messages of changes that operators made.
+const (
+	logAccepted       = "document accepted"
+	logDrainRequested = "drain requested"
+)
+
 // ServerSettings are the settings of a Server.
 type ServerSettings struct {
 	System System
@@ -373,7 +379,7 @@
 	if err := s.cfg.System.Drain(r.ctx, drainOf(body, r.operator)); err != nil {
 		return nil, err
 	}
-	s.cfg.Logger.Info("drain started", zap.String("operator", string(r.operator)),
+	s.cfg.Logger.Info(logDrainRequested, zap.String("operator", string(r.operator)),
 		zap.String("host-drained", body.Host), zap.String("backend-server", body.BackendServer))
 	return DrainAnswer{Draining: body.Host + body.BackendServer}, nil
 }
--- a/io/operators/submit.go
+++ b/io/operators/submit.go
@@ -102,7 +102,7 @@
 	answer := submitAnswer(out)
 	answer.Repeated = repeated
 	if !repeated {
-		s.cfg.Logger.Info("document accepted", zap.Uint64("version", answer.Version), zap.String("operator", string(r.operator)),
+		s.cfg.Logger.Info(logAccepted, zap.Uint64("version", answer.Version), zap.String("operator", string(r.operator)),
 			zap.Strings("sections", answer.Sections), zap.Strings("expired-hosts", answer.ExpiredHosts))
 	}
 	return answer, nil
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -26,6 +26,8 @@
 // ErrStopped means that the host shuts down.
 var ErrStopped = Errors.NewType("stopped")
 
+const logOwned = "ownership taken"
+
 // stepInterval is the longest time between two steps of an owned backend server's orders.
 const stepInterval = time.Second
 
@@ -258,7 +260,7 @@
 	cfg.Backend, cfg.Incarnation, cfg.Fence = a.ID, a.Incarnation, m.backend.Fence
 	cfg.Memory, cfg.Slots, cfg.Taken = a.Memory, a.Slots, now
 	cfg.ChecksFence = doc.ChecksFence(a)
-	o.cfg.Log.Info("ownership taken", zap.String("backend-server", string(a.ID)), zap.Uint64("fence", uint64(m.backend.Fence)))
+	o.cfg.Log.Info(logOwned, zap.String("backend-server", string(a.ID)), zap.Uint64("fence", uint64(m.backend.Fence)))
 	return &entry{
 		owner: o, id: a.ID, address: a.Address, fence: m.backend.Fence, incarnation: a.Incarnation,
 		table:    capacity.New(cfg),
--- a/io/planning/service.go
+++ b/io/planning/service.go
@@ -213,6 +213,8 @@
 	}
 }
 
+const logRejected = "decision rejected"
+
 // propose commits one command. A rejected or lost one is planned again from the state in a later round.
 func (s *Service) propose(ctx context.Context, c control.Command) {
 	data, err := control.Encode(control.Proposal{Proposer: control.Proposer{Host: s.cfg.Self}, Command: c})
@@ -224,6 +226,6 @@
 		return
 	}
 	if res, err := control.DecodeResult(out); err == nil && res.Reason != "" {
-		s.cfg.Log.Debug("decision rejected", zap.String("reason", string(res.Reason)), zap.String("message", res.Message))
+		s.cfg.Log.Debug(logRejected, zap.String("reason", string(res.Reason)), zap.String("message", res.Message))
 	}
 }
--- a/io/sessions/service.go
+++ b/io/sessions/service.go
@@ -332,6 +332,12 @@
 	}
 }
 
+// Log messages of lives that ended.
+const (
+	logSessionClosed  = "session closed"
+	logBackendRemoved = "backend server removed"
+)
+
 func (s *Service) closeSessions(ctx context.Context, now time.Time) {
 	var sessions []control.Session
 	s.cfg.Group.View(func() { sessions = s.cfg.Machine.State.Sessions() })
@@ -340,7 +346,7 @@
 			continue
 		}
 		if s.propose(ctx, &control.CloseSession{Host: v.Host, Incarnation: v.Incarnation}) {
-			s.cfg.Log.Info("session closed", zap.String("host", string(v.Host)), zap.Uint64("incarnation", uint64(v.Incarnation)))
+			s.cfg.Log.Info(logSessionClosed, zap.String("session-host", string(v.Host)), zap.Uint64("incarnation", uint64(v.Incarnation)))
 		}
 	}
 }
@@ -355,7 +361,7 @@
 		dead := s.cfg.Dead != nil && s.cfg.Dead(ctx, b)
 		c := &control.RemoveBackend{Backend: b.Announcement.ID, Incarnation: b.Announcement.Incarnation, Dead: dead}
 		if s.propose(ctx, c) {
-			s.cfg.Log.Info("backend server removed", zap.String("backend-server", string(b.Announcement.ID)), zap.Bool("dead", dead))
+			s.cfg.Log.Info(logBackendRemoved, zap.String("backend-server", string(b.Announcement.ID)), zap.Bool("dead", dead))
 		}
 	}
 }
