docs: generated page of metrics and log lines

Operators had no list of what a host counts and logs. docs/metrics.md is generated from the declarations in the io packages: names, kinds, units, labels and help of metrics, and message, level and fields of each log line. A metric or message without an explanation, and an explanation without its source, fail the check.

The field message of "decision rejected" had the key of the line's message and is now detail.

--- a/cmd/toucanway-lab/internal/docs/docs_test.go
+++ b/cmd/toucanway-lab/internal/docs/docs_test.go
@@ -38,6 +38,7 @@
 			require.NoError(t, err)
 			require.NoError(t, os.MkdirAll(filepath.Join(dir, "core/fleet"), 0o755))
 			require.NoError(t, os.WriteFile(filepath.Join(dir, "core/fleet/refusal.go"), code, 0o600))
+			require.NoError(t, os.CopyFS(filepath.Join(dir, "io"), os.DirFS(filepath.Join(root, "io"))))
 			require.NoError(t, run(dir, true))
 			require.NoError(t, run(dir, false))
 			tc.change(t, dir)
@@ -55,3 +56,21 @@
 	_, err := refusalsPage(file)
 	require.ErrorContains(t, err, "code new")
 }
+
+// Guards against metrics and log lines without an explanation, and against messages that the page cannot list.
+func TestUnexplainedObservations(t *testing.T) {
+	for name, tc := range map[string]struct{ code, want string }{
+		"metric":  {`r.Counter("new-metric", "Help.")`, "metric new-metric is not explained"},
+		"message": {`log.Info(logNew)`, `log message "new message" of package p is not explained`},
+		"literal": {`log.Info("new message")`, "is not a constant"},
+		"nothing": {``, "explained but not in the source"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			code := "package p\n\nconst logNew = \"new message\"\n\nfunc f() {\n" + tc.code + "\n}\n"
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "p.go"), []byte(code), 0o600))
+			_, err := observePage(dir)
+			require.ErrorContains(t, err, tc.want)
+		})
+	}
+}
--- a/cmd/toucanway-lab/internal/docs/main.go
+++ b/cmd/toucanway-lab/internal/docs/main.go
@@ -39,6 +39,9 @@
 		return nil, err
 	}
 	out["docs/refusals.md"] = refusals
+	if out["docs/metrics.md"], err = observePage(filepath.Join(root, "io")); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
--- /dev/null
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"toucanway/io/settings"
+)
+
+// logNote explains a log message to operators.
+type logNote struct {
+	subsystem       settings.Subsystem
+	meaning, remedy string
+}
+
+const nothing = "Nothing."
+
+// metricRemedies tells what to do about each metric; the help of its declaration gives the meaning.
+func metricRemedies() map[string]string {
+	return map[string]string{
+		"requests":            "Compare with `refusals`: the share of refused requests shows missing capacity.",
+		"time-to-first-token": "Above the target: look at the code and class of refusals, loads under way in `toucanway models` and busy servers in `toucanway runners`.",
+		"token-gap":           "Above the target on all hosts: add backend servers. From single servers: see the runbook of a slow backend server.",
+		"refusals":            "Look up the code in [refusals](refusals.md).",
+		"retries":             "A rise shows failing backend servers; look at `backend-crashes` and `toucanway runners`.",
+		"hedges":              "A rise shows slow backend servers; see the runbook of a slow backend server.",
+		"backend-crashes":     "Look at the logs of the backend server; repeated ones under the same request are the case of the runbook of a poison request.",
+		"releases-lost":       "A few are normal when an owner changes. A steady rise: check the connections between hosts.",
+		"ledger-commits-lost": "The records become `unknown` later. Check that a majority of the voters is reachable.",
+		"operators-requests":  "Many `unauthorized`: a tool uses an old token.",
+		"tls-reloads":         "With the result `failed`: write matching PEM files; the earlier ones stay in use until they expire.",
+	}
+}
+
+func logNotes() map[string]logNote {
+	return map[string]logNote{
+		"host started":         {settings.LogDefault, "The host serves its addresses.", nothing},
+		"host stopped":         {settings.LogDefault, "The process ends; `error` tells why if it was not asked to.", "With an error: follow its remedy."},
+		"drain started":        {settings.LogDefault, "The host shuts down and waits for its requests.", nothing},
+		"drain bound reached":  {settings.LogDefault, "Requests were still running at the end of the drain bound and were cut off.", "Raise `limits.drain-bound` and the host's `drain-bound` if requests may run that long."},
+		"TLS files read again": {settings.LogDefault, "New connections use the new files.", nothing},
+		"TLS files cannot be loaded; the earlier ones stay in use": {settings.LogDefault, "A changed file is missing, broken or does not match the others.", "Write matching PEM files; they are looked at again when they change."},
+		"configuration in force":                                   {settings.LogControl, "The host serves by this document.", nothing},
+		"configuration cannot be decoded; upgrade this host":       {settings.LogControl, "The accepted document is newer than this host's program; the host takes no new work.", "Upgrade the host."},
+		"session opened":         {settings.LogControl, "The host joined the deployment under a new incarnation.", "Repeated without a restart: the host loses its connection to the voters for more than 3 s."},
+		"session closed":         {settings.LogControl, "The leader closed the session of a host that was not heard of; what it owned moves.", "See the runbook of a lost host."},
+		"backend server removed": {settings.LogControl, "A backend server did not renew its announcement for 5 s. `dead` tells whether its process ended.", "See the runbook of a slow or mute backend server."},
+		"ownership taken":        {settings.LogCapacity, "The host now grants the capacity of this backend server.", nothing},
+		"decision rejected":      {settings.LogPlacement, "The control group refused a planned load or unload, which is planned again.", nothing},
+		"document accepted":      {settings.LogOperators, "A submission is in force on all hosts but `expired-hosts`.", nothing},
+		"drain requested":        {settings.LogOperators, "An operator drains a host or a backend server.", nothing},
+		"raft role changed":      {settings.LogRaft, "The voter became follower, candidate or leader of a group.", "Frequent changes: check the network and disks of the voters."},
+		"raft leader changed":    {settings.LogRaft, "The group follows another leader, or none.", "Empty `leader` for long: a majority of voters is lost; see the runbooks."},
+		"raft snapshot taken":    {settings.LogRaft, "The log was cut to a snapshot.", nothing},
+		"raft group knows this host under another data folder; remove it and add it again as a learner": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote.", "See the runbook of a lost voter."},
+		"raft storage or state machine failed; this host no longer votes":                               {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
+	}
+}
+
+// observePage returns the page of metrics and log lines that the packages of a folder declare. Each must be explained.
+func observePage(folder string) (string, error) {
+	s, err := readSource(folder)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	b.WriteString("# Metrics and log lines\n\n" + generatedNote + `
+Every host serves its own metrics at its operators' address: ` + "`GET /v1/metrics`" + ` as JSON with the short names, ` + "`GET /metrics`" + ` as
+text with the long names. They count from the start of the process. Each metric has at most 512 sets of label values; further
+ones are counted together under ` + "`other`" + `.
+
+## Metrics
+
+| name | name in text | kind | labels | meaning | what to do |
+|---|---|---|---|---|---|
+`)
+	remedies := metricRemedies()
+	for _, m := range s.metrics.Declared() {
+		remedy, ok := remedies[m.Name]
+		if !ok {
+			return "", fmt.Errorf("metric %s is not explained; add it to metricRemedies", m.Name)
+		}
+		delete(remedies, m.Name)
+		kind := strings.TrimSpace(m.Kind + " " + m.Unit)
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s | %s | %s |\n", m.Name, m.TextName, kind, codeList(m.Labels), m.Help, remedy)
+	}
+	b.WriteString(`
+## Log lines
+
+Lines are JSON with ` + "`time`, `level`, `subsystem`, `host`, `message`" + ` and the fields below. Levels are set in the
+[settings](settings.md); debug lines are off unless asked for.
+
+| subsystem | level | message | fields | meaning | what to do |
+|---|---|---|---|---|---|
+`)
+	notes := logNotes()
+	slices.SortStableFunc(s.lines, func(a, b logLine) int {
+		return cmp.Compare(notes[a.message].subsystem, notes[b.message].subsystem)
+	})
+	used := map[string]bool{}
+	for _, l := range s.lines {
+		n, ok := notes[l.message]
+		if !ok {
+			return "", fmt.Errorf("log message %q of package %s is not explained; add it to logNotes", l.message, l.pkg)
+		}
+		used[l.message] = true
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", n.subsystem, l.level, l.message, codeList(l.fields), n.meaning, n.remedy)
+	}
+	maps.DeleteFunc(notes, func(m string, _ logNote) bool { return used[m] })
+	if len(remedies)+len(notes) > 0 {
+		return "", fmt.Errorf("explained but not in the source: %v", slices.Concat(slices.Sorted(maps.Keys(remedies)), slices.Sorted(maps.Keys(notes))))
+	}
+	return b.String(), nil
+}
+
+func codeList(names []string) string {
+	if len(names) == 0 {
+		return "-"
+	}
+	return "`" + strings.Join(names, "`, `") + "`"
+}
--- a/io/metrics/registry.go
+++ b/io/metrics/registry.go
@@ -213,3 +213,27 @@
 	slices.SortFunc(out, func(a, b *member) int { return slices.Compare(a.values, b.values) })
 	return out
 }
+
+// Declaration describes a metric without its values.
+type Declaration struct {
+	Name string
+	// TextName is the name in the text exposition.
+	TextName string
+	Help     string
+	Kind     string
+	// Unit is empty for counts.
+	Unit   string
+	Labels []string
+}
+
+// Declared returns all declared metrics by name.
+func (r *Registry) Declared() []Declaration {
+	var out []Declaration
+	for _, f := range r.sorted() {
+		out = append(out, Declaration{
+			Name: f.name, TextName: f.fullName(), Help: f.help, Kind: kindNames[f.kind], Unit: f.unit.String(),
+			Labels: slices.Clone(f.labels),
+		})
+	}
+	return out
+}
--- a/io/planning/service.go
+++ b/io/planning/service.go
@@ -226,6 +226,6 @@
 		return
 	}
 	if res, err := control.DecodeResult(out); err == nil && res.Reason != "" {
-		s.cfg.Log.Debug(logRejected, zap.String("reason", string(res.Reason)), zap.String("message", res.Message))
+		s.cfg.Log.Debug(logRejected, zap.String("reason", string(res.Reason)), zap.String("detail", res.Message))
 	}
 }
