raft: probes carry no entries

Cause: a leader sent up to 256 KiB of entries with each heartbeat to a member whose answers do not count, such as a voter whose disk was lost, and up to 16 MiB of unanswered entries to each member were held in memory. Change: entries follow only once the common part of the logs is known; 16 messages of 128 KiB at most are unanswered; the driver's inbox is bounded by bytes; the model lets several messages pass per step and old leaders take requests.

--- a/core/raft/model_test.go
+++ b/core/raft/model_test.go
@@ -39,8 +39,10 @@
 	loss     float64
 	reorder  bool
 	election time.Duration
-	nextID   StorageID
-	nextCmd  uint64
+	// hops is how many messages in a row may pass within one step of time.
+	hops    int
+	nextID  StorageID
+	nextCmd uint64
 
 	leaders   map[Term]fleet.HostID
 	seen      map[[2]uint64][2]uint64 // index and term of an entry: its hash and the term before it
@@ -53,7 +55,8 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{
-		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
+		hops: rapid.SampledFrom([]int{1, 8}).Draw(t, "hops"),
+		t:    t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
 		leaders: map[Term]fleet.HostID{}, seen: map[[2]uint64][2]uint64{},
 		hashes: []uint64{0}, committed: make([]Entry, 1), reads: map[fleet.HostID]map[ReadID]fleet.Index{},
 	}
@@ -254,22 +257,29 @@
 				m.work(h)
 			}
 		}
-		for k := len(m.net); k > 0 && len(m.net) > 0; k-- {
-			i := 0
-			if m.reorder {
-				i = m.rng.IntN(len(m.net))
-				if m.rng.IntN(3) == 0 {
-					continue
-				}
-			}
-			msg := m.net[i]
-			m.net = slices.Delete(m.net, i, i+1)
-			m.deliver(msg)
+		for range m.hops {
+			m.pass()
 		}
 		m.check()
 	}
 }
 
+// pass delivers the messages on their way; some of them later if the network reorders.
+func (m *model) pass() {
+	for k := len(m.net); k > 0 && len(m.net) > 0; k-- {
+		i := 0
+		if m.reorder {
+			i = m.rng.IntN(len(m.net))
+			if m.rng.IntN(3) == 0 {
+				continue
+			}
+		}
+		msg := m.net[i]
+		m.net = slices.Delete(m.net, i, i+1)
+		m.deliver(msg)
+	}
+}
+
 // leader returns the leader of the newest term, or nil.
 func (m *model) leader() *modelHost {
 	var best *modelHost
@@ -349,7 +359,11 @@
 // operate carries out one step of an operator on the leader: first the repair of a lost disk.
 func (m *model) operate(random bool) {
 	l := m.leader()
-	if l == nil {
+	if random {
+		// An old leader that is cut off takes requests as well.
+		l = m.hosts[m.rng.IntN(len(m.hosts))]
+	}
+	if l == nil || l.node == nil {
 		return
 	}
 	n, now := l.node, m.clock(l)
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -39,8 +39,8 @@
 	DefaultHeartbeat   = 100 * time.Millisecond
 	DefaultElectionMin = 600 * time.Millisecond
 	DefaultElectionMax = 900 * time.Millisecond
-	DefaultMaxBatch    = 256 * fleet.KiB
-	DefaultMaxInflight = 64
+	DefaultMaxBatch    = 128 * fleet.KiB
+	DefaultMaxInflight = 16
 	DefaultMaxPending  = 16 * fleet.MiB
 	DefaultChunk       = 256 * fleet.KiB
 	DefaultPromoteGap  = 16
@@ -390,10 +390,16 @@
 func (n *Node) Status() Status {
 	return Status{
 		Role: n.role, Leader: n.leader, Term: n.state.Term, Commit: n.commit, Last: n.log.last(),
-		First: n.log.offset + 1, Snapshot: n.snapshot.Index, Members: n.members(), Refused: n.refused && !n.promotable(),
+		First: n.log.offset + 1, Snapshot: n.snapshot.Index, Members: n.members(), Refused: n.refused && !n.promotable() && !n.learning(),
 	}
 }
 
+// learning says whether this host is a learner.
+func (n *Node) learning() bool {
+	m, ok := n.members().find(n.set.Self)
+	return ok && m.Learner
+}
+
 // EntriesAfter returns committed entries after an index, at least one if there is any and more while they fit into
 // maxBytes; false means that they are compacted.
 func (n *Node) EntriesAfter(i, upTo fleet.Index, maxBytes fleet.Bytes) ([]Entry, bool) {
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -86,10 +86,13 @@
 					}
 				}
 			},
-			"lose-disk":     func(*rapid.T) { m.loseDisk(host()) },
-			"repair":        func(*rapid.T) { m.operate(false) },
-			"reconfigure":   func(*rapid.T) { m.operate(true) },
-			"reconfigure2":  func(*rapid.T) { m.operate(true) },
+			"lose-disk": func(*rapid.T) { m.loseDisk(host()) },
+			"repair":    func(*rapid.T) { m.operate(false) },
+			"reconfigure": func(*rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "requests") {
+					m.operate(true)
+				}
+			},
 			"take-snapshot": func(*rapid.T) { m.compact(host()) },
 			"":              func(*rapid.T) { m.check() },
 		})
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -11,7 +11,8 @@
 type phase uint8
 
 const (
-	// probing sends one message at a time until the log's common part is found.
+	// probing sends one message without entries at a time until the log's common part is found, so that a member
+	// that can't answer, or whose answers don't count, costs no more than heartbeats.
 	probing phase = iota
 	// streaming sends without waiting for answers.
 	streaming
@@ -79,9 +80,6 @@
 }
 
 func (n *Node) replicate(to fleet.HostID, p *progress) {
-	if n.heartbeatDue {
-		p.waiting = false
-	}
 	if p.phase != snapshotting && p.next <= n.log.offset {
 		n.startSnapshot(p)
 	}
@@ -90,19 +88,17 @@
 		return
 	}
 	sent := false
-	for p.next <= n.log.last() && len(p.inflight) < n.set.MaxInflight && !p.waiting {
+	for p.phase == streaming && p.next <= n.log.last() && len(p.inflight) < n.set.MaxInflight {
 		es := n.log.slice(p.next, n.log.last(), n.set.MaxBatch)
 		n.sendAppend(to, p, es)
 		sent = true
-		if p.phase == probing {
-			p.waiting = true
-			break
-		}
 		p.next = es[len(es)-1].Index + 1
 		p.inflight = append(p.inflight, p.next-1)
 	}
-	if !sent && (n.heartbeatDue || p.phase == streaming && p.commit < n.commit) {
+	probe := p.phase == probing && !p.waiting
+	if !sent && (n.heartbeatDue || probe || p.phase == streaming && p.commit < n.commit) {
 		n.sendAppend(to, p, nil)
+		p.waiting = p.phase == probing
 	}
 }
 
--- a/io/voters/group.go
+++ b/io/voters/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,12 +23,14 @@
 	// applyMu guards the state machine.
 	applyMu sync.Mutex
 
-	mu      sync.Mutex
-	node    *raft.Node
-	inbox   []raft.Message
-	running bool
-	failed  error
-	applied fleet.Index
+	mu    sync.Mutex
+	node  *raft.Node
+	inbox []raft.Message
+	// inboxBytes is the size of the entries and chunks in inbox.
+	inboxBytes fleet.Bytes
+	running    bool
+	failed     error
+	applied    fleet.Index
 	// appliedBytes counts what was applied since the last snapshot.
 	appliedBytes fleet.Bytes
 	// changed is closed and replaced when the applied index or the node's state changes.
@@ -55,8 +58,11 @@
 	return t, ok
 }
 
-// maxInbox bounds the messages that wait for the loop; above it new ones are dropped, and raft sends them again.
-const maxInbox = 8192
+// Bounds of the messages that wait for the loop; above them new ones are dropped, and raft sends them again.
+const (
+	maxInbox      = 8192
+	maxInboxBytes = 8 * fleet.MiB
+)
 
 // Open loads the storage and restores the state machine; Run has to be called next.
 func Open(set Settings) (*Group, error) {
@@ -101,8 +107,9 @@
 func (g *Group) Receive(from fleet.HostID, msgs []raft.Message) {
 	g.mu.Lock()
 	for _, m := range msgs {
-		if m.From == from && len(g.inbox) < maxInbox {
+		if m.From == from && len(g.inbox) < maxInbox && g.inboxBytes < maxInboxBytes {
 			g.inbox = append(g.inbox, m)
+			g.inboxBytes += messageSize(&m)
 		}
 	}
 	g.mu.Unlock()
@@ -219,7 +226,7 @@
 
 func differs(a, b *raft.Status) bool {
 	return a.Role != b.Role || a.Leader != b.Leader || a.Term != b.Term || a.Refused != b.Refused ||
-		len(a.Members) != len(b.Members)
+		!slices.Equal(a.Members, b.Members)
 }
 
 // wait calls ready under g.mu after every change until it returns true or an error.
--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -68,7 +68,7 @@
 		g.mu.Lock()
 		now := time.Now()
 		inbox := g.inbox
-		g.inbox = nil
+		g.inbox, g.inboxBytes = nil, 0
 		for _, m := range inbox {
 			g.node.Step(now, m)
 		}
--- a/io/voters/settings.go
+++ b/io/voters/settings.go
@@ -44,7 +44,7 @@
 	DefaultKeepEntries     = 1024
 	DefaultKeepBytes       = 4 * fleet.MiB
 	DefaultSendTimeout     = 500 * time.Millisecond
-	DefaultQueue           = 1024
+	DefaultQueue           = 128
 )
 
 // Settings configure a Group. Self, Transport and Machine are required; another zero field means its default.
