--- a/core/raft/model_test.go
+++ b/core/raft/model_test.go
@@ -39,8 +39,10 @@
 	loss     float64
 	reorder  bool
 	election time.Duration
-	nextID   StorageID
-	nextCmd  uint64
+	// hops is how many messages in a row may pass within one step of time.
+	hops    int
+	nextID  StorageID
+	nextCmd uint64
 
 	leaders   map[Term]fleet.HostID
 	seen      map[[2]uint64][2]uint64 // index and term of an entry: its hash and the term before it
@@ -53,7 +55,8 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{
-		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
+		hops: rapid.SampledFrom([]int{1, 8}).Draw(t, "hops"),
+		t:    t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
 		leaders: map[Term]fleet.HostID{}, seen: map[[2]uint64][2]uint64{},
 		hashes: []uint64{0}, committed: make([]Entry, 1), reads: map[fleet.HostID]map[ReadID]fleet.Index{},
 	}
@@ -196,7 +199,7 @@
 		require.GreaterOrEqual(m.t, r.Index, m.reads[h.id][r.ID], "barrier on %s", h.id)
 	}
 	if l := m.host(m.lost); l != nil {
-		mem, ok := m.members.find(l.id)
+		mem, ok := m.members.Find(l.id)
 		if !ok || !mem.Learner && mem.Storage == l.disk.Storage {
 			m.lost = ""
 		}
@@ -254,22 +257,29 @@
 				m.work(h)
 			}
 		}
-		for k := len(m.net); k > 0 && len(m.net) > 0; k-- {
-			i := 0
-			if m.reorder {
-				i = m.rng.IntN(len(m.net))
-				if m.rng.IntN(3) == 0 {
-					continue
-				}
-			}
-			msg := m.net[i]
-			m.net = slices.Delete(m.net, i, i+1)
-			m.deliver(msg)
+		for range m.hops {
+			m.pass()
 		}
 		m.check()
 	}
 }
 
+// pass delivers the messages on their way; some of them later if the network reorders.
+func (m *model) pass() {
+	for k := len(m.net); k > 0 && len(m.net) > 0; k-- {
+		i := 0
+		if m.reorder {
+			i = m.rng.IntN(len(m.net))
+			if m.rng.IntN(3) == 0 {
+				continue
+			}
+		}
+		msg := m.net[i]
+		m.net = slices.Delete(m.net, i, i+1)
+		m.deliver(msg)
+	}
+}
+
 // leader returns the leader of the newest term, or nil.
 func (m *model) leader() *modelHost {
 	var best *modelHost
@@ -305,6 +315,24 @@
 	}
 }
 
+// split cuts the hosts into two sides and lets operators work on both.
+func (m *model) split() {
+	side := m.rng.Uint64()
+	for i, h := range m.hosts {
+		for j, o := range m.hosts {
+			m.cuts[[2]fleet.HostID{h.id, o.id}] = (side>>i)&1 != (side>>j)&1
+		}
+	}
+	for range m.rng.IntN(20) {
+		m.operate(true)
+	}
+	for range m.rng.IntN(20) {
+		m.run(100 * time.Millisecond)
+		m.operate(true)
+		m.propose()
+	}
+}
+
 // swap lets a quorum without x commit, hurts one of its hosts, and then leaves the rest of it to x: what was
 // committed has to survive, or nothing may be committed any more.
 func (m *model) swap(x, y, z *modelHost, fault string) {
@@ -339,7 +367,7 @@
 	if m.lost != "" || len(m.members.Voters()) < 3 {
 		return
 	}
-	if _, ok := m.members.find(h.id); ok {
+	if _, ok := m.members.Find(h.id); ok {
 		m.lost = h.id
 	}
 	m.wipe(h)
@@ -349,7 +377,11 @@
 // operate carries out one step of an operator on the leader: first the repair of a lost disk.
 func (m *model) operate(random bool) {
 	l := m.leader()
-	if l == nil {
+	if random {
+		// An old leader that is cut off takes requests as well.
+		l = m.hosts[m.rng.IntN(len(m.hosts))]
+	}
+	if l == nil || l.node == nil {
 		return
 	}
 	n, now := l.node, m.clock(l)
@@ -362,7 +394,7 @@
 			h = mem.Host
 		}
 	}
-	mem, ok := n.members().find(h)
+	mem, ok := n.members().Find(h)
 	// Each request is refused while it doesn't fit, which is what the operator's next step is for.
 	switch {
 	case !ok:
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -59,6 +59,7 @@
 			},
 			"cut":     func(*rapid.T) { m.cuts[[2]fleet.HostID{host().id, host().id}] = true },
 			"isolate": func(*rapid.T) { m.isolate(host()) },
+			"split":   func(*rapid.T) { m.split() },
 			"heal":    func(*rapid.T) { clear(m.cuts) },
 			"swap": func(*rapid.T) {
 				m.swap(host(), host(), host(), rapid.SampledFrom([]string{"disk", "before-sync", "after-sync"}).Draw(t, "fault"))
@@ -86,10 +87,13 @@
 					}
 				}
 			},
-			"lose-disk":     func(*rapid.T) { m.loseDisk(host()) },
-			"repair":        func(*rapid.T) { m.operate(false) },
-			"reconfigure":   func(*rapid.T) { m.operate(true) },
-			"reconfigure2":  func(*rapid.T) { m.operate(true) },
+			"lose-disk": func(*rapid.T) { m.loseDisk(host()) },
+			"repair":    func(*rapid.T) { m.operate(false) },
+			"reconfigure": func(*rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "requests") {
+					m.operate(true)
+				}
+			},
 			"take-snapshot": func(*rapid.T) { m.compact(host()) },
 			"":              func(*rapid.T) { m.check() },
 		})
