owner, follow, groups, dispatch: metrics of grants, loads, leases, groups and the ledger

Hosts counted requests only, so that a full queue, a lost lease, a slow store or a voter that is behind could not be seen. New: grants, their refusals, waits and queue lengths by class; loads by tier and result; adapter orders; inventories without an answer; lease, document version and applied index; term, commit and leadership of each raft group; ledger verdicts; estimated bytes between regions by tenant. All labels are bounded sets, tenants by the registry's 512.

metrics.GaugeFuncs reads gauges with labels when they are exposed.

--- a/cmd/toucanway-lab/internal/docs/source.go
+++ b/cmd/toucanway-lab/internal/docs/source.go
@@ -89,7 +89,7 @@
 		return true // a field of a log line
 	}
 	switch f.Sel.Name {
-	case "Counter", "Gauge", "GaugeFunc", "Histogram":
+	case "Counter", "Gauge", "GaugeFunc", "GaugeFuncs", "Histogram":
 		s.metric(f.Sel.Name, c.Args)
 	case "Debug", "Info", "Warn", "Error":
 		s.line(f.Sel.Name, c.Args)
@@ -116,7 +116,7 @@
 	switch kind {
 	case "Counter":
 		s.metrics.Counter(name, help, labels...)
-	case "Gauge":
+	case "Gauge", "GaugeFuncs":
 		s.metrics.Gauge(name, help, labels...)
 	case "GaugeFunc":
 		s.metrics.GaugeFunc(name, help, func() int64 { return 0 })
--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -165,6 +166,16 @@
 	VerdictStale
 )
 
+var verdictNames = [...]string{"accepted", "running", "answered", "unknown", "mismatch", "abandoned", "full", "stale"}
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	if v < 0 || int(v) >= len(verdictNames) {
+		return fmt.Sprintf("verdict-%d", int(v))
+	}
+	return verdictNames[v]
+}
+
 // Result is the outcome of a ledger command.
 type Result struct {
 	Verdict Verdict `cbor:"1,keyasint"`
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -315,7 +315,11 @@
 func (a *answer) finishAttempt(now time.Time, at *attempt) {
 	a.d.running.remove(a.call.ID, at)
 	a.d.inflight.remove(at.life(), a.call.ID)
-	a.d.policy.end(now, at, a.call.Identity.Tenant, a.traffic(at.tokens))
+	tenant, traffic := a.call.Identity.Tenant, a.traffic(at.tokens)
+	if at.choice.CrossRegion {
+		a.d.metrics.crossRegion.With(string(tenant)).Inc(int64(traffic))
+	}
+	a.d.policy.end(now, at, tenant, traffic)
 }
 
 // Close ends the work behind the answer, wherever it is.
--- a/io/dispatch/metrics.go
+++ b/io/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	crashes     metrics.Counters
 	releaseLost metrics.Counters
 	ledgerLost  metrics.Counters
+	ledger      metrics.Counters
+	crossRegion metrics.Counters
 }
 
 func newDispatchMetrics(r *metrics.Registry) dispatchMetrics {
@@ -32,6 +34,8 @@
 		crashes:     r.Counter("backend-crashes", "Backend servers whose process ended under a request of this host."),
 		releaseLost: r.Counter("releases-lost", "Releases that did not reach the owner; its next inventory frees the grant."),
 		ledgerLost:  r.Counter("ledger-commits-lost", "Commits after a call ended that did not reach the ledger."),
+		ledger:      r.Counter("ledger-verdicts", "Answers of the ledger to dispatches and abandoned attempts; `no-answer` when none came.", "verdict"),
+		crossRegion: r.Counter("cross-region-bytes", "Estimated bytes of completions between this host and engines of other regions.", "tenant"),
 	}
 }
 
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -152,7 +152,7 @@
 	defer cancel()
 	pause := resultPause
 	for {
-		res, err := o.d.cfg.Ledger.Do(wait, o.key, &ledger.Dispatch{Key: o.key, Fingerprint: o.fingerprint, Attempt: o.attempt})
+		res, err := o.ask(wait, &ledger.Dispatch{Key: o.key, Fingerprint: o.fingerprint, Attempt: o.attempt})
 		if err != nil {
 			return o.giveUp(ctx, fleet.CodeLedgerUnavailable, "the ledger cannot be reached")
 		}
@@ -220,7 +220,7 @@
 		Code: code, Execution: fleet.MayHaveRun, RetryAfter: serviceRetry,
 		Message: why + "; send the call again with the same Idempotency-Key",
 	}
-	res, err := o.d.cfg.Ledger.Do(wait, o.key, &ledger.Abandon{Key: o.key, Fingerprint: o.fingerprint, Attempt: o.attempt})
+	res, err := o.ask(wait, &ledger.Abandon{Key: o.key, Fingerprint: o.fingerprint, Attempt: o.attempt})
 	switch {
 	case !o.keyed:
 		// Nobody else can have used the key, and this attempt was not sent.
@@ -269,6 +269,17 @@
 	return onceResult{answer: a}
 }
 
+// ask commits a command and counts what the ledger found.
+func (o *once) ask(ctx context.Context, c ledger.Command) (ledger.Result, error) {
+	res, err := o.d.cfg.Ledger.Do(ctx, o.key, c)
+	verdict := "no-answer"
+	if err == nil {
+		verdict = res.Verdict.String()
+	}
+	o.d.metrics.ledger.With(verdict).Inc(1)
+	return res, err
+}
+
 func (o *once) commit(ctx context.Context, c ledger.Command) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
 	defer cancel()
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -93,6 +93,7 @@
 	h.follower = follow.New(follow.Settings{
 		Host: cfg.ID, Address: string(cfg.Listen.Hosts), CallerAddress: string(cfg.Listen.Callers), Place: cfg.Place(),
 		Control: h.control, Seen: h.registry.takeSeen, Log: cfg.Loggers.Of(settings.LogControl),
+		Metrics: h.metrics,
 	})
 	h.registry.follower = h.follower
 	h.pool = backend.NewPool(cfg.Network)
@@ -102,7 +103,7 @@
 	h.owner = owner.New(owner.Settings{
 		Host: cfg.ID, Follower: h.follower, Engines: engines.NewClient(h.pool),
 		Preempt: h.preempt, Measured: h.reporter.Load, Inventory: h.reporter.Inventory, Table: h.tableSettings,
-		Log: cfg.Loggers.Of(settings.LogCapacity),
+		Log: cfg.Loggers.Of(settings.LogCapacity), Metrics: h.metrics,
 	})
 	h.dispatch = dispatch.New(dispatch.Settings{
 		Host: cfg.ID, Place: cfg.Place(), Follower: h.follower, Owner: h.owner, Client: h.client, Network: cfg.Network,
@@ -160,7 +161,7 @@
 func (h *Host) newVoter(members []hosts.Member) error {
 	set, err := groups.Open(groups.Settings{
 		Self: h.cfg.ID, Members: members, LedgerGroups: h.cfg.LedgerGroups,
-		Storage: h.cfg.Storage, Client: h.client, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogRaft),
+		Storage: h.cfg.Storage, Client: h.client, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogRaft), Metrics: h.metrics,
 	})
 	if err != nil {
 		return err
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -12,6 +12,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/io/hosts"
+	"toucanway/io/metrics"
 )
 
 // Errors is the namespace of this package's errors.
@@ -52,11 +53,14 @@
 	Seen func() []control.Life
 	// Log receives changes of the session's state; nil means no log.
 	Log *zap.Logger
+	// Metrics holds the follower's metrics; nil means that nothing is counted.
+	Metrics *metrics.Registry
 }
 
 // Follower is a host's copy of the control state. It is safe for concurrent use. Lock order: mu alone.
 type Follower struct {
 	cfg Settings
+	met followMetrics
 	seq sequence
 
 	mu          sync.RWMutex
@@ -88,7 +92,12 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
-	return &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(metrics.Options{})
+	}
+	f := &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
+	f.met = f.newMetrics(cfg.Metrics)
+	return f
 }
 
 // Read calls f with the state; f must neither change nor keep it.
@@ -142,6 +151,7 @@
 			return err
 		}
 		if err != nil {
+			f.met.failed.With().Inc(1)
 			sleep(ctx, pollPause)
 		}
 	}
@@ -279,6 +289,7 @@
 	f.mu.Lock()
 	f.incarnation = next
 	f.mu.Unlock()
+	f.met.opened.With().Inc(1)
 	f.cfg.Log.Info(logSessionOpened, zap.Uint64("incarnation", uint64(next)))
 	return nil
 }
--- /dev/null
+++ b/io/follow/metrics.go
@@ -0,0 +1,39 @@
+package follow
+
+import (
+	"time"
+
+	"toucanway/core/control"
+	"toucanway/io/metrics"
+)
+
+// followMetrics are the counters of a follower.
+type followMetrics struct {
+	opened, failed metrics.Counters
+}
+
+// newMetrics declares the metrics, with gauges that read the copy of the control state.
+func (f *Follower) newMetrics(r *metrics.Registry) followMetrics {
+	r.GaugeFunc("session-lease", "1 while the host has a session lease and the newest document it knows of in force.", func() int64 {
+		if f.HasLease(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	r.GaugeFunc("config-version", "Version of the configuration document in force.", func() int64 {
+		_, v := f.Document()
+		return int64(v)
+	})
+	r.GaugeFunc("applied-index", "Last log entry of the control group that the host applied.", func() (n int64) {
+		f.Read(func(s *control.State) { n = int64(s.Applied()) })
+		return n
+	})
+	r.GaugeFunc("sessions-open", "Hosts with an open session.", func() (n int64) {
+		f.Read(func(s *control.State) { n = int64(len(s.Sessions())) })
+		return n
+	})
+	return followMetrics{
+		opened: r.Counter("sessions-opened", "Sessions that this process opened."),
+		failed: r.Counter("polls-failed", "Polls of the control leader without an answer."),
+	}
+}
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -12,6 +12,7 @@
 	"toucanway/core/ledger"
 	"toucanway/core/raft"
 	"toucanway/io/hosts"
+	"toucanway/io/metrics"
 	"toucanway/io/voters"
 )
 
@@ -35,6 +36,8 @@
 	Client  *hosts.Client
 	Seed    uint64
 	Log     *zap.Logger
+	// Metrics holds the metrics of the groups; nil means that nothing is counted.
+	Metrics *metrics.Registry
 }
 
 // Set is the groups of one voter.
@@ -50,6 +53,9 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(metrics.Options{})
+	}
 	cfg.LedgerGroups = max(cfg.LedgerGroups, 1)
 	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}}
 	if err := s.open(Control, s.control); err != nil {
@@ -86,6 +92,7 @@
 		return err
 	}
 	s.groups[id] = g
+	declare(s.cfg.Metrics, id, g)
 	return nil
 }
 
--- a/io/metrics/registry.go
+++ b/io/metrics/registry.go
@@ -89,6 +89,9 @@
 // Gauges is a gauge for each set of label values.
 type Gauges struct{ f *family }
 
+// GaugeFuncs is a function for each set of label values.
+type GaugeFuncs struct{ f *family }
+
 // Histograms is a histogram for each set of label values.
 type Histograms struct{ f *family }
 
@@ -104,7 +107,18 @@
 
 // GaugeFunc declares a gauge whose value is read when it is exposed; the function must be safe for concurrent use.
 func (r *Registry) GaugeFunc(name, help string, value func() int64) {
-	r.declare(name, help, kindGauge, UnitCount, nil).member(nil, func() any { return gometrics.NewFunctionalGauge(value) })
+	GaugeFuncs{r.declare(name, help, kindGauge, UnitCount, nil)}.With(value)
+}
+
+// GaugeFuncs declares a gauge whose values are read when they are exposed.
+func (r *Registry) GaugeFuncs(name, help string, labels ...string) GaugeFuncs {
+	return GaugeFuncs{r.declare(name, help, kindGauge, UnitCount, labels)}
+}
+
+// With adds the function of a set of label values; it must be safe for concurrent use. A second one for the same values is
+// ignored.
+func (g GaugeFuncs) With(value func() int64, values ...string) {
+	g.f.member(values, func() any { return gometrics.NewFunctionalGauge(value) })
 }
 
 // Histogram declares a histogram with a kebab-case name; declaring it again returns the same one.
--- a/io/owner/entry.go
+++ b/io/owner/entry.go
@@ -211,6 +211,7 @@
 		if e.owner.cfg.Follower.HasLease(time.Now()) {
 			outcome, _ = e.owner.cfg.Engines.Order(ctx, e.address, o)
 		}
+		e.owner.met.adapterOrder(o.Kind, outcome)
 		e.handle(time.Now(), capacity.AdapterEvent{Order: o.ID, Outcome: outcome})
 	})
 }
@@ -246,6 +247,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.failures++
+	e.owner.met.mute.With().Inc(1)
 	if !e.closed && e.failures >= silentAfter {
 		e.apply(now, e.table.Handle(now, capacity.SilentEvent{}))
 		e.owner.wakeUp()
@@ -270,11 +272,13 @@
 	case orders.StopGrants:
 		// The replica is no longer ready in the control state, which the table learns from its records.
 	case orders.Measured:
+		r := placement.LoadResult{
+			Order: ef.Order, Model: ef.Model, Backend: ef.Backend, Incarnation: ef.Incarnation,
+			Tier: ef.Tier, Took: ef.Took, Failed: ef.Failed,
+		}
+		e.owner.met.loaded(r)
 		if e.owner.cfg.Measured != nil {
-			e.owner.cfg.Measured(placement.LoadResult{
-				Order: ef.Order, Model: ef.Model, Backend: ef.Backend, Incarnation: ef.Incarnation,
-				Tier: ef.Tier, Took: ef.Took, Failed: ef.Failed,
-			})
+			e.owner.cfg.Measured(r)
 		}
 	default:
 		panic("owner: effect without a handler")
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -18,6 +18,7 @@
 	"toucanway/io/follow"
 	"toucanway/io/hosts"
 	"toucanway/io/jobs"
+	"toucanway/io/metrics"
 )
 
 // Errors is the namespace of this package's errors.
@@ -45,12 +46,15 @@
 	Table func() capacity.Settings
 	// Log receives changes of state; nil means no log.
 	Log *zap.Logger
+	// Metrics holds the owner's metrics; nil means that nothing is counted.
+	Metrics *metrics.Registry
 }
 
 // Owner runs the tables of the owned backend servers. It is safe for concurrent use. Lock order: mu, the mu of one entry,
 // then either the follower's lock or that of jobs.
 type Owner struct {
 	cfg  Settings
+	met  ownerMetrics
 	wake chan struct{}
 	jobs jobs.Group
 
@@ -66,7 +70,16 @@
 	if cfg.Table == nil {
 		cfg.Table = func() capacity.Settings { return capacity.Settings{} }
 	}
-	return &Owner{cfg: cfg, wake: make(chan struct{}, 1), entries: map[fleet.BackendID]*entry{}}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(metrics.Options{})
+	}
+	o := &Owner{
+		cfg: cfg, met: newOwnerMetrics(cfg.Metrics), wake: make(chan struct{}, 1), entries: map[fleet.BackendID]*entry{},
+	}
+	cfg.Metrics.GaugeFunc("backend-servers-owned", "Backend servers whose capacity this host grants.", func() int64 {
+		return int64(len(o.Owned()))
+	})
+	return o
 }
 
 // Register adds the capacity procedures to a server.
@@ -192,15 +205,22 @@
 	if e == nil || !o.cfg.Follower.HasLease(time.Now()) {
 		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 	}
-	ch := e.acquire(time.Now(), *a)
+	asked := time.Now()
+	ch := e.acquire(asked, *a)
 	if ch == nil {
 		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 	}
+	o.met.waiting.add(a.Class, 1)
+	defer o.met.waiting.add(a.Class, -1)
 	select {
 	case answer, ok := <-ch:
 		if !ok {
 			return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 		}
+		o.met.answered(a.Class.String(), answer)
+		if answer.Grant != nil {
+			o.met.waits.With(a.Class.String()).Update(int64(time.Since(asked)))
+		}
 		return &hosts.AcquireResponse{Answer: answer}, nil
 	case <-ctx.Done():
 		e.cancel(time.Now(), capacity.Cancel{Backend: a.Backend, Host: a.Host, Request: a.Request})
