--- a/io/terminal/state.go
+++ b/io/terminal/state.go
@@ -35,7 +35,7 @@
 
 type status struct {
 	*program
-	Check bool `long:"check" description:"End with exit code 8 when a bound is not met."`
+	Check bool `long:"check" description:"End with exit code 8 when a bound is not met or no leader answers."`
 }
 
 // statusAnswer is what status prints.
@@ -54,7 +54,7 @@
 		h, err := cl.Hosts(c.ctx)
 		return statusAnswer{StatusAnswer: s, Members: h.Hosts}, err
 	}, printStatus)
-	if err == nil && c.Check && len(a.Unmet) > 0 {
+	if err == nil && c.Check && (a.Leader == "" || len(a.Unmet) > 0) {
 		return errCheck
 	}
 	return err
@@ -72,6 +72,10 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", h.ID, h.Region, h.DataCentre, h.Address, validity(h.LeaseValid),
 			h.Version, h.Owned, h.Waiting, notes(map[string]bool{"draining": h.Draining, "leader": h.Leader, "voter": h.Voter}))
 	}
+	if a.Leader == "" {
+		fmt.Fprintln(w, "\nno leader answered: bounds and the hosts' leases are not known")
+		return
+	}
 	if len(a.Unmet) == 0 {
 		fmt.Fprintln(w, "\nall bounds are met")
 		return
--- a/io/terminal/terminal_test.go
+++ b/io/terminal/terminal_test.go
@@ -235,3 +235,11 @@
 		})
 	}
 }
+
+// Guards against bounds that are shown as met while nobody knows them.
+func TestStatusWithoutLeader(t *testing.T) {
+	var out bytes.Buffer
+	printStatus(&out, statusAnswer{})
+	require.Contains(t, out.String(), "no leader answered")
+	require.NotContains(t, out.String(), "all bounds are met")
+}
