raft: malformed messages are rejected, the log begins with the members

Change: Step returns an error for such messages and the driver logs and counts them; the first leader writes the members as entry 1. Tests of the transfer's and the restart's effect on leases and votes; FuzzStep.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -130,6 +130,12 @@
 	}
 	n.heartbeatAt = n.now
 	n.termStart = n.log.last() + 1
+	if len(n.history) == 1 && n.history[0].index == 0 {
+		// The first entry of the log names the members, for hosts whose settings don't.
+		ms, _ := n.filled()
+		n.changeMembers(ms)
+		return
+	}
 	n.appendOwn(Entry{Kind: EntryNoop})
 }
 
--- a/core/raft/errors.go
+++ b/core/raft/errors.go
@@ -17,6 +17,8 @@
 	ErrSettings = Errors.NewType("settings")
 	// ErrCorrupt reports a saved state that contradicts itself.
 	ErrCorrupt = Errors.NewType("corrupt")
+	// ErrMessage reports a message that no correct member sends; it was dropped.
+	ErrMessage = Errors.NewType("message")
 	// ErrBusy reports a request that has to wait for an earlier one; nothing was logged.
 	ErrBusy = Errors.NewType("busy")
 	// ErrMember reports a membership change that doesn't fit the present members; nothing was logged.
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -75,15 +75,23 @@
 // members returns the latest membership in the log, committed or not.
 func (n *Node) members() Membership { return n.history[len(n.history)-1].members }
 
+func decodeMembers(data []byte) (Membership, error) {
+	var ms Membership
+	if err := cbor.Unmarshal(data, &ms); err != nil {
+		return nil, ErrMessage.Wrap(err, "membership entry cannot be decoded; check that all hosts run one version")
+	}
+	return ms, nil
+}
+
 // noteMembers puts the memberships of newly appended entries in force.
 func (n *Node) noteMembers(es []Entry) {
 	for _, e := range es {
 		if e.Kind != EntryMembers {
 			continue
 		}
-		var ms Membership
-		if err := cbor.Unmarshal(e.Data, &ms); err != nil {
-			panic("raft: membership entry cannot be decoded: " + err.Error())
+		ms, err := decodeMembers(e.Data)
+		if err != nil {
+			panic("raft: membership entry was not checked: " + err.Error())
 		}
 		n.history = append(n.history, membershipAt{e.Index, ms})
 		n.membersChanged()
@@ -230,7 +238,14 @@
 
 // fillStorages records in the log the folders under which voters of a new group have answered.
 func (n *Node) fillStorages() {
-	ms, filled := n.members(), false
+	if ms, filled := n.filled(); filled && n.changeAllowed() == nil {
+		n.changeMembers(ms)
+	}
+}
+
+// filled returns the membership with the folders under which voters have answered, and whether that adds any.
+func (n *Node) filled() (ms Membership, filled bool) {
+	ms = n.members()
 	for _, m := range ms {
 		id := n.set.Storage
 		if p := n.peers[m.Host]; p != nil {
@@ -242,9 +257,7 @@
 			ms, filled = ms.with(Member{Host: m.Host, Storage: id}), true
 		}
 	}
-	if filled && n.changeAllowed() == nil {
-		n.changeMembers(ms)
-	}
+	return ms, filled
 }
 
 // changeAllowed refuses a membership change while another one, or the first entry of the term, isn't committed.
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -19,7 +19,7 @@
 const (
 	// EntryCommand holds a command of the state machine.
 	EntryCommand EntryKind = iota
-	// EntryNoop is the first entry of a term.
+	// EntryNoop is the first entry of a term, other than in an empty log, which begins with EntryMembers.
 	EntryNoop
 	// EntryMembers holds an encoded Membership, in force as soon as it is in the log.
 	EntryMembers
@@ -96,6 +96,31 @@
 	Data    []byte     `cbor:"4,keyasint,omitempty"`
 }
 
+// check returns an error for a message that no correct member sends.
+func (m *Message) check() error {
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		low := m.LogTerm
+		if i > 0 {
+			low = m.Entries[i-1].Term
+		}
+		if e.Index != m.Index+1+fleet.Index(i) || e.Term < low || e.Term > m.Term {
+			return ErrMessage.New("message of %s holds entry %d of term %d at place %d after entry %d; it is dropped, "+
+				"check that all hosts run one version", m.From, e.Index, e.Term, i, m.Index)
+		}
+		if e.Kind == EntryMembers {
+			if _, err := decodeMembers(e.Data); err != nil {
+				return err
+			}
+		}
+	}
+	if c := m.Chunk; c != nil && (c.Offset < 0 || c.Total < 0 || len(c.Data) > c.Total-c.Offset) {
+		return ErrMessage.New("message of %s holds %d bytes at %d of a snapshot of %d; it is dropped, "+
+			"check that all hosts run one version", m.From, len(c.Data), c.Offset, c.Total)
+	}
+	return nil
+}
+
 // Message is exchanged between the hosts of a group.
 type Message struct {
 	Kind MessageKind  `cbor:"1,keyasint"`
--- a/core/raft/model_test.go
+++ b/core/raft/model_test.go
@@ -47,7 +47,8 @@
 	leaders   map[Term]fleet.HostID
 	seen      map[[2]uint64][2]uint64 // index and term of an entry: its hash and the term before it
 	committed []Entry
-	hashes    []uint64 // state machine's hash after each committed entry
+	memberAt  []Membership // membership after each committed entry
+	hashes    []uint64     // state machine's hash after each committed entry
 	members   Membership
 	lost      fleet.HostID
 	reads     map[fleet.HostID]map[ReadID]fleet.Index
@@ -58,7 +59,7 @@
 		hops: rapid.SampledFrom([]int{1, 8}).Draw(t, "hops"),
 		t:    t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cuts: map[[2]fleet.HostID]bool{},
 		leaders: map[Term]fleet.HostID{}, seen: map[[2]uint64][2]uint64{},
-		hashes: []uint64{0}, committed: make([]Entry, 1), reads: map[fleet.HostID]map[ReadID]fleet.Index{},
+		hashes: []uint64{0}, memberAt: []Membership{nil}, committed: make([]Entry, 1), reads: map[fleet.HostID]map[ReadID]fleet.Index{},
 	}
 	ids := []fleet.HostID{"a", "b", "c", "d", "e", "f"}
 	m.voters = ids[:rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")]
@@ -126,7 +127,7 @@
 		require.NoError(m.t, err)
 		var got Message
 		require.NoError(m.t, cbor.Unmarshal(b, &got))
-		h.node.Step(m.clock(h), got)
+		require.NoError(m.t, h.node.Step(m.clock(h), got))
 		m.work(h)
 	}
 }
@@ -194,6 +195,7 @@
 			m.members = nil
 			require.NoError(m.t, cbor.Unmarshal(e.Data, &m.members))
 		}
+		m.memberAt = append(m.memberAt, m.members)
 	}
 	for _, r := range o.Reads {
 		require.GreaterOrEqual(m.t, r.Index, m.reads[h.id][r.ID], "barrier on %s", h.id)
@@ -417,6 +419,7 @@
 	if !ok || s.Index <= h.disk.Snapshot.Index {
 		return
 	}
+	require.Equal(m.t, m.memberAt[s.Index], s.Members, "members of the snapshot at %d on %s", s.Index, h.id)
 	s.Data = append(binary.BigEndian.AppendUint64(nil, h.hash), make([]byte, 20)...)
 	h.disk.Snapshot = s
 	h.disk.Entries = slices.DeleteFunc(h.disk.Entries, func(e Entry) bool { return e.Index <= s.Index })
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -173,6 +173,11 @@
 			return nil, ErrCorrupt.New("saved entry %d of term %d follows entry %d of term %d; "+
 				"replace this voter by an empty learner", e.Index, e.Term, n.log.last(), n.log.lastTerm())
 		}
+		if e.Kind == EntryMembers {
+			if _, err := decodeMembers(e.Data); err != nil {
+				return nil, err
+			}
+		}
 		n.log.append(e)
 	}
 	n.unsaved, n.stable = n.log.last()+1, n.log.last()
@@ -218,26 +223,29 @@
 	}
 }
 
-// Step takes in a message of another member.
-func (n *Node) Step(now time.Time, m Message) {
+// Step takes in a message of another member. A message that no correct member sends is dropped with an error.
+func (n *Node) Step(now time.Time, m Message) error {
 	n.setNow(now)
 	if n.halted || m.To != n.set.Self || m.From == n.set.Self {
-		return
+		return nil
+	}
+	if err := m.check(); err != nil {
+		return err
 	}
 	if m.Kind == MsgHello {
 		n.stepHello(&m)
-		return
+		return nil
 	}
 	if m.Kind == MsgHelloReply {
 		n.stepHelloReply(&m)
-		return
+		return nil
 	}
 	if m.Term > n.state.Term && !n.newerTerm(&m) {
-		return
+		return nil
 	}
 	if m.Term < n.state.Term {
 		n.olderTerm(&m)
-		return
+		return nil
 	}
 	switch m.Kind {
 	case MsgPreVote:
@@ -247,7 +255,7 @@
 	case MsgVote:
 		n.stepVote(&m)
 	case MsgAppend:
-		n.stepAppend(&m)
+		return n.stepAppend(&m)
 	case MsgAppendReply, MsgSnapshotReply:
 		n.stepReply(&m)
 	case MsgSnapshot:
@@ -260,6 +268,7 @@
 	default:
 		// A kind of a later version, which this one can't answer.
 	}
+	return nil
 }
 
 // newerTerm moves to the term of a message and says whether to go on with it.
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -102,22 +103,23 @@
 }
 
 // lead returns a leader of three voters that continues from a log, in a term after the log's.
-func lead(t *testing.T, es []Entry) *Node {
+func lead(t testing.TB, es []Entry) *Node {
 	ms := Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}}
 	now := time.Unix(0, 0)
 	n, err := New(Settings{Self: "a", Storage: 1}, Saved{
 		Storage: 1, Snapshot: Snapshot{Index: 1, Term: 1, Members: ms}, State: HardState{Term: 2}, Entries: es,
 	}, now)
 	require.NoError(t, err)
+	step := func(m Message) { require.NoError(t, n.Step(now.Add(time.Second), m)) }
 	drain := func() {
 		for o, ok := n.Ready(); ok; o, ok = n.Ready() {
 			n.Done(o)
 		}
 	}
 	n.Tick(now.Add(time.Second))
-	n.Step(now.Add(time.Second), Message{Kind: MsgPreVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
+	step(Message{Kind: MsgPreVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
 	drain()
-	n.Step(now.Add(time.Second), Message{Kind: MsgVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
+	step(Message{Kind: MsgVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
 	drain()
 	require.Equal(t, Leader, n.role)
 	return n
@@ -127,7 +129,9 @@
 func TestCommitOwnTermOnly(t *testing.T) {
 	n := lead(t, []Entry{{Index: 2, Term: 2}})
 	ack := func(i fleet.Index) {
-		n.Step(n.now, Message{Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 2, Index: i, Round: n.round})
+		require.NoError(t, n.Step(n.now, Message{
+			Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 2, Index: i, Round: n.round,
+		}))
 	}
 	ack(2)
 	require.Equal(t, fleet.Index(1), n.commit)
@@ -140,11 +144,83 @@
 	n := lead(t, nil)
 	sent := n.now
 	reply := Message{Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 9, Index: 2, Sent: sent.Sub(n.epoch), Round: n.round}
-	n.Step(sent.Add(50*time.Millisecond), reply)
+	require.NoError(t, n.Step(sent.Add(50*time.Millisecond), reply))
 	require.False(t, n.LeaseValid(n.now), "an answer from a replaced folder counts")
 	reply.Storage = 2
-	n.Step(sent.Add(50*time.Millisecond), reply)
+	require.NoError(t, n.Step(sent.Add(50*time.Millisecond), reply))
 	bound := DefaultElectionMin * 99 / 100
 	require.True(t, n.LeaseValid(sent.Add(bound-time.Millisecond)))
 	require.False(t, n.LeaseValid(sent.Add(bound)))
 }
+
+// Guards against a lease that outlives the order to another host to take over, which may arrive late.
+func TestTransferEndsLease(t *testing.T) {
+	n := lead(t, nil)
+	ack := Message{Kind: MsgAppendReply, To: "a", From: "b", Term: 3, Storage: 2, Index: 2, Sent: n.now.Sub(n.epoch), Round: n.round}
+	require.NoError(t, n.Step(n.now, ack))
+	require.True(t, n.LeaseValid(n.now))
+	require.NoError(t, n.TransferLeadership(n.now, "b"))
+	require.False(t, n.LeaseValid(n.now))
+	n.Tick(n.now.Add(DefaultElectionMin))
+	require.Equal(t, Follower, n.role, "a leader whose order wasn't followed stays leader without a lease")
+}
+
+// Guards against a voter that votes right after a restart although it may have kept up a leader's lease before, and
+// against one that votes with a new folder.
+func TestVoteAfterRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		after  time.Duration
+		vote   Message
+		grants bool
+	}{
+		"at once":        {0, Message{Expect: 1}, false},
+		"after timeout":  {DefaultElectionMin, Message{Expect: 1}, true},
+		"transfer":       {0, Message{Expect: 1, Transfer: true}, true},
+		"other folder":   {DefaultElectionMin, Message{Expect: 5}, false},
+		"never admitted": {DefaultElectionMin, Message{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			n, err := New(Settings{Self: "a", Storage: 1, Voters: []fleet.HostID{"a", "b", "c"}}, Saved{Storage: 1}, start)
+			require.NoError(t, err)
+			c.vote.Kind, c.vote.To, c.vote.From, c.vote.Term = MsgVote, "a", "b", 1
+			require.NoError(t, n.Step(start.Add(c.after), c.vote))
+			require.Equal(t, c.grants, n.state.Vote == "b")
+		})
+	}
+}
+
+// Guards against a message from a broken or newer host that stops this one or damages its log.
+func FuzzStep(f *testing.F) {
+	for _, m := range []Message{
+		{Kind: MsgAppend, Term: 4, Index: 3, LogTerm: 3, Entries: []Entry{{Index: 4, Term: 4, Kind: EntryMembers, Data: []byte{0x80}}}},
+		{Kind: MsgAppend, Term: 4, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 4}}, Commit: 9},
+		{Kind: MsgSnapshot, Term: 4, Index: 9, LogTerm: 3, Chunk: &Chunk{Total: 3, Data: []byte("abc")}},
+		{Kind: MsgAppendReply, Term: 3, Storage: 2, Index: 3, Reject: true, Hint: 9, HintTerm: 9},
+		{Kind: MsgVote, Term: 9, Expect: 1, Transfer: true, Index: 9, LogTerm: 9},
+		{Kind: MsgHello, Storage: 9}, {Kind: MsgTimeoutNow, Term: 3}, {Kind: MsgSnapshotReply, Term: 3, Storage: 2},
+	} {
+		b, err := cbor.Marshal(m)
+		require.NoError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m Message
+		if cbor.Unmarshal(data, &m) != nil {
+			return
+		}
+		n := lead(t, []Entry{{Index: 2, Term: 2}})
+		m.To, m.From = "a", "b"
+		for range 2 {
+			_ = n.Step(n.now, m)
+			n.Tick(n.now.Add(time.Second))
+			for o, ok := n.Ready(); ok; o, ok = n.Ready() {
+				n.Done(o)
+			}
+			require.LessOrEqual(t, n.commit, n.log.last())
+			for i, e := range n.log.entries {
+				require.Equal(t, n.log.offset+1+fleet.Index(i), e.Index)
+			}
+		}
+	})
+}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -121,7 +121,7 @@
 	n.resetElection()
 }
 
-func (n *Node) stepAppend(m *Message) {
+func (n *Node) stepAppend(m *Message) error {
 	n.follow(m)
 	reply := Message{Kind: MsgAppendReply, To: m.From, Sent: m.Sent, Round: m.Round}
 	prev, es := m.Index, m.Entries
@@ -132,22 +132,25 @@
 		if prev < n.commit {
 			reply.Index = n.commit
 			n.sendSaved(reply)
-			return
+			return nil
 		}
 	} else if t, ok := n.log.term(prev); !ok || t != m.LogTerm {
 		reply.Reject, reply.Index = true, prev
 		reply.Hint, reply.HintTerm = n.log.lastBefore(prev, m.LogTerm)
 		n.sendSaved(reply)
-		return
+		return nil
+	}
+	if err := n.merge(es); err != nil {
+		return err
 	}
-	n.merge(es)
 	reply.Index = prev + fleet.Index(len(es))
 	n.commit = max(n.commit, min(m.Commit, reply.Index))
 	n.sendSaved(reply)
+	return nil
 }
 
 // merge appends the entries that this host lacks and drops its own ones that conflict.
-func (n *Node) merge(es []Entry) {
+func (n *Node) merge(es []Entry) error {
 	for i, e := range es {
 		t, ok := n.log.term(e.Index)
 		if ok && t == e.Term {
@@ -155,7 +158,8 @@
 		}
 		if ok {
 			if e.Index <= n.commit {
-				panic("raft: a leader's entry conflicts with a committed one")
+				return ErrCorrupt.New("leader %s has entry %d of term %d, which is committed here with term %d; compare the "+
+					"two hosts' data and replace the voter whose disk is damaged", n.leader, e.Index, e.Term, t)
 			}
 			n.log.truncate(e.Index)
 			n.dropMembers(e.Index)
@@ -163,8 +167,9 @@
 		}
 		n.log.append(es[i:]...)
 		n.noteMembers(es[i:])
-		return
+		return nil
 	}
+	return nil
 }
 
 // stepReply takes in a member's answer to an append or a chunk.
--- a/io/voters/counters.go
+++ b/io/voters/counters.go
@@ -11,13 +11,15 @@
 	// Sent counts messages handed to the transport, SendErrors the sends that failed, Dropped the messages that a full
 	// queue or inbox discarded.
 	Sent, SendErrors, Dropped uint64
+	// Rejected counts received messages that no correct member sends.
+	Rejected uint64
 	// Elections counts the elections that this host started.
 	Elections uint64
 }
 
 // counters is the live form of Counters.
 type counters struct {
-	saves, savedEntries, applied, snapshots, sent, sendErrors, dropped, elections atomic.Uint64
+	saves, savedEntries, applied, snapshots, sent, sendErrors, dropped, rejected, elections atomic.Uint64
 }
 
 // Counters returns the totals since Open.
@@ -25,6 +27,7 @@
 	c := &g.counters
 	return Counters{
 		Saves: c.saves.Load(), SavedEntries: c.savedEntries.Load(), Applied: c.applied.Load(), Snapshots: c.snapshots.Load(),
-		Sent: c.sent.Load(), SendErrors: c.sendErrors.Load(), Dropped: c.dropped.Load(), Elections: c.elections.Load(),
+		Sent: c.sent.Load(), SendErrors: c.sendErrors.Load(), Dropped: c.dropped.Load(),
+		Rejected: c.rejected.Load(), Elections: c.elections.Load(),
 	}
 }
--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -17,6 +17,7 @@
 	logLeader   = "raft leader changed"
 	logRefused  = "raft group knows this host under another data folder; remove it and add it again as a learner"
 	logFailed   = "raft storage or state machine failed; this host no longer votes"
+	logRejected = "raft message rejected"
 	logSnapshot = "raft snapshot taken"
 )
 
@@ -70,7 +71,10 @@
 		inbox := g.inbox
 		g.inbox, g.inboxBytes = nil, 0
 		for _, m := range inbox {
-			g.node.Step(now, m)
+			if err := g.node.Step(now, m); err != nil {
+				g.counters.rejected.Add(1)
+				g.set.Log.Warn(logRejected, zap.String("from", string(m.From)), zap.Error(err))
+			}
 		}
 		if !now.Before(g.node.NextTick()) {
 			g.node.Tick(now)
