raft: hosts that cannot win elections ask less often; time of the election in the status

Cause: a removed or cut-off voter sent pre-votes every 100 to 300 ms for ever; the planner needs to know since when a leader leads, to wait out the sessions that its predecessor granted. Change: after three elections in a row the full timeout applies; Status.LeaderSince.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -15,8 +15,16 @@
 	return lo + time.Duration(n.rand.Int64N(int64(hi-lo)))
 }
 
+// shortRetries is after how many ballots in a row, two for each election, an election no longer follows soon. A host that is cut off, or was removed without
+// hearing of it, tries on at the full timeout.
+const shortRetries = 6
+
 // retryElection waits shortly after an election that may fail; the full timeout would exceed the bound of 1.5 s.
 func (n *Node) retryElection() {
+	if n.tries++; n.tries > shortRetries {
+		n.resetElection()
+		return
+	}
 	n.electionAt = n.now.Add(n.between(n.set.ElectionMin/6, n.set.ElectionMin/2))
 }
 
@@ -120,6 +128,7 @@
 }
 
 func (n *Node) becomeLeader() {
+	n.tries, n.since = 0, n.now
 	votes := n.votes
 	n.role, n.leader, n.votes, n.transfer = Leader, n.set.Self, nil, false
 	n.leaseBarred = false
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -114,6 +114,10 @@
 	// contact is when this host last heard from a leader, or started.
 	contact    time.Time
 	electionAt time.Time
+	// tries counts the elections that this host began since it last followed or led.
+	tries int
+	// since is when this host last became leader.
+	since time.Time
 	// votes holds the folders under which voters granted their vote.
 	votes    map[fleet.HostID]StorageID
 	transfer bool
@@ -382,14 +386,16 @@
 
 // Status describes a node.
 type Status struct {
-	Role     Role
-	Leader   fleet.HostID
-	Term     Term
-	Commit   fleet.Index
-	Last     fleet.Index
-	First    fleet.Index
-	Snapshot fleet.Index
-	Members  Membership
+	Role   Role
+	Leader fleet.HostID
+	// LeaderSince is when this host was elected; it is the zero time on other hosts.
+	LeaderSince time.Time
+	Term        Term
+	Commit      fleet.Index
+	Last        fleet.Index
+	First       fleet.Index
+	Snapshot    fleet.Index
+	Members     Membership
 	// Refused says that the group knows this host under another folder: its disk was lost, and it has no vote
 	// until an operator removes it and adds it again as a learner.
 	Refused bool
@@ -397,8 +403,12 @@
 
 // Status returns the node's state.
 func (n *Node) Status() Status {
+	since := n.since
+	if n.role != Leader {
+		since = time.Time{}
+	}
 	return Status{
-		Role: n.role, Leader: n.leader, Term: n.state.Term, Commit: n.commit, Last: n.log.last(),
+		Role: n.role, LeaderSince: since, Leader: n.leader, Term: n.state.Term, Commit: n.commit, Last: n.log.last(),
 		First: n.log.offset + 1, Snapshot: n.snapshot.Index, Members: n.members(), Refused: n.refused && !n.promotable() && !n.learning(),
 	}
 }
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -117,7 +117,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.contact = n.now
+	n.contact, n.tries = n.now, 0
 	n.resetElection()
 }
 
--- a/io/voters/group.go
+++ b/io/voters/group.go
@@ -275,7 +275,7 @@
 	return g.applied, data, err
 }
 
-// View runs f while the state machine does not change.
+// View runs f while the state machine does not change; f must call neither View nor Snapshot.
 func (g *Group) View(f func()) {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
