--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -23,6 +23,9 @@
 	return Snapshot{Index: i, Term: t, Members: n.membersAt(i)}, ok && i <= n.given
 }
 
+// LastSnapshot returns the last snapshot that was saved or installed; its Index is 0 if there is none.
+func (n *Node) LastSnapshot() Snapshot { return n.snapshot }
+
 // Compact takes over a snapshot that is saved on disk and drops the entries up to keepAfter.
 func (n *Node) Compact(s Snapshot, keepAfter fleet.Index) {
 	if s.Index <= n.snapshot.Index {
--- a/io/voters/group.go
+++ b/io/voters/group.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"toucanway/core/fleet"
@@ -83,7 +84,8 @@
 	if err != nil {
 		return nil, err
 	}
-	set.Raft.Storage, set.Raft.Seed = saved.Storage, uint64(saved.Storage)
+	set.Raft.Storage = saved.Storage
+	def(&set.Raft.Seed, xxhash.Sum64String(string(set.Raft.Self)))
 	set.Log = set.Log.With(zap.String("host", string(set.Raft.Self)), zap.Uint32("group", uint32(set.Group)))
 	node, err := raft.New(set.Raft, saved, time.Now())
 	if err != nil {
@@ -265,8 +267,21 @@
 	return g.node.EntriesAfter(index, g.applied, maxBytes)
 }
 
-// Snapshot returns the state machine's encoded state and the index that it stands at.
+// Snapshot returns an encoded state of the state machine and the index that it stands at, for a follower for which
+// EntriesAfter has no entries; it goes on with EntriesAfter from that index. The bytes must not be changed. It is the
+// last saved one if there is any, so that many followers at once cost no encoding.
 func (g *Group) Snapshot() (fleet.Index, []byte, error) {
+	g.mu.Lock()
+	s := g.node.LastSnapshot()
+	g.mu.Unlock()
+	if s.Index > 0 {
+		return s.Index, s.Data, nil
+	}
+	return g.encode()
+}
+
+// encode returns the present state.
+func (g *Group) encode() (fleet.Index, []byte, error) {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
 	data, err := g.set.Machine.Snapshot()
--- a/io/voters/group_test.go
+++ b/io/voters/group_test.go
@@ -360,6 +360,22 @@
 		c.propose(l, 200)
 		c.start(lag)
 		c.agree(l, c.voters...)
+		// A host that is no member follows by a snapshot and the entries after it.
+		i, data, err := c.group(lag).Snapshot()
+		require.NoError(t, err)
+		var follower tally
+		require.NoError(t, follower.Restore(i, data))
+		for es, ok := c.group(lag).EntriesAfter(i, 100); len(es) > 0; es, ok = c.group(lag).EntriesAfter(i, 100) {
+			require.True(t, ok)
+			for _, e := range es {
+				require.Equal(t, i+1, e.Index)
+				i = e.Index
+				if e.Kind == raft.EntryCommand {
+					follower.Apply(e.Index, e.Data)
+				}
+			}
+		}
+		require.Equal(t, *c.machine[l], follower)
 	})
 }
 
--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -201,7 +201,7 @@
 	if !due || applied == st.Snapshot {
 		return nil
 	}
-	i, data, err := g.Snapshot()
+	i, data, err := g.encode()
 	if err != nil {
 		return err
 	}
--- a/io/voters/settings.go
+++ b/io/voters/settings.go
@@ -50,9 +50,9 @@
 // Settings configure a Group. Self, Transport and Machine are required; another zero field means its default.
 type Settings struct {
 	Group raft.GroupID
-	// Raft holds the host's id, the first voters and the timing; Storage and Seed in it are filled in by Open.
+	// Raft holds the host's id, the first voters and the timing; Open fills in Storage, and Seed if it is 0.
 	Raft raft.Settings
-	// Storage is a fresh disk.Memory by default, which no voter outside of tests may use.
+	// Storage is a fresh disk.Memory by default, which is for tests that start a host only once.
 	Storage   Storage
 	Transport Transport
 	Machine   raft.StateMachine
