raft: a host with its own uncommitted removal may lead

Cause: with four voters, one of them without its disk, the leader logged its own removal and stepped down before it was committed. It did not stand for election any more, and the two others could not win against its longer log. Change: a host stands for election if it is a voter of the latest membership or of the one at its commit index. The driver takes messages and timers between two outputs, as a stream of proposals kept answers and heartbeats waiting.

--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -161,13 +161,16 @@
 	return m.Expect == n.set.Storage || m.Expect == 0 && n.state.Admitted
 }
 
-// promotable says whether this host may become leader.
+// promotable says whether this host may become leader. A host that holds its own removal without knowing that it is
+// committed may have to lead once more: the others may need the entries that only it holds, and can't outvote it.
 func (n *Node) promotable() bool {
-	m, ok := n.members().Find(n.set.Self)
-	if !ok || m.Learner || n.halted {
-		return false
-	}
-	return m.Storage == n.set.Storage || m.Storage == 0 && n.state.Admitted
+	return !n.halted && (n.votesIn(n.members()) || n.votesIn(n.membersAt(n.commit)))
+}
+
+// votesIn says whether this host, with its present folder, is a voter of a membership.
+func (n *Node) votesIn(ms Membership) bool {
+	m, ok := ms.Find(n.set.Self)
+	return ok && !m.Learner && (m.Storage == n.set.Storage || m.Storage == 0 && n.state.Admitted)
 }
 
 // helloNeeded returns how many others must accept a new folder. The sets that accept two folders of one host
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -104,23 +104,26 @@
 
 // lead returns a leader of three voters that continues from a log, in a term after the log's.
 func lead(t testing.TB, es []Entry) *Node {
-	ms := Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}}
+	return elect(t, Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}}, es, "b")
+}
+
+// elect returns host a as leader of term 3 by the votes of other hosts.
+func elect(t testing.TB, ms Membership, es []Entry, voters ...fleet.HostID) *Node {
 	now := time.Unix(0, 0)
 	n, err := New(Settings{Self: "a", Storage: 1}, Saved{
 		Storage: 1, Snapshot: Snapshot{Index: 1, Term: 1, Members: ms}, State: HardState{Term: 2}, Entries: es,
 	}, now)
 	require.NoError(t, err)
-	step := func(m Message) { require.NoError(t, n.Step(now.Add(time.Second), m)) }
-	drain := func() {
+	n.Tick(now.Add(time.Second))
+	for _, k := range []MessageKind{MsgPreVoteReply, MsgVoteReply} {
+		for _, h := range voters {
+			m, _ := ms.Find(h)
+			require.NoError(t, n.Step(now.Add(time.Second), Message{Kind: k, To: "a", From: h, Term: 3, Storage: m.Storage}))
+		}
 		for o, ok := n.Ready(); ok; o, ok = n.Ready() {
 			n.Done(o)
 		}
 	}
-	n.Tick(now.Add(time.Second))
-	step(Message{Kind: MsgPreVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
-	drain()
-	step(Message{Kind: MsgVoteReply, To: "a", From: "b", Term: 3, Storage: 2})
-	drain()
 	require.Equal(t, Leader, n.role)
 	return n
 }
@@ -190,6 +193,26 @@
 	}
 }
 
+// Guards against a group without any possible leader: the only host with an uncommitted removal of itself must lead,
+// without its own vote, as the others can't win against its longer log.
+func TestRemovedHostLeadsUntilCommitted(t *testing.T) {
+	ms := Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}, {Host: "d", Storage: 4}}
+	data, err := cbor.Marshal(ms.without("a"))
+	require.NoError(t, err)
+	n := elect(t, ms, []Entry{{Index: 2, Term: 2, Kind: EntryMembers, Data: data}}, "b", "c")
+	for _, h := range []fleet.HostID{"b", "c"} {
+		require.Equal(t, fleet.Index(1), n.commit, "its own copy counts")
+		m, _ := ms.Find(h)
+		require.NoError(t, n.Step(n.now, Message{
+			Kind: MsgAppendReply, To: "a", From: h, Term: 3, Storage: m.Storage, Index: 3, Round: n.round,
+		}))
+	}
+	require.Equal(t, fleet.Index(3), n.commit)
+	require.Equal(t, Follower, n.role, "it leads on after its removal is committed")
+	n.Tick(n.now.Add(time.Minute))
+	require.Equal(t, Follower, n.role, "it asks for votes after its removal is committed")
+}
+
 // Guards against a message from a broken or newer host that stops this one or damages its log.
 func FuzzStep(f *testing.F) {
 	for _, m := range []Message{
--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -80,7 +80,10 @@
 			g.node.Tick(now)
 		}
 		g.mu.Unlock()
-		for g.work(ctx, s) {
+		if g.work(ctx, s) {
+			// Messages and timers come between two outputs, else a stream of proposals would keep answers and heartbeats
+			// waiting.
+			g.notify()
 		}
 		g.mu.Lock()
 		timer.Reset(max(time.Until(g.node.NextTick()), 0))
