disk: a directory that cannot be locked is not reported as in use

Cause: any error of the lock file, such as a full disk, told the operator to stop another process. Change: only EWOULDBLOCK does; others name permissions and space.

--- a/io/disk/fs.go
+++ b/io/disk/fs.go
@@ -32,7 +32,8 @@
 	Remove(name string) error
 	// SyncDir makes created, renamed and removed names durable.
 	SyncDir(dir string) error
-	// Lock keeps other processes from using the directory until the result is closed.
+	// Lock keeps other processes from using the directory until the result is closed; the error is EWOULDBLOCK if one
+	// uses it already.
 	Lock(name string) (io.Closer, error)
 }
 
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -6,6 +6,7 @@
 	"io"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
@@ -78,9 +79,12 @@
 		return nil, err
 	}
 	lock, err := set.FS.Lock(filepath.Join(set.Dir, "lock"))
-	if err != nil {
+	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return nil, ErrInUse.Wrap(err, "data directory %s is in use; stop the other process", set.Dir)
 	}
+	if err != nil {
+		return nil, ErrFailed.Wrap(err, "data directory %s cannot be locked; check its permissions and free space", set.Dir)
+	}
 	s := &Store{set: set, lock: lock, dec: dec}
 	if err := s.recover(); err != nil {
 		// What went wrong is in err; the files are closed only to let go of them.
