raft: a learner that was a voter before does not stand for election

Cause: a host that held its removal and its new start as a learner, with an old commit index after a restart, stood for election by the older membership; as leader, Promote of itself crashed. Change: the membership at the commit index counts only for a host that the latest one doesn't name at all.

--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -164,7 +164,13 @@
 // promotable says whether this host may become leader. A host that holds its own removal without knowing that it is
 // committed may have to lead once more: the others may need the entries that only it holds, and can't outvote it.
 func (n *Node) promotable() bool {
-	return !n.halted && (n.votesIn(n.members()) || n.votesIn(n.membersAt(n.commit)))
+	if n.halted {
+		return false
+	}
+	if _, ok := n.members().Find(n.set.Self); !ok {
+		return n.votesIn(n.membersAt(n.commit))
+	}
+	return n.votesIn(n.members())
 }
 
 // votesIn says whether this host, with its present folder, is a voter of a membership.
@@ -311,8 +317,8 @@
 		return 0, ErrMember.New("host %s is no learner; add it as a learner first", h)
 	}
 	p := n.peers[h]
-	if p.storage == 0 || p.match+n.set.PromoteGap < n.commit || n.now.Sub(p.lastAck) > n.set.ElectionMax {
-		return 0, ErrBusy.New("learner %s has not caught up (entry %d of %d); wait until it has", h, p.match, n.commit)
+	if p == nil || p.storage == 0 || p.match+n.set.PromoteGap < n.commit || n.now.Sub(p.lastAck) > n.set.ElectionMax {
+		return 0, ErrBusy.New("learner %s has not caught up with entry %d; wait until it has", h, n.commit)
 	}
 	return n.changeMembers(n.members().with(Member{Host: h, Storage: p.storage})), nil
 }
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -213,6 +213,23 @@
 	require.Equal(t, Follower, n.role, "it asks for votes after its removal is committed")
 }
 
+// Guards against a learner that stands for election because it was a voter before the removal that it holds as well.
+func TestLearnerStaysLearner(t *testing.T) {
+	ms := Membership{{Host: "a", Storage: 1}, {Host: "b", Storage: 2}, {Host: "c", Storage: 3}}
+	var es []Entry
+	for i, next := range []Membership{ms.without("a"), ms.with(Member{Host: "a", Learner: true})} {
+		data, err := cbor.Marshal(next)
+		require.NoError(t, err)
+		es = append(es, Entry{Index: fleet.Index(2 + i), Term: 1, Kind: EntryMembers, Data: data})
+	}
+	n, err := New(Settings{Self: "a", Storage: 1}, Saved{
+		Storage: 1, Snapshot: Snapshot{Index: 1, Term: 1, Members: ms}, Entries: es,
+	}, time.Unix(0, 0))
+	require.NoError(t, err)
+	n.Tick(time.Unix(60, 0))
+	require.Equal(t, Follower, n.role)
+}
+
 // Guards against a message from a broken or newer host that stops this one or damages its log.
 func FuzzStep(f *testing.F) {
 	for _, m := range []Message{
