--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -17,6 +17,7 @@
 	logLeader   = "raft leader changed"
 	logRefused  = "raft group knows this host under another data folder; remove it and add it again as a learner"
 	logFailed   = "raft storage or state machine failed; this host no longer votes"
+	logRejected = "raft message rejected"
 	logSnapshot = "raft snapshot taken"
 )
 
@@ -70,13 +71,19 @@
 		inbox := g.inbox
 		g.inbox, g.inboxBytes = nil, 0
 		for _, m := range inbox {
-			g.node.Step(now, m)
+			if err := g.node.Step(now, m); err != nil {
+				g.counters.rejected.Add(1)
+				g.set.Log.Warn(logRejected, zap.String("from", string(m.From)), zap.Error(err))
+			}
 		}
 		if !now.Before(g.node.NextTick()) {
 			g.node.Tick(now)
 		}
 		g.mu.Unlock()
-		for g.work(ctx, s) {
+		if g.work(ctx, s) {
+			// Messages and timers come between two outputs, else a stream of proposals would keep answers and heartbeats
+			// waiting.
+			g.notify()
 		}
 		g.mu.Lock()
 		timer.Reset(max(time.Until(g.node.NextTick()), 0))
@@ -197,7 +204,7 @@
 	if !due || applied == st.Snapshot {
 		return nil
 	}
-	i, data, err := g.Snapshot()
+	i, data, err := g.encode()
 	if err != nil {
 		return err
 	}
