routing, toucanway-lab/policy: a second queue for waiting requests, redirects after refusals

A request bound to one server waits behind stragglers while others have slots. Router.Second names another server once it is expected to have a slot sooner than the request has waited already, and a refused request asks one more server.

--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -48,6 +48,32 @@
 	return t, nil
 }
 
+// Mean runs an experiment with several seeds from the first one on and returns the mean of each value.
+func Mean(name string, first uint64, seeds int) (Table, error) {
+	sum, err := Run(name, first)
+	if err != nil {
+		return Table{}, err
+	}
+	for i := 1; i < seeds; i++ {
+		t, err := Run(name, first+uint64(i))
+		if err != nil {
+			return Table{}, err
+		}
+		for r, row := range t.Rows {
+			for k, v := range row.Values {
+				sum.Rows[r].Values[k] += v
+			}
+		}
+	}
+	for _, row := range sum.Rows {
+		for k := range row.Values {
+			row.Values[k] /= float64(max(seeds, 1))
+		}
+	}
+	sum.Name = fmt.Sprintf("%s, mean of %d seeds", name, max(seeds, 1))
+	return sum, nil
+}
+
 func experiments() map[string]experiment {
 	return map[string]experiment{
 		"stragglers": stragglers(),
@@ -73,6 +99,11 @@
 	return out
 }
 
+// ours is the policy of the entry hosts, without hedging and preemption.
+func ours(name string) func(*settings) {
+	return func(p *settings) { p.name, p.redirects, p.second = name, 1, true }
+}
+
 // mixed makes short requests and a share of stragglers, half of which come from a caller that always sends them.
 func mixed(s *simulation, straggler float64) *request {
 	r := &request{
@@ -96,9 +127,9 @@
 		columns: []string{"p50 short wait ms", "p99 short wait ms", "p99 long wait ms", "served"},
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind = "fifo", true, true },
-			func(p *settings) { p.name = "ours" },
-			func(p *settings) { p.name, p.preempt = "ours, preemption", 2 },
-			func(p *settings) { p.name, p.oracle = "oracle", true },
+			ours("ours"),
+			func(p *settings) { ours("ours, preemption")(p); p.preempt = 2 },
+			func(p *settings) { ours("oracle")(p); p.oracle = true },
 		),
 		measure: func(s *simulation) []float64 {
 			var short, long []time.Duration
@@ -134,8 +165,8 @@
 		policies: with(base,
 			func(p *settings) { p.name, p.choose = "random", chooseRandom },
 			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
-			func(p *settings) { p.name = "ours" },
-			func(p *settings) { p.name, p.hedge = "ours, hedged", true },
+			ours("ours"),
+			func(p *settings) { ours("ours, hedged")(p); p.hedge = true },
 		),
 		measure: func(s *simulation) []float64 {
 			var total, first []time.Duration
@@ -184,7 +215,7 @@
 		columns: columns,
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind, p.choose = "fifo", true, true, chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
 			var in, of [fleet.Classes + 1]int
@@ -224,7 +255,7 @@
 		policies: with(base,
 			func(p *settings) { p.name, p.choose = "random", chooseRandom },
 			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
 			var first []time.Duration
@@ -256,10 +287,10 @@
 		})
 	}
 	return experiment{
-		columns: []string{"dispatches a request", "crashes", "served", "p99 ms"},
+		columns: []string{"dispatches a request", "acquires a request", "crashes", "served", "p99 ms"},
 		policies: with(base,
 			func(p *settings) { p.name, p.unbounded, p.choose = "unbounded retries", true, chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
 			var total []time.Duration
@@ -276,7 +307,7 @@
 					total = append(total, r.finished.Sub(r.arrived))
 				}
 			}
-			return []float64{share(s.attempts, origins), float64(s.crashes), share(served, origins), quantile(total, 0.99)}
+			return []float64{share(s.dispatches, origins), share(s.attempts, origins), float64(s.crashes), share(served, origins), quantile(total, 0.99)}
 		},
 	}
 }
--- a/cmd/toucanway-lab/internal/policy/policy_test.go
+++ b/cmd/toucanway-lab/internal/policy/policy_test.go
@@ -1,11 +1,15 @@
 package policy
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
+// seeds is raised for docs/measurements-requests.md.
+var seeds = flag.Int("seeds", 2, "number of seeds that TestPolicyBeatsBaseline takes the mean of, from 1 on")
+
 // Guards against results that depend on anything but the seed.
 func TestRunIsDeterministic(t *testing.T) {
 	for _, name := range Names() {
@@ -15,7 +19,41 @@
 			second, err := Run(name, 1)
 			require.NoError(t, err)
 			require.Equal(t, first, second)
-			t.Log(first)
+		})
+	}
+	_, err := Run("unknown", 1)
+	require.Error(t, err)
+}
+
+// Guards against a change that makes a policy worse than its baseline in the measure that the policy is there for.
+func TestPolicyBeatsBaseline(t *testing.T) {
+	for name, c := range map[string]struct {
+		policy, column string
+		higher         bool
+	}{
+		"stragglers": {"ours", "p99 short wait ms", false},
+		"slowdown":   {"ours", "p99 ms", false},
+		"peak":       {"ours", "all in time", true},
+		"prefix":     {"ours", "cached prompt share", true},
+		"resends":    {"ours", "dispatches a request", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := Mean(name, 1, *seeds)
+			require.NoError(t, err)
+			t.Logf("\n%v", got)
+			column, row := -1, -1
+			for i, n := range got.Columns {
+				if n == c.column {
+					column = i
+				}
+			}
+			for i, r := range got.Rows {
+				if r.Policy == c.policy {
+					row = i
+				}
+			}
+			baseline, policy := got.Rows[0].Values[column], got.Rows[row].Values[column]
+			require.Equal(t, c.higher, policy > baseline, "%v against %v", policy, baseline)
 		})
 	}
 }
--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -77,14 +77,18 @@
 	for _, e := range v.table.Handle(v.s.now, ev) {
 		switch e := e.(type) {
 		case capacity.Granted:
-			a := v.waiting[e.Grant.Request]
-			delete(v.waiting, e.Grant.Request)
-			a.grant = e.Grant
-			v.begin(a)
+			// A grant may cross a cancellation, which ends it.
+			if a := v.waiting[e.Grant.Request]; a != nil {
+				delete(v.waiting, e.Grant.Request)
+				a.grant = e.Grant
+				v.begin(a)
+			}
 		case capacity.Refused:
-			a := v.waiting[e.Request]
-			delete(v.waiting, e.Request)
-			v.s.refused(a, e.Refusal)
+			// A refusal may cross a cancellation.
+			if a := v.waiting[e.Request]; a != nil {
+				delete(v.waiting, e.Request)
+				v.s.refused(a, e.Refusal)
+			}
 		case capacity.ReadInventory:
 			asked := v.s.now
 			v.s.after(oneWay, func() { v.handle(capacity.InventoryEvent{Asked: asked, Inventory: v.inventory()}) })
@@ -162,6 +166,7 @@
 		return
 	}
 	v.tell(a.host)
+	v.s.dispatches++
 	a.granted = v.s.now
 	v.s.granted(a)
 	a.life = v.life
--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -17,6 +17,9 @@
 	"toucanway/core/routing"
 )
 
+// secondAfter is the wait after which a request looks for a second queue first.
+const secondAfter = 50 * time.Millisecond
+
 // target is the one model of all experiments.
 var target = fleet.Target{Model: "m"}
 
@@ -41,6 +44,9 @@
 	queue                 queue.Settings
 	choose                choosing
 	hedge                 bool
+	// redirects bounds the other servers asked after a refusal; second lets a request wait at two servers.
+	redirects int
+	second    bool
 	// crashAt is when the first crashed servers end; they are back after downFor.
 	crashAt, downFor time.Duration
 	crashed          int
@@ -86,6 +92,7 @@
 	done, preempted int
 	resent          int
 	live            []*attempt
+	refusedBy       []fleet.BackendID
 	answered        bool
 
 	waited, first time.Duration
@@ -115,12 +122,13 @@
 	control  control.State
 	index    fleet.Index
 	requests []*request
-	attempts int
-	hedges   int
-	crashes  int
-	stops    int
-	prompts  int
-	hits     int
+	// attempts counts requests for a slot, dispatches those that got one.
+	attempts, dispatches int
+	hedges               int
+	crashes              int
+	stops                int
+	prompts              int
+	hits                 int
 }
 
 func newSimulation(p settings, seed uint64) *simulation {
@@ -313,6 +321,25 @@
 	h.own[a.server]++
 	h.router.Begin(s.now, a.server.id)
 	s.after(oneWay, func() { a.server.acquire(a) })
+	if s.p.second && len(r.live) == 1 {
+		s.queueTwice(r, a, secondAfter)
+	}
+}
+
+// queueTwice lets a request that waits join the queue of a second server, and leaves one queue when the other grants.
+func (s *simulation) queueTwice(r *request, a *attempt, waited time.Duration) {
+	s.after(waited, func() {
+		if a.over || !a.granted.IsZero() || r.answered || len(r.live) != 1 {
+			return
+		}
+		q := s.query(r)
+		q.Avoid = []fleet.BackendID{a.server.id}
+		if _, ok := a.host.router.Second(s.now, q, s.now.Sub(a.asked)); ok {
+			s.try(r, q.Avoid)
+			return
+		}
+		s.queueTwice(r, a, 2*waited)
+	})
 }
 
 func (s *simulation) hedge(r *request, a *attempt) {
@@ -327,7 +354,14 @@
 }
 
 func (s *simulation) granted(a *attempt) {
-	if a.r.tries == 1 {
+	if s.p.second {
+		for _, other := range slices.Clone(a.r.live) {
+			if other != a && other.granted.IsZero() {
+				s.drop(other)
+			}
+		}
+	}
+	if a.r.waited == 0 {
 		a.r.waited = s.now.Sub(a.r.arrived)
 	}
 	if s.p.hedge && len(a.r.live) == 1 {
@@ -403,6 +437,11 @@
 	if !s.p.unbounded {
 		a.r.retryAfter = refusal.RetryAfter
 	}
+	a.r.refusedBy = append(a.r.refusedBy, a.server.id)
+	if len(a.r.live) == 0 && len(a.r.refusedBy) <= s.p.redirects {
+		s.try(a.r, a.r.refusedBy)
+		return
+	}
 	if len(a.r.live) == 0 {
 		s.again(a.r)
 	}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -78,6 +78,8 @@
 	Expected time.Duration
 	// FirstToken is the part of it from the dispatch on, on a server that is not slow.
 	FirstToken time.Duration
+	// Wait is the part of it until a slot is free.
+	Wait time.Duration
 	// Match is the length of the prefix believed to be cached.
 	Match fleet.Tokens
 	// CrossRegion says that the traffic is billed, OverBudget that the tenant's budget is used up.
@@ -294,10 +296,19 @@
 	b := &r.backends[i]
 	return Choice{
 		Backend: b.id, Expected: seconds(r.cost[k]), FirstToken: seconds(r.prefill(now, m, i, q)),
+		Wait:  seconds(b.load.queueWait(now, b.slots) * b.pace.ratio(now)),
 		Match: fleet.Tokens(r.match[i]), CrossRegion: b.remote, OverBudget: b.remote && over, Probe: probe,
 	}, true
 }
 
+// Second returns another server for a request that has waited for a slot at those in q.Avoid, and false when none is
+// expected to have one sooner than it has waited already. Without that condition every request would wait twice at a peak,
+// when no server has a slot.
+func (r *Router) Second(now time.Time, q *Request, waited time.Duration) (Choice, bool) {
+	c, ok := r.Choose(now, q)
+	return c, ok && !c.Probe && c.Wait < waited
+}
+
 func (r *Router) avoided(i int32, avoid []fleet.BackendID) bool {
 	return len(avoid) > 0 && slices.Contains(avoid, r.backends[i].id)
 }
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -129,7 +129,7 @@
 		r.Begin(epoch, "b0")
 	}
 	c, _ := r.Choose(epoch, request(100))
-	require.Equal(t, Choice{Backend: "b1", Expected: c.Expected, FirstToken: c.FirstToken, CrossRegion: true}, c)
+	require.Equal(t, Choice{Backend: "b1", Expected: c.Expected, FirstToken: c.FirstToken, Wait: c.Wait, CrossRegion: true}, c)
 	r.Charge(epoch, "t", 2000)
 	c, _ = r.Choose(epoch, request(100))
 	require.Equal(t, fleet.BackendID("b0"), c.Backend)
