--- a/core/capacity/world_test.go
+++ b/core/capacity/world_test.go
@@ -29,12 +29,12 @@
 	fence fleet.Fence
 	later []action
 
-	checksFence bool
-	engineFence fleet.Fence
-	models      map[fleet.OrderID]fleet.Bytes
-	adapters    map[fleet.Target]fleet.Bytes
-	loading     fleet.Bytes
-	running     map[fleet.RequestID]fleet.Bytes
+	checksFence, preempt bool
+	engineFence          fleet.Fence
+	models               map[fleet.OrderID]fleet.Bytes
+	adapters             map[fleet.Target]fleet.Bytes
+	loading              fleet.Bytes
+	running              map[fleet.RequestID]fleet.Bytes
 
 	replicas []Replica
 	memory   map[fleet.RequestID]fleet.Bytes
@@ -56,6 +56,7 @@
 		running: map[fleet.RequestID]fleet.Bytes{}, memory: map[fleet.RequestID]fleet.Bytes{},
 		alone: map[fleet.RequestID]fleet.Fence{}, sent: map[fleet.RequestID]time.Time{}, open: map[fleet.RequestID]time.Time{},
 		replicas: []Replica{{Order: 1, Model: "m1", Memory: 200}}, checksFence: rapid.Bool().Draw(t, "checks-fence"),
+		preempt: rapid.Bool().Draw(t, "preempt"),
 	}
 	w.takeOver()
 	return w
@@ -73,6 +74,7 @@
 	w.table = New(Settings{
 		Backend: "b", Incarnation: 1, Fence: w.fence, Memory: worldMemory, Slots: worldSlots, KVReserve: kvReserve,
 		ChecksFence: w.checksFence, Taken: w.now, Queue: queue.Settings{Limit: 16}, Loads: NewLoadShare(2),
+		Preempt: w.preempt,
 	})
 	w.handle(ReplicasEvent{Replicas: slices.Clone(w.replicas)})
 }
@@ -85,7 +87,6 @@
 }
 
 func (w *world) apply(e Effect) {
-	w.t.Logf("%v fence %d %T %+v", w.now.Sub(epoch), w.fence, e, e)
 	fence, table := w.fence, w.table
 	back := func(ev Event) {
 		w.after("answer", 40*time.Millisecond, func() {
@@ -103,6 +104,13 @@
 		delete(w.open, e.Request)
 	case Cancelled:
 		delete(w.open, e.Request)
+	case Preempt:
+		w.after("stop", 40*time.Millisecond, func() {
+			if _, ok := w.running[e.Grant.Request]; ok {
+				delete(w.running, e.Grant.Request)
+				back(ReleaseEvent{Release: Release{Fence: fence, ID: e.Grant.ID, Host: "h", Outcome: OutcomePreempted}})
+			}
+		})
 	case LoadAdapter:
 		w.order(e.Order, back)
 	case UnloadAdapter:
@@ -145,8 +153,13 @@
 		return
 	}
 	w.after("dispatch", left, func() {
-		if fate == 1 {
+		switch fate {
+		case 1:
 			report(OutcomeInDoubt)
+		case 3:
+			report(OutcomeDispatched)
+		case 4:
+			report(OutcomeOutgrown)
 		}
 		w.after("transit", DefaultTransit, func() {
 			if w.stale(g.Fence) {
@@ -168,6 +181,7 @@
 	outcome := rapid.SampledFrom([]fleet.OrderOutcome{
 		fleet.OrderDone, fleet.OrderDone, fleet.OrderFailed, fleet.OrderInDoubt,
 	}).Draw(w.t, "outcome")
+	silent := outcome == fleet.OrderInDoubt && rapid.Bool().Draw(w.t, "silent")
 	w.after("order", DefaultTransit, func() {
 		if w.stale(o.Fence) {
 			back(AdapterEvent{Order: o.ID, Outcome: fleet.OrderRefused})
@@ -188,7 +202,9 @@
 			} else {
 				delete(w.adapters, o.Target)
 			}
-			back(AdapterEvent{Order: o.ID, Outcome: outcome})
+			if !silent {
+				back(AdapterEvent{Order: o.ID, Outcome: outcome})
+			}
 		})
 	})
 }
@@ -273,6 +289,7 @@
 		Deadline: rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 4 * time.Second}).Draw(t, "deadline"),
 		Memory:   rapid.SampledFrom([]fleet.Bytes{10, 150, 250, 400}).Draw(t, "memory"),
 		Long:     rapid.Bool().Draw(t, "long"), Alone: rapid.IntRange(0, 15).Draw(t, "alone") == 7,
+		Preemptible: rapid.Bool().Draw(t, "preemptible"), Resumed: rapid.IntRange(0, 7).Draw(t, "resumed") == 3,
 	}
 	if n := rapid.IntRange(0, 6).Draw(t, "adapter"); n > 0 {
 		a.Target.Adapter = fleet.AdapterID(fmt.Sprint("a", n))
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// Guards against bodies that crash the host, and against a resend that differs only in form being taken for a new request.
+func FuzzFingerprint(f *testing.F) {
+	f.Add([]byte(`{"prompt":"x","max_tokens":5,"stream":true}`))
+	f.Add([]byte(`[1e400]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		first := Fingerprint("t", "m", body)
+		if again := normalise(body); Fingerprint("t", "m", again) != first {
+			t.Fatalf("normalising %q twice differs", body)
+		}
+	})
+}
+
 // Each case guards against a dangerous request running beside others, or a harmless one being held back.
 func TestDecide(t *testing.T) {
 	suspect := control.Mark{Fingerprint: 1, Crashes: 1, Index: 5}
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -17,6 +17,8 @@
 	// samples is the number of past counts of own requests; at one every sampleEvery they cover the lag of reports.
 	samples     = 16
 	sampleEvery = 100 * time.Millisecond
+	// maxReported bounds what a backend server may report of its running or queued requests.
+	maxReported = 1 << 16
 )
 
 // load estimates the requests that a backend server runs and holds queued.
@@ -103,7 +105,8 @@
 		return
 	}
 	b.load.seq = rep.Seq
-	b.load.report(now.Add(-rep.Age), rep.Running+rep.Queued)
+	total := min(max(rep.Running, 0), maxReported) + min(max(rep.Queued, 0), maxReported)
+	b.load.report(now.Add(-max(rep.Age, 0)), total)
 }
 
 // queueWait returns the expected seconds until a slot is free: the owner's estimate with own requests since then, drifting
--- a/core/routing/prefix.go
+++ b/core/routing/prefix.go
@@ -15,6 +15,8 @@
 	hitGain = 0.1
 	// lostDoubt is the doubt of one lost event, which may be the eviction of any known prefix.
 	lostDoubt = 1.0
+	// maxDoubt is the doubt of one gap at which nothing older is believed.
+	maxDoubt = 50
 )
 
 // cache is what is believed of one backend server's prefix cache.
@@ -77,7 +79,7 @@
 	switch {
 	case ev.Seq > c.seq:
 		if lost := ev.Seq - c.seq - 1; lost > 0 && c.seq > 0 {
-			c.doubt += lostDoubt * float64(lost) / float64(max(c.count, 1))
+			c.doubt += min(maxDoubt, lostDoubt*float64(lost)/float64(max(c.count, 1)))
 		}
 		c.seq = ev.Seq
 	case !ev.Evicted:
@@ -160,7 +162,7 @@
 		x.unlink(c, e)
 	}
 	n := &x.entries[e]
-	n.at, n.doubt, n.length = now, c.doubt, int32(min(length, math.MaxInt32))
+	n.at, n.doubt, n.length = now, c.doubt, int32(min(max(length, 0), math.MaxInt32))
 	n.older, n.newer = c.newest, none
 	if c.newest != none {
 		x.entries[c.newest].newer = e
