--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -321,7 +321,7 @@
 	h.own[a.server]++
 	h.router.Begin(s.now, a.server.id)
 	s.after(oneWay, func() { a.server.acquire(a) })
-	if s.p.second && len(r.live) == 1 {
+	if s.p.second && len(r.live) == 1 && !s.p.long(r) {
 		s.queueTwice(r, a, secondAfter)
 	}
 }
