--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -77,6 +77,7 @@
 func experiments() map[string]experiment {
 	return map[string]experiment{
 		"stragglers": stragglers(),
+		"cold-start": coldStart(),
 		"slowdown":   slowdown(),
 		"peak":       peak(),
 		"prefix":     prefix(),
@@ -189,56 +190,89 @@
 		}
 		return 40
 	}
-	deadlines := [fleet.Classes]time.Duration{5 * time.Second, 5 * time.Second, 10 * time.Second, 60 * time.Second}
-	base.arrivals = func(s *simulation) {
-		s.poisson(rate, 120, func() *request {
-			r := mixed(s, 0)
-			switch x := s.rand.Float64(); {
-			case x < 0.1:
-				r.class = fleet.ClassCritical
-			case x < 0.4:
-				r.class = fleet.ClassInteractive
-			case x < 0.8:
-				r.class = fleet.ClassStandard
-			default:
-				r.class = fleet.ClassBatch
-			}
-			r.deadline = s.now.Add(deadlines[r.class])
-			return r
-		})
-	}
-	columns := []string{"all in time"}
-	for c := range fleet.Class(fleet.Classes) {
-		columns = append(columns, c.String())
+	base.arrivals = func(s *simulation) { s.poisson(rate, 120, func() *request { return classed(s) }) }
+	during := func(at time.Duration) bool { return at >= 20*time.Second && at < 30*time.Second }
+	return experiment{
+		columns: inTimeColumns(),
+		policies: with(base,
+			func(p *settings) { p.name, p.fifo, p.blind, p.choose = "fifo", true, true, chooseLeast },
+			ours("ours"),
+		),
+		measure: func(s *simulation) []float64 { return inTime(s, during) },
 	}
+}
+
+func coldStart() experiment {
+	base := settings{hosts: 6, servers: 4, slots: 8, until: 30 * time.Second}
+	base.upAfter = func(server int) time.Duration { return time.Duration(6+4*(server/2)) * time.Second }
+	base.arrivals = func(s *simulation) { s.poisson(steady(25), 25, func() *request { return classed(s) }) }
+	during := func(at time.Duration) bool { return at < 15*time.Second }
 	return experiment{
-		columns: columns,
+		columns: append(inTimeColumns(), "p99 first token ms"),
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind, p.choose = "fifo", true, true, chooseLeast },
 			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var in, of [fleet.Classes + 1]int
+			var first []time.Duration
 			for _, r := range s.requests {
-				if at := r.arrived.Sub(epoch); at < 20*time.Second || at >= 30*time.Second {
-					continue
-				}
-				of[r.class]++
-				of[fleet.Classes]++
-				if r.first > 0 && !r.arrived.Add(r.first).After(r.deadline) {
-					in[r.class]++
-					in[fleet.Classes]++
+				if r.served && during(r.arrived.Sub(epoch)) {
+					first = append(first, r.first)
 				}
 			}
-			out := []float64{share(in[fleet.Classes], of[fleet.Classes])}
-			for c := range fleet.Classes {
-				out = append(out, share(in[c], of[c]))
-			}
-			return out
+			return append(inTime(s, during), quantile(first, 0.99))
 		},
 	}
 }
 
+// classed makes requests of all classes with their usual deadlines.
+func classed(s *simulation) *request {
+	deadlines := [fleet.Classes]time.Duration{5 * time.Second, 5 * time.Second, 10 * time.Second, 60 * time.Second}
+	r := mixed(s, 0)
+	switch x := s.rand.Float64(); {
+	case x < 0.1:
+		r.class = fleet.ClassCritical
+	case x < 0.4:
+		r.class = fleet.ClassInteractive
+	case x < 0.8:
+		r.class = fleet.ClassStandard
+	default:
+		r.class = fleet.ClassBatch
+	}
+	r.deadline = s.now.Add(deadlines[r.class])
+	return r
+}
+
+func inTimeColumns() []string {
+	columns := []string{"all in time"}
+	for c := range fleet.Class(fleet.Classes) {
+		columns = append(columns, c.String())
+	}
+	return columns
+}
+
+// inTime returns the share of requests that arrived during a time and got their first token before the deadline, in all and
+// by class.
+func inTime(s *simulation, during func(time.Duration) bool) []float64 {
+	var in, of [fleet.Classes + 1]int
+	for _, r := range s.requests {
+		if !during(r.arrived.Sub(epoch)) {
+			continue
+		}
+		of[r.class]++
+		of[fleet.Classes]++
+		if r.first > 0 && !r.arrived.Add(r.first).After(r.deadline) {
+			in[r.class]++
+			in[fleet.Classes]++
+		}
+	}
+	out := []float64{share(in[fleet.Classes], of[fleet.Classes])}
+	for c := range fleet.Classes {
+		out = append(out, share(in[c], of[c]))
+	}
+	return out
+}
+
 func prefix() experiment {
 	base := settings{hosts: 6, servers: 18, slots: 8, until: time.Minute}
 	base.arrivals = func(s *simulation) {
--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -292,8 +292,7 @@
 		v.s.replicas()
 		v.s.after(downFor, func() {
 			v.down = false
-			v.s.up = append(v.s.up, v)
-			v.s.replicas()
+			v.s.join(v)
 		})
 	}
 	for _, a := range lost {
--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -47,6 +47,8 @@
 	// redirects bounds the other servers asked after a refusal; second lets a request wait at two servers.
 	redirects int
 	second    bool
+	// upAfter is when a server's replica is ready; nil means from the start.
+	upAfter func(server int) time.Duration
 	// crashAt is when the first crashed servers end; they are back after downFor.
 	crashAt, downFor time.Duration
 	crashed          int
@@ -108,7 +110,11 @@
 	lens   *length.Predictor
 	sent   retry.Resends
 	poison *poison.View
-	own    map[*server]int
+	// waiting holds requests while no server is up, in order, and held those of the baseline.
+	waiting *queue.Queue
+	tickets map[queue.Ticket]*request
+	held    []*request
+	own     map[*server]int
 }
 
 type simulation struct {
@@ -145,6 +151,7 @@
 		h := &host{own: map[*server]int{}, lens: length.New(length.Settings{LongTokens: longTokens})}
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		h.router = routing.New(routing.Settings{Rand: own})
+		h.waiting, h.tickets = queue.New(queue.Settings{Limit: 4096}), map[queue.Ticket]*request{}
 		h.poison = poison.New(poison.Settings{})
 		h.budget = retry.NewBudget(retry.Settings{Rand: own})
 		for _, id := range on {
@@ -152,7 +159,13 @@
 		}
 		s.hosts = append(s.hosts, h)
 	}
-	s.up = slices.Clone(s.servers)
+	for i, v := range s.servers {
+		if p.upAfter == nil || p.upAfter(i) == 0 {
+			s.up = append(s.up, v)
+			continue
+		}
+		s.after(p.upAfter(i), func() { s.join(v) })
+	}
 	s.replicas()
 	for i, v := range s.servers {
 		s.after(time.Duration(i)*7*time.Millisecond, v.report)
@@ -163,38 +176,6 @@
 	return s
 }
 
-// replicas tells the hosts which servers are up.
-func (s *simulation) replicas() {
-	var on []fleet.BackendID
-	for _, v := range s.up {
-		on = append(on, v.id)
-	}
-	for _, h := range s.hosts {
-		h.router.SetReplicas(target.Model, on)
-	}
-}
-
-// recordCrash tells the control state of a crash; its marks reach the hosts after a while.
-func (s *simulation) recordCrash(v *server, lost []*attempt) {
-	c := &control.RecordCrash{Backend: v.id, Incarnation: fleet.Incarnation(v.life)}
-	for _, a := range lost {
-		c.Fingerprints = append(c.Fingerprints, a.r.origin)
-		c.Alone = a.alone
-		a.host.poison.Suspect(s.now, a.r.origin)
-	}
-	data, err := control.Encode(control.Proposal{Command: c})
-	if err != nil {
-		panic(err)
-	}
-	s.index++
-	s.control.Apply(s.index, data)
-	s.after(300*time.Millisecond, func() {
-		for _, h := range s.hosts {
-			h.poison.SetMarks(s.now, s.control.Marks())
-		}
-	})
-}
-
 // live says that arrivals go on, or that requests are open.
 func (s *simulation) live() bool { return s.since() < s.p.until+20*time.Second }
 
@@ -286,6 +267,10 @@
 		return
 	}
 	h := s.hostOf(r)
+	if len(s.up) == 0 {
+		s.hold(h, r)
+		return
+	}
 	runAlone := false
 	if !s.p.unbounded {
 		switch h.poison.Decide(s.now, r.origin, len(s.up)).(type) {
--- a/core/capacity/event.go
+++ b/core/capacity/event.go
@@ -47,7 +47,13 @@
 // ReplicasEvent replaces the model replicas on the backend server, those in doubt included.
 type ReplicasEvent struct{ Replicas []Replica }
 
-// DrainEvent says that the backend server leaves, or that the owner hands it over: no new grants from then on.
+// SizeEvent says that the backend server announced another memory or number of slots under the same incarnation.
+type SizeEvent struct {
+	Memory fleet.Bytes
+	Slots  int
+}
+
+// DrainEvent says that the backend server leaves or died, or that the owner hands it over: no new grants from then on.
 type DrainEvent struct{}
 
 // TickEvent lets time pass; it is due at Table.NextTick.
@@ -60,6 +66,7 @@
 func (AdapterEvent) isEvent()   {}
 func (InventoryEvent) isEvent() {}
 func (ReplicasEvent) isEvent()  {}
+func (SizeEvent) isEvent()      {}
 func (DrainEvent) isEvent()     {}
 func (TickEvent) isEvent()      {}
 
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -131,6 +131,8 @@
 		t.inventory(now, ev)
 	case ReplicasEvent:
 		t.setReplicas(ev.Replicas)
+	case SizeEvent:
+		t.cfg.Memory, t.cfg.Slots = ev.Memory, ev.Slots
 	case DrainEvent:
 		t.drain(now)
 	case TickEvent:
