routing: load estimates trusted only as far as they are known

With many hosts, all that saw the same late reports sent to the server that was the least loaded one. The load part of the expected time is now drawn to the mean of the candidates, the more the further other hosts' traffic may have changed it.

--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -88,6 +88,16 @@
 	return float64(l.own) + w*l.others + (1-w)*l.mean
 }
 
+// trust returns how far the estimate is known, from 0 to 1: own requests are, those of others change as fast as requests
+// end. The others are those of an average server, since one that was reported idle may have got as many as any since then.
+func (l *load) trust(now time.Time, others float64) float64 {
+	if l.at.IsZero() {
+		return 1
+	}
+	turnover := max(0, now.Sub(l.at).Seconds()) / l.holdSeconds()
+	return 1 / (1 + turnover*others/float64(l.own+1))
+}
+
 func (l *load) observeHold(hold time.Duration) {
 	l.hold = l.holdSeconds() + holdGain*(hold.Seconds()-l.holdSeconds())
 }
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -102,6 +103,8 @@
 	// match holds the believed prefix length of each backend server for the choice under way.
 	match []float32
 	cost  [maxCandidates]float64
+	// loads is the part of the cost that comes from the estimated load, trust how far it is known.
+	loads, trust [maxCandidates]float64
 }
 
 type backend struct {
@@ -265,32 +268,40 @@
 		holders = r.adapters[target]
 	}
 	over := r.budgets.over(now, q.Tenant)
-	least, n := 0.0, 0
+	mean, others, n := 0.0, 0.0, 0
 	for k := range m.replicas {
 		p := &m.replicas[k]
 		r.cost[k] = -1
 		if r.avoided(p.backend, q.Avoid) {
 			continue
 		}
-		c := r.expected(now, m, p, q)
+		b := &r.backends[p.backend]
+		fixed, load := r.expected(now, m, p, q)
 		if q.Target.Adapter != "" && !slices.Contains(holders, p.backend) {
-			c += r.cfg.AdapterLoad.Seconds()
+			fixed += r.cfg.AdapterLoad.Seconds()
 		}
-		if over && r.backends[p.backend].remote {
-			c += overBudgetCost.Seconds()
+		if over && b.remote {
+			fixed += overBudgetCost.Seconds()
 		}
-		if n == 0 || c < least {
-			least = c
-		}
-		r.cost[k] = c
+		r.cost[k], r.loads[k] = fixed+load, load
+		mean += load
+		others += b.load.others
 		n++
 	}
 	if n == 0 {
 		return Choice{}, false
 	}
+	mean, others = mean/float64(n), others/float64(n)
+	least := math.Inf(1)
+	for k := range m.replicas {
+		if r.cost[k] >= 0 {
+			r.trust[k] = r.backends[m.replicas[k].backend].load.trust(now, others)
+			least = min(least, r.believed(k, mean))
+		}
+	}
 	k, probe := r.probe(m, n)
 	if !probe {
-		k = r.nearTie(m, q, least)
+		k = r.nearTie(m, least, mean)
 	}
 	i := m.replicas[k].backend
 	b := &r.backends[i]
@@ -313,15 +324,24 @@
 	return len(avoid) > 0 && slices.Contains(avoid, r.backends[i].id)
 }
 
-// expected returns the expected seconds to the first token on a replica.
-func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) float64 {
+// believed returns a candidate's expected time with its load drawn to the mean of all as far as it is not known. Hosts that
+// see the same late reports would otherwise all send to the server that was the least loaded one.
+func (r *Router) believed(k int, mean float64) float64 {
+	return r.cost[k] - (1-r.trust[k])*(r.loads[k]-mean)
+}
+
+// expected returns the expected seconds to the first token on a replica: the part that does not depend on its load, and the
+// part that does.
+func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) (fixed, load float64) {
 	b := &r.backends[p.backend]
 	slow := b.pace.ratio(now)
-	c := (r.prefill(now, m, p.backend, q) + b.load.queueWait(now, b.slots)) * slow
+	prompt := float64(q.Prompt) - float64(r.match[p.backend]) + promptBase
+	fixed = max(prompt, 1) * m.prefill * slow
+	load = fixed*b.load.estimate(now)/b.slots + b.load.queueWait(now, b.slots)*slow
 	if b.remote {
-		c += 2 * r.cfg.RegionDelay.Seconds()
+		fixed += 2 * r.cfg.RegionDelay.Seconds()
 	}
-	return c
+	return fixed, load
 }
 
 // prefill returns the expected seconds from dispatch to the first token on a server that is not slow.
@@ -334,15 +354,15 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // nearTie draws two of the candidates within reach of the least expected time and returns the less loaded one.
-func (r *Router) nearTie(m *model, q *Request, least float64) int {
+func (r *Router) nearTie(m *model, least, mean float64) int {
 	reach := least*(1+r.cfg.TieShare) + tieFloor.Seconds()
 	first, second, seen := -1, -1, 0
 	best, bestCost := -1, 0.0
 	for k := range m.replicas {
-		c := r.cost[k]
-		if c < 0 {
+		if r.cost[k] < 0 {
 			continue
 		}
+		c := r.believed(k, mean)
 		w := m.replicas[k].weight
 		if best < 0 || c/w < bestCost {
 			best, bestCost = k, c/w
