routing: sharper distrust of late reports; herding experiment

Trust falls with the square of half the unknown share, and near ties are compared by the believed cost too.

--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -79,6 +79,7 @@
 		"stragglers": stragglers(),
 		"cold-start": coldStart(),
 		"slowdown":   slowdown(),
+		"herding":    herding(),
 		"peak":       peak(),
 		"prefix":     prefix(),
 		"resends":    resends(),
@@ -182,6 +183,29 @@
 	}
 }
 
+// herding has many hosts that see the same late reports.
+func herding() experiment {
+	base := settings{hosts: 60, servers: 18, slots: 8, until: 40 * time.Second}
+	base.arrivals = func(s *simulation) { s.poisson(steady(145), 145, func() *request { return mixed(s, 0) }) }
+	return experiment{
+		columns: []string{"p50 wait ms", "p99 wait ms"},
+		policies: with(base,
+			func(p *settings) { p.name, p.choose = "random", chooseRandom },
+			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
+			ours("ours"),
+		),
+		measure: func(s *simulation) []float64 {
+			var waited []time.Duration
+			for _, r := range s.requests {
+				if r.served {
+					waited = append(waited, r.waited)
+				}
+			}
+			return []float64{quantile(waited, 0.5), quantile(waited, 0.99)}
+		},
+	}
+}
+
 func peak() experiment {
 	base := settings{hosts: 3, servers: 6, slots: 8, until: time.Minute}
 	rate := func(at time.Duration) float64 {
--- a/cmd/toucanway-lab/internal/policy/policy_test.go
+++ b/cmd/toucanway-lab/internal/policy/policy_test.go
@@ -20,6 +20,7 @@
 		"stragglers": {"ours", "p99 short wait ms", false},
 		"slowdown":   {"ours", "p99 ms", false},
 		"cold-start": {"ours", "all in time", true},
+		"herding":    {"ours", "p99 wait ms", false},
 		"peak":       {"ours", "all in time", true},
 		"prefix":     {"ours", "cached prompt share", true},
 		"resends":    {"ours", "dispatches a request", false},
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -95,7 +95,8 @@
 		return 1
 	}
 	turnover := max(0, now.Sub(l.at).Seconds()) / l.holdSeconds()
-	return 1 / (1 + turnover*others/float64(l.own+1))
+	unknown := 1 + turnover*others/float64(l.own+1)/2
+	return 1 / (unknown * unknown)
 }
 
 func (l *load) observeHold(hold time.Duration) {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -103,8 +103,8 @@
 	// match holds the believed prefix length of each backend server for the choice under way.
 	match []float32
 	cost  [maxCandidates]float64
-	// loads is the part of the cost that comes from the estimated load, trust how far it is known.
-	loads, trust [maxCandidates]float64
+	// loads is the part of the cost that comes from the estimated load; believed is the cost as far as the load is known.
+	loads, believed [maxCandidates]float64
 }
 
 type backend struct {
@@ -295,13 +295,16 @@
 	least := math.Inf(1)
 	for k := range m.replicas {
 		if r.cost[k] >= 0 {
-			r.trust[k] = r.backends[m.replicas[k].backend].load.trust(now, others)
-			least = min(least, r.believed(k, mean))
+			// Hosts that see the same late reports would all send to the server that was the least loaded one, so that the
+			// load is drawn to the mean of all as far as it is not known.
+			trust := r.backends[m.replicas[k].backend].load.trust(now, others)
+			r.believed[k] = r.cost[k] - (1-trust)*(r.loads[k]-mean)
+			least = min(least, r.believed[k])
 		}
 	}
 	k, probe := r.probe(m, n)
 	if !probe {
-		k = r.nearTie(m, least, mean)
+		k = r.nearTie(m, least)
 	}
 	i := m.replicas[k].backend
 	b := &r.backends[i]
@@ -324,12 +327,6 @@
 	return len(avoid) > 0 && slices.Contains(avoid, r.backends[i].id)
 }
 
-// believed returns a candidate's expected time with its load drawn to the mean of all as far as it is not known. Hosts that
-// see the same late reports would otherwise all send to the server that was the least loaded one.
-func (r *Router) believed(k int, mean float64) float64 {
-	return r.cost[k] - (1-r.trust[k])*(r.loads[k]-mean)
-}
-
 // expected returns the expected seconds to the first token on a replica: the part that does not depend on its load, and the
 // part that does.
 func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) (fixed, load float64) {
@@ -354,7 +351,7 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // nearTie draws two of the candidates within reach of the least expected time and returns the less loaded one.
-func (r *Router) nearTie(m *model, least, mean float64) int {
+func (r *Router) nearTie(m *model, least float64) int {
 	reach := least*(1+r.cfg.TieShare) + tieFloor.Seconds()
 	first, second, seen := -1, -1, 0
 	best, bestCost := -1, 0.0
@@ -362,7 +359,7 @@
 		if r.cost[k] < 0 {
 			continue
 		}
-		c := r.believed(k, mean)
+		c := r.believed[k]
 		w := m.replicas[k].weight
 		if best < 0 || c/w < bestCost {
 			best, bestCost = k, c/w
@@ -384,7 +381,7 @@
 	switch {
 	case second < 0:
 		return best
-	case first >= 0 && r.cost[first] < r.cost[second]:
+	case first >= 0 && r.believed[first] < r.believed[second]:
 		return first
 	default:
 		return second
