capacity: backend servers without inventories; routing: the third also holds for fewer replicas

Plain services cannot be asked what they run, so that their tables never granted anything; time settles their doubts now. A model that lost replicas could keep more than a third of the rest shifted away.

--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// times returns one time of each served request, of those that value selects.
+func (s *simulation) times(value func(r *request) (time.Duration, bool)) []time.Duration {
+	var out []time.Duration
+	for _, r := range s.requests {
+		if d, ok := value(r); ok && r.served {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func steady(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
 }
@@ -195,12 +206,7 @@
 			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var waited []time.Duration
-			for _, r := range s.requests {
-				if r.served {
-					waited = append(waited, r.waited)
-				}
-			}
+			waited := s.times(func(r *request) (time.Duration, bool) { return r.waited, true })
 			return []float64{quantile(waited, 0.5), quantile(waited, 0.99)}
 		},
 	}
@@ -238,12 +244,7 @@
 			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var first []time.Duration
-			for _, r := range s.requests {
-				if r.served && during(r.arrived.Sub(epoch)) {
-					first = append(first, r.first)
-				}
-			}
+			first := s.times(func(r *request) (time.Duration, bool) { return r.first, during(r.arrived.Sub(epoch)) })
 			return append(inTime(s, during), quantile(first, 0.99))
 		},
 	}
@@ -316,12 +317,7 @@
 			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var first []time.Duration
-			for _, r := range s.requests {
-				if r.served {
-					first = append(first, r.first)
-				}
-			}
+			first := s.times(func(r *request) (time.Duration, bool) { return r.first, true })
 			return []float64{share(s.hits, s.prompts), quantile(first, 0.5), quantile(first, 0.99)}
 		},
 	}
--- a/core/capacity/acquire.go
+++ b/core/capacity/acquire.go
@@ -63,7 +63,7 @@
 	switch room := t.cfg.Memory - counted - intended; {
 	case a.Memory < 0 || a.AdapterMemory < 0 || a.Memory > t.cfg.Memory:
 		return fleet.Refuse(fleet.CodeTooLarge, 0, "the request needs %d bytes of KV cache; lower max_tokens", a.Memory)
-	case a.Memory+a.AdapterMemory > room || a.AdapterMemory > room-t.cfg.KVReserve:
+	case a.Memory+a.AdapterMemory > room || a.AdapterMemory > max(0, room-t.cfg.KVReserve):
 		return fleet.Refuse(fleet.CodeNoCapacity, 0, "models leave %d bytes on the backend server; choose another", room)
 	}
 	if wait := t.expectedWait(now, a, e); wait >= a.Deadline && !a.Resumed {
@@ -76,7 +76,7 @@
 // expectedWait estimates the time until a new request is granted.
 func (t *Table) expectedWait(now time.Time, a *Acquire, e queue.Entry) time.Duration {
 	wait := t.wait(t.queue.Ahead(e))
-	if !t.read && !t.cfg.ChecksFence {
+	if !t.read && (t.cfg.NoInventory || !t.cfg.ChecksFence) {
 		wait = max(wait, t.cfg.Taken.Add(t.settling()).Sub(now))
 	}
 	if a.Target.Adapter != "" && t.adapters[a.Target] == nil {
--- a/core/capacity/grant.go
+++ b/core/capacity/grant.go
@@ -165,8 +165,40 @@
 	}
 }
 
-// nextInventory returns when an inventory is wanted next, and false when none is.
+// endDoubts lets time settle what an inventory settles elsewhere.
+func (t *Table) endDoubts(now time.Time) {
+	if !t.cfg.NoInventory {
+		return
+	}
+	if !now.Before(t.cfg.Taken.Add(t.settling())) {
+		t.read, t.settled = true, true
+	}
+	for _, g := range t.grants {
+		if g.doubt && !now.Before(g.free.Add(doubtHold)) {
+			t.end(g)
+		}
+	}
+}
+
+// nextDoubt returns when endDoubts has something to do next, and false when it has not.
+func (t *Table) nextDoubt() (time.Time, bool) {
+	if !t.settled {
+		return t.cfg.Taken.Add(t.settling()), true
+	}
+	var at time.Time
+	for _, g := range t.grants {
+		if due := g.free.Add(doubtHold); g.doubt && (at.IsZero() || due.Before(at)) {
+			at = due
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// nextInventory returns when an inventory is wanted next, or a doubt ends without one, and false when neither is due.
 func (t *Table) nextInventory() (time.Time, bool) {
+	if t.cfg.NoInventory {
+		return t.nextDoubt()
+	}
 	if !t.settled {
 		at := t.cfg.Taken.Add(t.settling())
 		if t.cfg.ChecksFence && !t.read {
@@ -201,6 +233,9 @@
 }
 
 func (t *Table) readInventory(now time.Time) {
+	if t.cfg.NoInventory {
+		return
+	}
 	if at, want := t.nextInventory(); want && !now.Before(at) {
 		t.reading = now
 		t.emit(ReadInventory{})
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -14,6 +14,8 @@
 	DefaultTransit = 100 * time.Millisecond
 	// doubtInterval is the time between inventories while something is in doubt.
 	doubtInterval = 500 * time.Millisecond
+	// doubtHold is how long a grant in doubt is held on a backend server without inventories.
+	doubtHold = 30 * time.Second
 	// recheckInterval is the time between inventories while grants are held, so that a lost release frees its memory.
 	recheckInterval = 10 * time.Second
 )
@@ -31,6 +33,9 @@
 	KVReserve fleet.Bytes
 	// ChecksFence says that the backend server refuses dispatches and orders with an older fence.
 	ChecksFence bool
+	// NoInventory says that the backend server, a plain service, cannot be asked what it runs: grants begin once those of
+	// the previous owner have ended their window, and one in doubt is freed after doubtHold.
+	NoInventory bool
 	// Taken is when the ownership began on the owner's clock.
 	Taken time.Time
 	// Window is the dispatch window, DispatchWindow by default; adapter orders have the same deadline.
@@ -139,6 +144,7 @@
 	default:
 		panic("capacity: unknown event")
 	}
+	t.endDoubts(now)
 	t.doubtOverdueOrders(now)
 	t.admitLoads(now)
 	t.retryLoads(now)
--- a/core/capacity/table_test.go
+++ b/core/capacity/table_test.go
@@ -157,6 +157,26 @@
 	}
 }
 
+// Guards against plain services, which have no memory and no inventory, never being granted or never freed.
+func TestTableWithoutInventory(t *testing.T) {
+	table := New(Settings{Fence: 9, Slots: 1, KVReserve: 300, NoInventory: true, Taken: epoch})
+	service := func(a *Acquire) { a.Memory, a.Deadline = 0, time.Minute }
+	require.Empty(t, table.Handle(epoch, ReplicasEvent{}))
+	require.Empty(t, table.Handle(epoch, acquire("r1", service)), "the previous owner's grants may still be used")
+	tick := func() ([]string, time.Duration) {
+		at, ok := table.NextTick()
+		require.True(t, ok)
+		return summary(table.Handle(at, TickEvent{})), at.Sub(epoch)
+	}
+	got, after := tick()
+	require.Equal(t, []string{"granted r1"}, got)
+	require.Equal(t, table.settling(), after)
+	require.Empty(t, table.Handle(epoch.Add(after), acquire("r2", service)))
+	got, again := tick()
+	require.Equal(t, []string{"granted r2"}, got, "the grant without a release is freed")
+	require.Equal(t, after+table.settling()+doubtHold, again)
+}
+
 // Guards against messages between hosts that lose a field.
 func TestMessagesKeepFields(t *testing.T) {
 	for name, m := range map[string]any{
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -157,6 +157,10 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(18, Settings{})
 			slow := map[int]bool{}
+			var all []fleet.BackendID
+			for i := range r.backends {
+				all = append(all, r.backends[i].id)
+			}
 			for i := range c.slow {
 				slow[i] = true
 			}
@@ -179,6 +183,16 @@
 				require.Positive(t, got["b0"], "probes")
 				require.Less(t, got["b0"], 20_000/18/20)
 			}
+			r.SetReplicas("m", []fleet.BackendID{"b0", "b1", "b8", "b9", "b10", "b11"})
+			observeAll(r, now.Add(time.Second), slow)
+			left := 0
+			for _, id := range []fleet.BackendID{"b0", "b1", "b8", "b9", "b10", "b11"} {
+				if r.Weight("m", id) < 1 {
+					left++
+				}
+			}
+			require.LessOrEqual(t, left, 2, "a third of the replicas that are left")
+			r.SetReplicas("m", all)
 			for range 60 {
 				now = now.Add(50 * time.Millisecond)
 				observeAll(r, now, nil)
--- a/core/routing/slow.go
+++ b/core/routing/slow.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -138,6 +139,16 @@
 			left--
 		}
 	}
+	for ; left < 0; left++ {
+		// Fewer replicas than before: the fastest of those shifted away serves again.
+		back, ratio := -1, math.Inf(1)
+		for k := range m.replicas {
+			if x := r.backends[m.replicas[k].backend].pace.ratio(now); m.replicas[k].weight < 1 && x < ratio {
+				back, ratio = k, x
+			}
+		}
+		m.replicas[back].weight = 1
+	}
 	for left > 0 {
 		worst, ratio := -1, slowFrom
 		for k := range m.replicas {
