routing: the time per prompt token is learnt from any start

First tokens far later than the default never entered the mean, so that a model whose prompts take ten times longer counted as slow on every server.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -120,8 +120,9 @@
 // model is the replicas of a model and what is known of its speed.
 type model struct {
 	replicas []replica
-	// prefill is the running mean of seconds per uncached prompt token.
-	prefill float64
+	// prefill is the running mean of seconds per uncached prompt token, a default until it was measured.
+	prefill  float64
+	measured bool
 	// token is the median of the replicas' seconds per output token.
 	token   float64
 	refresh time.Time
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -204,6 +204,36 @@
 	}
 }
 
+// Guards against a model whose prompts take far longer than the default being taken for slow on every server.
+func TestPrefillIsLearnt(t *testing.T) {
+	for name, perToken := range map[string]time.Duration{
+		"ten times the default": time.Millisecond, "a tenth": 10 * time.Microsecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(6, Settings{})
+			now := epoch
+			for i := range 300 {
+				now = now.Add(20 * time.Millisecond)
+				id := r.backends[i%6].id
+				work := time.Duration(200 + 50*(i%9))
+				if i == 0 {
+					work *= 8
+				}
+				r.Observe(now, Progress{
+					Backend: id, Model: "m", FirstToken: work * perToken, Prompt: fleet.Tokens(work - promptBase),
+					Tokens: 10, Elapsed: 200 * time.Millisecond,
+				})
+			}
+			c, ok := r.Choose(now, &Request{Target: fleet.Target{Model: "m"}, Prompt: 1000 - promptBase})
+			require.True(t, ok)
+			require.InEpsilon(t, 1000*perToken, c.FirstToken, 0.2)
+			for i := range r.backends {
+				require.InDelta(t, 1, r.Weight("m", r.backends[i].id), 0)
+			}
+		})
+	}
+}
+
 // Guards against unbounded belief: both bounds on prefixes hold, and the index stays consistent.
 func TestPrefixesAreBounded(t *testing.T) {
 	r := newRouter(4, Settings{Prefixes: 100, BackendPrefixes: 40})
--- a/core/routing/slow.go
+++ b/core/routing/slow.go
@@ -107,15 +107,18 @@
 	work := max(float64(p.Prompt-p.Cached)+promptBase, 1)
 	busy := 1 + b.load.estimate(now)/b.slots
 	x := p.FirstToken.Seconds() / work / busy
-	late := x / m.prefill
-	switch {
+	if !m.measured && !p.Waiting {
+		m.prefill, m.measured = x, true
+	}
+	switch late := x / m.prefill; {
 	case late > slowFrom:
 		b.pace.observe(now, late, lateGain)
 	case !p.Waiting:
 		b.pace.observe(now, late, paceGain/2)
 	}
-	if !p.Waiting && late < slowFrom*slowFrom {
-		m.prefill += tokenGain * (x - m.prefill)
+	if !p.Waiting {
+		// A step is bounded, so that stragglers move the mean little while a wrong start is still left within a few steps.
+		m.prefill += tokenGain * (min(x, 2*m.prefill) - m.prefill)
 	}
 }
 
