--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	prefillToken = 100 * time.Microsecond
+	prefillToken = 150 * time.Microsecond
 	outputToken  = 20 * time.Millisecond
 	// chunk is the number of tokens between two events of a stream.
 	chunk = 8
