--- a/core/capacity/adapter.go
+++ b/core/capacity/adapter.go
@@ -44,8 +44,9 @@
 	// resolve is when an inventory may settle a doubt, since the order has ended by then.
 	resolve time.Time
 	pins    int
-	// seconds is the last load time; value is the eviction order: lowest first.
+	// seconds is the last load time, uses counts grants since then; value is the eviction order: lowest first.
 	seconds float64
+	uses    float64
 	value   float64
 }
 
@@ -54,9 +55,11 @@
 	return fleet.OrderID(adapterOrderBit | uint64(t.cfg.Fence)<<orderSeqBits | t.lastOrder)
 }
 
-// touch renews an adapter's value: cost of reload per byte on top of the value evicted last, so that unused ones age.
+// touch counts a use of an adapter and renews its value: its uses times its cost of reload per byte, on top of the value
+// evicted last, so that adapters that are not used any more age.
 func (t *Table) touch(a *adapter) {
-	a.value = t.cost + cmp.Or(a.seconds, t.loadTime, 0.01)/float64(max(a.memory, 1))
+	a.uses++
+	a.value = t.cost + a.uses*cmp.Or(a.seconds, t.loadTime, 0.01)/float64(max(a.memory, 1))
 }
 
 // ensureAdapter orders the load of an adapter if memory and the load share allow it, and returns the memory that it takes.
--- a/core/capacity/table_test.go
+++ b/core/capacity/table_test.go
@@ -157,6 +157,38 @@
 	}
 }
 
+// Guards against the eviction of an adapter that is used often for one that was used once and later.
+func TestEvictionKeepsUsedAdapters(t *testing.T) {
+	table := ready(func(s *Settings) { s.Slots = 8 })
+	var orders uint64
+	use := func(name string) []string {
+		orders++
+		ev := acquire(fmt.Sprint("r", orders), func(a *Acquire) {
+			a.Target.Adapter, a.AdapterMemory = fleet.AdapterID(name), 200
+		})
+		effects := table.Handle(epoch, ev)
+		got := summary(effects)
+		for len(effects) > 0 {
+			var next []Effect
+			switch e := effects[0].(type) {
+			case LoadAdapter:
+				next = table.Handle(epoch, AdapterEvent{Order: e.Order.ID})
+			case UnloadAdapter:
+				next = table.Handle(epoch, AdapterEvent{Order: e.Order.ID})
+			case Granted:
+				next = table.Handle(epoch, release(e.Grant.ID, OutcomeDone))
+			}
+			effects = append(effects[1:], next...)
+		}
+		return got
+	}
+	for range 3 {
+		use("often")
+	}
+	use("once")
+	require.Equal(t, []string{"unload m:once"}, use("third"))
+}
+
 // Guards against plain services, which have no memory and no inventory, never being granted or never freed.
 func TestTableWithoutInventory(t *testing.T) {
 	table := New(Settings{Fence: 9, Slots: 1, KVReserve: 300, NoInventory: true, Taken: epoch})
