--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -17,6 +17,8 @@
 	// samples is the number of past counts of own requests; at one every sampleEvery they cover the lag of reports.
 	samples     = 16
 	sampleEvery = 100 * time.Millisecond
+	// maxReported bounds what a backend server may report of its running or queued requests.
+	maxReported = 1 << 16
 )
 
 // load estimates the requests that a backend server runs and holds queued.
@@ -86,6 +88,17 @@
 	return float64(l.own) + w*l.others + (1-w)*l.mean
 }
 
+// trust returns how far the estimate is known, from 0 to 1: own requests are, those of others change as fast as requests
+// end. The others are those of an average server, since one that was reported idle may have got as many as any since then.
+func (l *load) trust(now time.Time, others float64) float64 {
+	if l.at.IsZero() {
+		return 1
+	}
+	turnover := max(0, now.Sub(l.at).Seconds()) / l.holdSeconds()
+	unknown := 1 + turnover*others/float64(l.own+1)/2
+	return 1 / (unknown * unknown)
+}
+
 func (l *load) observeHold(hold time.Duration) {
 	l.hold = l.holdSeconds() + holdGain*(hold.Seconds()-l.holdSeconds())
 }
@@ -103,7 +116,8 @@
 		return
 	}
 	b.load.seq = rep.Seq
-	b.load.report(now.Add(-rep.Age), rep.Running+rep.Queued)
+	total := min(max(rep.Running, 0), maxReported) + min(max(rep.Queued, 0), maxReported)
+	b.load.report(now.Add(-max(rep.Age, 0)), total)
 }
 
 // queueWait returns the expected seconds until a slot is free: the owner's estimate with own requests since then, drifting
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -78,6 +79,8 @@
 	Expected time.Duration
 	// FirstToken is the part of it from the dispatch on, on a server that is not slow.
 	FirstToken time.Duration
+	// Wait is the part of it until a slot is free.
+	Wait time.Duration
 	// Match is the length of the prefix believed to be cached.
 	Match fleet.Tokens
 	// CrossRegion says that the traffic is billed, OverBudget that the tenant's budget is used up.
@@ -100,6 +103,8 @@
 	// match holds the believed prefix length of each backend server for the choice under way.
 	match []float32
 	cost  [maxCandidates]float64
+	// loads is the part of the cost that comes from the estimated load; believed is the cost as far as the load is known.
+	loads, believed [maxCandidates]float64
 }
 
 type backend struct {
@@ -115,8 +120,9 @@
 // model is the replicas of a model and what is known of its speed.
 type model struct {
 	replicas []replica
-	// prefill is the running mean of seconds per uncached prompt token.
-	prefill float64
+	// prefill is the running mean of seconds per uncached prompt token, a default until it was measured.
+	prefill  float64
+	measured bool
 	// token is the median of the replicas' seconds per output token.
 	token   float64
 	refresh time.Time
@@ -263,54 +269,77 @@
 		holders = r.adapters[target]
 	}
 	over := r.budgets.over(now, q.Tenant)
-	least, n := 0.0, 0
+	mean, others, n := 0.0, 0.0, 0
 	for k := range m.replicas {
 		p := &m.replicas[k]
 		r.cost[k] = -1
 		if r.avoided(p.backend, q.Avoid) {
 			continue
 		}
-		c := r.expected(now, m, p, q)
+		b := &r.backends[p.backend]
+		fixed, load := r.expected(now, m, p, q)
 		if q.Target.Adapter != "" && !slices.Contains(holders, p.backend) {
-			c += r.cfg.AdapterLoad.Seconds()
+			fixed += r.cfg.AdapterLoad.Seconds()
 		}
-		if over && r.backends[p.backend].remote {
-			c += overBudgetCost.Seconds()
+		if over && b.remote {
+			fixed += overBudgetCost.Seconds()
 		}
-		if n == 0 || c < least {
-			least = c
-		}
-		r.cost[k] = c
+		r.cost[k], r.loads[k] = fixed+load, load
+		mean += load
+		others += b.load.others
 		n++
 	}
 	if n == 0 {
 		return Choice{}, false
 	}
+	mean, others = mean/float64(n), others/float64(n)
+	least := math.Inf(1)
+	for k := range m.replicas {
+		if r.cost[k] >= 0 {
+			// Hosts that see the same late reports would all send to the server that was the least loaded one, so that the
+			// load is drawn to the mean of all as far as it is not known.
+			trust := r.backends[m.replicas[k].backend].load.trust(now, others)
+			r.believed[k] = r.cost[k] - (1-trust)*(r.loads[k]-mean)
+			least = min(least, r.believed[k])
+		}
+	}
 	k, probe := r.probe(m, n)
 	if !probe {
-		k = r.nearTie(m, q, least)
+		k = r.nearTie(m, least)
 	}
 	i := m.replicas[k].backend
 	b := &r.backends[i]
 	return Choice{
 		Backend: b.id, Expected: seconds(r.cost[k]), FirstToken: seconds(r.prefill(now, m, i, q)),
+		Wait:  seconds(b.load.queueWait(now, b.slots) * b.pace.ratio(now)),
 		Match: fleet.Tokens(r.match[i]), CrossRegion: b.remote, OverBudget: b.remote && over, Probe: probe,
 	}, true
 }
 
+// Second returns another server for a request that has waited for a slot at those in q.Avoid, and false when none is
+// expected to have one sooner than it has waited already. Without that condition every request would wait twice at a peak,
+// when no server has a slot.
+func (r *Router) Second(now time.Time, q *Request, waited time.Duration) (Choice, bool) {
+	c, ok := r.Choose(now, q)
+	return c, ok && !c.Probe && c.Wait < waited
+}
+
 func (r *Router) avoided(i int32, avoid []fleet.BackendID) bool {
 	return len(avoid) > 0 && slices.Contains(avoid, r.backends[i].id)
 }
 
-// expected returns the expected seconds to the first token on a replica.
-func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) float64 {
+// expected returns the expected seconds to the first token on a replica: the part that does not depend on its load, and the
+// part that does.
+func (r *Router) expected(now time.Time, m *model, p *replica, q *Request) (fixed, load float64) {
 	b := &r.backends[p.backend]
 	slow := b.pace.ratio(now)
-	c := (r.prefill(now, m, p.backend, q) + b.load.queueWait(now, b.slots)) * slow
+	prompt := float64(q.Prompt) - float64(r.match[p.backend]) + promptBase
+	fixed = max(prompt, 1) * m.prefill * slow
+	load = fixed*b.load.estimate(now)/b.slots + b.load.queueWait(now, b.slots)*slow
 	if b.remote {
-		c += 2 * r.cfg.RegionDelay.Seconds()
+		fixed += 2 * r.cfg.RegionDelay.Seconds()
 	}
-	return c
+	return fixed, load
 }
 
 // prefill returns the expected seconds from dispatch to the first token on a server that is not slow.
@@ -323,15 +352,15 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // nearTie draws two of the candidates within reach of the least expected time and returns the less loaded one.
-func (r *Router) nearTie(m *model, q *Request, least float64) int {
+func (r *Router) nearTie(m *model, least float64) int {
 	reach := least*(1+r.cfg.TieShare) + tieFloor.Seconds()
 	first, second, seen := -1, -1, 0
 	best, bestCost := -1, 0.0
 	for k := range m.replicas {
-		c := r.cost[k]
-		if c < 0 {
+		if r.cost[k] < 0 {
 			continue
 		}
+		c := r.believed[k]
 		w := m.replicas[k].weight
 		if best < 0 || c/w < bestCost {
 			best, bestCost = k, c/w
@@ -353,7 +382,7 @@
 	switch {
 	case second < 0:
 		return best
-	case first >= 0 && r.cost[first] < r.cost[second]:
+	case first >= 0 && r.believed[first] < r.believed[second]:
 		return first
 	default:
 		return second
