--- a/cmd/toucanway-lab/internal/membershipload/loop_test.go
+++ b/cmd/toucanway-lab/internal/membershipload/loop_test.go
@@ -93,9 +93,10 @@
 			dead := l.deaths()
 			slow := l.Hosts[4]
 			slow.Lag = lag
+			lengthened := l.RunUntil(5*time.Minute, func() bool { return slow.Detector.Health() > 0 })
+			require.Equal(t, misses, lengthened, "a host that misses answers lengthens its timeouts")
 			l.Run(10 * time.Minute)
 			require.Empty(t, first(*dead))
-			require.Equal(t, misses, slow.Detector.Health() > 0, "a host that misses answers lengthens its timeouts")
 			slow.Lag = 0
 			l.Run(time.Minute)
 			require.Zero(t, slow.Detector.Health())
--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -23,7 +23,7 @@
 	next     int
 	urgent   []*member
 	suspects []*member
-	probe    *probe
+	probes   []*probe
 	calls    map[uint64]call
 	lastCall uint64
 	relays   map[uint64]*relay
@@ -137,8 +137,8 @@
 	if d.wantsSync() {
 		sooner(d.nextSync)
 	}
-	if d.probe != nil {
-		sooner(d.probe.due())
+	for _, p := range d.probes {
+		sooner(p.due())
 	}
 	for _, r := range d.relays {
 		sooner(r.refuseAt)
@@ -161,7 +161,7 @@
 		d.resume(now, late)
 	}
 	d.checkRelays(now)
-	d.checkProbe(now)
+	d.checkProbes(now)
 	d.checkSuspicions(now)
 	if !now.Before(d.nextProbe) {
 		d.startProbe(now)
@@ -183,7 +183,7 @@
 // meanwhile counts against another host.
 func (d *Detector) resume(now time.Time, late time.Duration) {
 	d.health = maxHealth
-	d.probe = nil
+	d.probes = nil
 	d.nextProbe = now
 	for _, m := range d.suspects {
 		m.suspicion.since = m.suspicion.since.Add(late)
@@ -207,7 +207,7 @@
 		return nil
 	}
 	d.self.State = Left
-	d.probe = nil
+	d.probes = nil
 	for _, m := range d.pick(helpers+1, nil) {
 		d.send(m, callOther, 0, d.compose(m, KindPing), d.cfg.Interval)
 	}
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -56,7 +56,7 @@
 	case u.Version.Life != m.Version.Life && u.Address == "":
 		// The new life may have another address; the full record follows.
 		return false
-	case u.State == Dead && (m.State == Alive || sync && !m.State.gone()):
+	case u.State == Dead && (m.State == Alive || sync && m.State == Suspect && !m.suspicion.checking):
 		// A verdict follows a suspicion, so one about a host that is not suspected here may come from the other side of
 		// a partition that ended. The host is probed and told, since taking the record over would spread old verdicts.
 		m.told = &u
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -53,15 +53,18 @@
 	refuseAt      time.Time
 }
 
-// startProbe probes the next host.
+// startProbe probes the next host. Probes start at the same rate on a host that lengthens its timeouts, so that several
+// may be under way, at most one more than its health.
 func (d *Detector) startProbe(now time.Time) {
-	d.nextProbe = now.Add(d.scaled(d.cfg.Interval))
+	d.nextProbe = now.Add(d.cfg.Interval)
 	m := d.nextTarget()
 	if m == nil {
 		return
 	}
 	id := d.send(m, callDirect, 0, d.compose(m, KindPing), lateFactor*d.cfg.Interval)
-	d.probe = &probe{target: m, call: id, askAt: now.Add(d.scaled(d.cfg.Timeout)), end: d.nextProbe}
+	d.probes = append(d.probes, &probe{
+		target: m, call: id, askAt: now.Add(d.scaled(d.cfg.Timeout)), end: now.Add(d.scaled(d.cfg.Interval)),
+	})
 }
 
 // nextTarget returns the host to probe next. Each round over all hosts is shuffled anew, so that the time until a host
@@ -110,18 +113,26 @@
 	}
 }
 
-func (d *Detector) checkProbe(now time.Time) {
-	if p := d.probe; p != nil && !p.asked && !now.Before(p.askAt) {
-		d.askHelpers()
-	}
-	if p := d.probe; p != nil && !now.Before(p.end) {
-		d.endProbe(now, p)
+func (d *Detector) checkProbes(now time.Time) {
+	for _, p := range slices.Clone(d.probes) {
+		if !p.asked && !now.Before(p.askAt) {
+			d.askHelpers(p)
+		}
+		if !now.Before(p.end) {
+			d.endProbe(now, p)
+		}
 	}
 }
 
+// takeProbe ends a probe and reports whether it was under way.
+func (d *Detector) takeProbe(call uint64) bool {
+	n := len(d.probes)
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool { return p.call == call })
+	return len(d.probes) < n
+}
+
 // askHelpers asks other hosts to probe the target.
-func (d *Detector) askHelpers() {
-	p := d.probe
+func (d *Detector) askHelpers(p *probe) {
 	p.asked = true
 	for _, m := range d.chooseHelpers(p.target) {
 		msg := d.compose(m, KindPingRequest)
@@ -153,7 +164,7 @@
 
 // endProbe judges a host that gave no direct answer in time.
 func (d *Detector) endProbe(now time.Time, p *probe) {
-	d.probe = nil
+	d.takeProbe(p.call)
 	m := p.target
 	if m.State.gone() {
 		return
@@ -230,8 +241,7 @@
 		// Also a late answer shows that the path is whole.
 		c.to.missed = 0
 		d.setPath(c.to, PathDirect)
-		if d.probe != nil && d.probe.call == id {
-			d.probe = nil
+		if d.takeProbe(id) {
 			d.adjustHealth(-1)
 		}
 	case callHelper:
@@ -269,7 +279,9 @@
 
 // directFailed asks other hosts at once when the direct probe has failed already.
 func (d *Detector) directFailed(id uint64) {
-	if p := d.probe; p != nil && p.call == id && !p.asked {
-		d.askHelpers()
+	for _, p := range d.probes {
+		if p.call == id && !p.asked {
+			d.askHelpers(p)
+		}
 	}
 }
