--- a/cmd/toucanway-lab/internal/membershipload/loop.go
+++ b/cmd/toucanway-lab/internal/membershipload/loop.go
@@ -243,3 +243,18 @@
 		deliver(got)
 	})
 }
+
+// Settled reports whether all running hosts hold exactly each other for alive.
+func (l *Loop) Settled() bool {
+	for _, a := range l.Hosts {
+		if a.Stopped {
+			continue
+		}
+		for _, b := range l.Hosts {
+			if m, ok := a.Detector.Member(b.ID); a != b && (ok && m.State == membership.Alive) == b.Stopped {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/cmd/toucanway-lab/internal/membershipload/loop_test.go
+++ b/cmd/toucanway-lab/internal/membershipload/loop_test.go
@@ -21,9 +21,9 @@
 	for i := range hosts {
 		l.Add(place(i), 1)
 	}
-	require.True(t, l.RunUntil(2*time.Minute, l.settled), "hosts find each other")
+	require.True(t, l.RunUntil(2*time.Minute, l.Settled), "hosts find each other")
 	l.Run(30 * time.Second)
-	require.True(t, l.settled())
+	require.True(t, l.Settled())
 	return l
 }
 
@@ -31,21 +31,6 @@
 	return fleet.Place{Region: fleet.Region(fmt.Sprintf("region-%d", i%3)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%d", i%6))}
 }
 
-// settled reports whether all running hosts hold exactly each other for alive.
-func (l *Loop) settled() bool {
-	for _, a := range l.Hosts {
-		if a.Stopped {
-			continue
-		}
-		for _, b := range l.Hosts {
-			if m, ok := a.Detector.Member(b.ID); a != b && (ok && m.State == membership.Alive) == b.Stopped {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // deaths records every verdict of death.
 func (l *Loop) deaths() *[]string {
 	var out []string
@@ -66,7 +51,7 @@
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			l := group(t, hosts)
 			l.Hosts[hosts-1].Stopped = true
-			require.True(t, l.RunUntil(time.Minute, l.settled))
+			require.True(t, l.RunUntil(time.Minute, l.Settled))
 		})
 	}
 }
@@ -100,7 +85,7 @@
 			slow.Lag = 0
 			l.Run(time.Minute)
 			require.Zero(t, slow.Detector.Health())
-			require.True(t, l.settled())
+			require.True(t, l.Settled())
 		})
 	}
 }
@@ -119,7 +104,7 @@
 	l.Run(50 * time.Second)
 	m, _ := l.Hosts[0].Detector.Member(paused.ID)
 	require.Equal(t, membership.Dead, m.State)
-	require.True(t, l.RunUntil(2*time.Minute, l.settled))
+	require.True(t, l.RunUntil(2*time.Minute, l.Settled))
 	require.Empty(t, byPaused)
 }
 
@@ -179,11 +164,11 @@
 			l.Cut = nil
 			dead := l.deaths()
 			start := l.Now
-			require.True(t, l.RunUntil(5*time.Minute, l.settled))
+			require.True(t, l.RunUntil(5*time.Minute, l.Settled))
 			t.Logf("converged %s after the partition ended", l.Now.Sub(start))
 			l.Run(time.Minute)
 			require.Empty(t, first(*dead))
-			require.True(t, l.settled())
+			require.True(t, l.Settled())
 		})
 	}
 }
@@ -207,12 +192,12 @@
 			h.Stopped = true
 			l.Run(c.down)
 			l.Start(h, place(4), c.life)
-			require.True(t, l.RunUntil(time.Minute, func() bool { return l.settled() && l.agree(h) }))
+			require.True(t, l.RunUntil(time.Minute, func() bool { return l.Settled() && l.agree(h) }))
 			if c.life > 1 {
 				require.Equal(t, c.life, h.Detector.Self().Version.Life)
 			}
 			l.Run(time.Minute)
-			require.True(t, l.settled())
+			require.True(t, l.Settled())
 			h.Detector.SetLife(9)
 			require.True(t, l.RunUntil(time.Minute, func() bool { return l.agree(h) }), "a life learnt later spreads")
 		})
@@ -247,5 +232,5 @@
 	}))
 	require.Empty(t, first(*dead))
 	l.Start(h, place(7), 1)
-	require.True(t, l.RunUntil(time.Minute, l.settled), "a host that left may come back")
+	require.True(t, l.RunUntil(time.Minute, l.Settled), "a host that left may come back")
 }
--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -35,6 +35,9 @@
 	// refuted is when other hosts were last told at once that this one lives.
 	refuted time.Time
 
+	// started is when this host began with an empty table.
+	started time.Time
+
 	nextProbe, nextSync, nextReconnect, nextPrune time.Time
 	// due is when the next call of Tick was due at the end of the last one; a much later call shows a pause.
 	due time.Time
@@ -58,6 +61,7 @@
 	d.nextReconnect = now.Add(cfg.ReconnectInterval/2 + d.spread(cfg.ReconnectInterval))
 	d.nextPrune = now.Add(pruneInterval)
 	d.due = d.nextProbe
+	d.started = now
 	d.announce()
 	return d
 }
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -100,10 +100,9 @@
 
 // enlist puts a host that became live at a random place of the current round.
 func (d *Detector) enlist(m *member) {
-	if slices.Contains(d.order[d.next:], m) {
-		return
-	}
-	d.order = slices.Insert(d.order, d.next+d.rand.IntN(len(d.order)-d.next+1), m)
+	d.order = slices.DeleteFunc(d.order[d.next:], func(o *member) bool { return o == m || o.State.gone() })
+	d.next = 0
+	d.order = slices.Insert(d.order, d.rand.IntN(len(d.order)+1), m)
 }
 
 // hurry has a host probed before the others.
--- a/core/membership/settings.go
+++ b/core/membership/settings.go
@@ -39,6 +39,8 @@
 	recordsPerBucket = 4
 	// maxRelayed bounds the probes under way for other hosts; more are refused with KindNack.
 	maxRelayed = 64
+	// startTime is how long a host that starts compares tables at every interval.
+	startTime = 30 * time.Second
 	// maxUrgent bounds the hosts to be probed before their turn; others wait for it.
 	maxUrgent  = 256
 	maxIDBytes = 128
--- a/core/membership/sync.go
+++ b/core/membership/sync.go
@@ -35,7 +35,10 @@
 		d.syncWithSeed(d.foreignSeeds())
 		return
 	}
-	d.nextSync = now.Add(d.cfg.SyncInterval/2 + d.spread(d.cfg.SyncInterval))
+	d.nextSync = now.Add(d.cfg.Interval)
+	if now.Sub(d.started) >= startTime {
+		d.nextSync = now.Add(d.cfg.SyncInterval/2 + d.spread(d.cfg.SyncInterval))
+	}
 	m := d.t.byID[d.differs]
 	d.differs = ""
 	if m == nil || m.State.gone() {
