sessions: a new session counts from when the leader meets it

A session without poll counted from the begin of the leadership, so that the check every 100 ms closed a session whose first poll was still on its way: with a relay, which takes up to 250 ms, a restarted host opened four sessions before it kept one; by the rule a direct poll slower than that check loses its session as well. The first check now notes the session.

--- a/io/sessions/service.go
+++ b/io/sessions/service.go
@@ -321,10 +321,20 @@
 	}
 }
 
+// meet counts a session that was opened under this leadership from now on; its first poll may still be on its way.
+func (s *Service) meet(now time.Time, v control.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.renewals[v.Host]; r.incarnation < v.Incarnation {
+		s.renewals[v.Host] = renewal{incarnation: v.Incarnation, at: now}
+	}
+}
+
 func (s *Service) closeSessions(ctx context.Context, now time.Time) {
 	var sessions []control.Session
 	s.cfg.Group.View(func() { sessions = s.cfg.Machine.State.Sessions() })
 	for _, v := range sessions {
+		s.meet(now, v)
 		if now.Before(s.validUntil(v)) {
 			continue
 		}
