relay, hosts, sessions, follow: relays for Follow

One host of a data centre answers the polls of the others from its own copy of the log and passes on the leader's grants, asked for in batches of at most 250 ms. Each grant answers one request sent before its batch, and is delivered only with the log up to the index that the leader had applied.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -39,6 +39,10 @@
 	Control       *hosts.GroupClient
 	// Seen returns the backend servers that announced themselves since the last call; nil means none.
 	Seen func() []control.Life
+	// Poll carries a poll in place of Control, and bounds its time; nil means that all polls go to the leader.
+	Poll func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error)
+	// Applied sees each answer whose entries were applied; nil means none. It must not wait.
+	Applied func(res *hosts.FollowResponse)
 	// Log receives changes of the session's state; nil means no log.
 	Log *zap.Logger
 }
@@ -75,6 +79,11 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
+	if cfg.Poll == nil {
+		cfg.Poll = func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+			return PollLeader(ctx, cfg.Control, req)
+		}
+	}
 	return &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
 }
 
@@ -144,6 +153,13 @@
 	}
 }
 
+// PollLeader carries a poll to the control leader.
+func PollLeader(ctx context.Context, control *hosts.GroupClient, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, control, hosts.ProcedureFollow, pollTimeout, req)
+}
+
 // poll makes one request to the leader and applies its answer.
 func (f *Follower) poll(ctx context.Context) error {
 	req := &hosts.FollowRequest{Host: f.cfg.Host, Hold: Hold}
@@ -154,16 +170,17 @@
 	if f.cfg.Seen != nil {
 		req.Seen = f.cfg.Seen()
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	sent := time.Now()
-	res, err := hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, f.cfg.Control, hosts.ProcedureFollow, pollTimeout, req)
+	res, err := f.cfg.Poll(ctx, req)
 	if err != nil {
 		return err
 	}
 	if err := f.apply(res, sent); err != nil {
 		return err
 	}
+	if f.cfg.Applied != nil {
+		f.cfg.Applied(res)
+	}
 	if res.Newest && (res.Status == hosts.StatusClosed || req.Incarnation == 0) {
 		return f.open(ctx)
 	}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"toucanway/core/fleet"
+	"toucanway/io/hosts"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("relay")
+
+// ErrUnable means that the host has to poll the leader.
+var ErrUnable = Errors.NewType("unable")
+
+const (
+	// renewInterval is the longest time that a renewal waits for its batch, newsPause the time after news in which the
+	// polls of the hosts that have applied them are collected.
+	renewInterval = 250 * time.Millisecond
+	newsPause     = 20 * time.Millisecond
+	// renewTimeout bounds one batch; with the hold and renewInterval it stays within a host's poll of its relay.
+	renewTimeout = 200 * time.Millisecond
+	// grantTimeout bounds the wait for the grant and for the entries that it needs.
+	grantTimeout = renewInterval + renewTimeout
+	maxHold      = 500 * time.Millisecond
+	// maxEntries and maxBytes bound the kept part of the log; hosts that need older entries poll the leader.
+	maxEntries = 4096
+	maxBytes   = 4 << 20
+	// maxAnswerBytes bounds the entries of one answer, maxPending the polls waiting for a batch.
+	maxAnswerBytes = 1 << 20
+	maxPending     = 4096
+)
+
+// Relay answers the polls of other hosts of its data centre. It is safe for concurrent use. Lock order: mu alone.
+type Relay struct {
+	control *hosts.GroupClient
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// entries are the newest of the log, without gap, up to last.
+	entries []hosts.LogEntry
+	bytes   int
+	last    fleet.Index
+	// newsAt is when last rose; news is closed then.
+	newsAt  time.Time
+	news    chan struct{}
+	pending []*poll
+}
+
+// poll is one request of a host that waits for the leader's grant.
+type poll struct {
+	req *hosts.FollowRequest
+	// answer gets the grant for exactly this request, or is closed when the batch failed.
+	answer chan grant
+}
+
+type grant struct {
+	hosts.Grant
+	applied fleet.Index
+}
+
+// New returns a relay with an empty log.
+func New(control *hosts.GroupClient) *Relay {
+	return &Relay{control: control, wake: make(chan struct{}, 1), news: make(chan struct{})}
+}
+
+// Register adds the procedure to a server.
+func (r *Relay) Register(srv *hosts.Server) { hosts.Handle(srv, hosts.ProcedureRelay, r.Follow) }
+
+// Applied takes over the entries of an answer that the relay's own follower has applied.
+func (r *Relay) Applied(res *hosts.FollowResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.last
+	if len(res.Snapshot) > 0 && res.SnapshotIndex > r.last {
+		r.entries, r.bytes, r.last = nil, 0, res.SnapshotIndex
+	}
+	for _, e := range res.Entries {
+		if e.Index <= r.last {
+			continue
+		}
+		if e.Index != r.last+1 {
+			r.entries, r.bytes = nil, 0
+		}
+		r.entries = append(r.entries, e)
+		r.bytes += len(e.Data)
+		r.last = e.Index
+	}
+	drop := 0
+	for len(r.entries)-drop > maxEntries || r.bytes > maxBytes {
+		r.bytes -= len(r.entries[drop].Data)
+		drop++
+	}
+	r.entries = append([]hosts.LogEntry(nil), r.entries[drop:]...)
+	if r.last > before {
+		r.newsAt = time.Now()
+		close(r.news)
+		r.news = make(chan struct{})
+		r.nudge()
+	}
+}
+
+func (r *Relay) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Follow answers a host's poll once the leader has granted its lease and there is news, or the hold is over.
+func (r *Relay) Follow(ctx context.Context, _ fleet.HostID, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+	hold := time.NewTimer(min(max(req.Hold, 0), maxHold))
+	defer hold.Stop()
+	ctx, cancel := context.WithTimeout(ctx, maxHold+grantTimeout)
+	defer cancel()
+	p, err := r.enqueue(req)
+	if err != nil {
+		return nil, err
+	}
+	var g grant
+	select {
+	case got, ok := <-p.answer:
+		if !ok {
+			return nil, ErrUnable.New("the leader did not answer the relay; poll the leader")
+		}
+		g = got
+	case <-ctx.Done():
+		return nil, ErrUnable.Wrap(ctx.Err(), "the leader's grant came too late; poll the leader")
+	}
+	if g.Status == hosts.StatusOK && g.applied <= req.Applied {
+		r.waitBeyond(ctx, req.Applied, hold.C)
+	}
+	// The entries that the grant needs are on their way to the relay's own follower.
+	if g.applied > 0 {
+		r.waitBeyond(ctx, g.applied-1, nil)
+	}
+	return r.respond(req, g)
+}
+
+// enqueue puts a poll into the next batch.
+func (r *Relay) enqueue(req *hosts.FollowRequest) (*poll, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.pending) >= maxPending || !r.covers(req.Applied) {
+		return nil, ErrUnable.New("the relay does not have the entries after %d; poll the leader", req.Applied)
+	}
+	p := &poll{req: req, answer: make(chan grant, 1)}
+	r.pending = append(r.pending, p)
+	r.nudge()
+	return p, nil
+}
+
+// covers reports whether the kept part of the log follows an index.
+func (r *Relay) covers(after fleet.Index) bool {
+	return r.last > 0 && after+fleet.Index(len(r.entries)) >= r.last
+}
+
+// waitBeyond waits until the log goes beyond an index or a timer fires; nil is a timer that never does.
+func (r *Relay) waitBeyond(ctx context.Context, index fleet.Index, timer <-chan time.Time) {
+	for {
+		r.mu.Lock()
+		last, news := r.last, r.news
+		r.mu.Unlock()
+		if last > index {
+			return
+		}
+		select {
+		case <-news:
+		case <-timer:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// respond returns the entries that a host lacks, and the grant if they reach far enough for it.
+func (r *Relay) respond(req *hosts.FollowRequest, g grant) (*hosts.FollowResponse, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.covers(req.Applied) {
+		return nil, ErrUnable.New("the relay does not have the entries after %d; poll the leader", req.Applied)
+	}
+	res := &hosts.FollowResponse{}
+	end, size := req.Applied, 0
+	for _, e := range r.entries {
+		if e.Index <= req.Applied {
+			continue
+		}
+		if size += len(e.Data); size > maxAnswerBytes && len(res.Entries) > 0 {
+			break
+		}
+		res.Entries = append(res.Entries, e)
+		end = e.Index
+	}
+	if end >= g.applied {
+		res.Newest, res.Status, res.Lease = true, g.Status, g.Lease
+	}
+	return res, nil
+}
--- a/io/sessions/service.go
+++ b/io/sessions/service.go
@@ -85,6 +85,7 @@
 // Register adds the control procedures to a server.
 func (s *Service) Register(srv *hosts.Server) {
 	hosts.Handle(srv, hosts.ProcedureFollow, s.Follow)
+	hosts.Handle(srv, hosts.ProcedureRenew, s.Renew)
 	hosts.Handle(srv, hosts.ProcedureSubmit, s.Submit)
 }
 
