--- a/core/capacity/ready.go
+++ b/core/capacity/ready.go
@@ -7,8 +7,11 @@
 	"toucanway/core/queue"
 )
 
-// serves reports whether a replica of the model may take new requests.
+// serves reports whether a replica of the model may take new requests; plain services have none.
 func (t *Table) serves(m fleet.ModelID) bool {
+	if t.cfg.NoInventory {
+		return true
+	}
 	for _, r := range t.replicas {
 		if r.Model == m && r.Ready {
 			return true
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -47,6 +47,10 @@
 	// Seed makes the first sequence number of this process differ from that of an earlier one, whose first command must not
 	// be taken for this one's.
 	Seed uint64
+	// Poll carries a poll in place of Control, and bounds its time; nil means that all polls go to the leader.
+	Poll func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error)
+	// Applied sees each answer whose entries were applied; nil means none. It must not wait.
+	Applied func(res *hosts.FollowResponse)
 	// Log receives changes of the session's state; nil means no log.
 	Log *zap.Logger
 }
@@ -85,6 +89,11 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
+	if cfg.Poll == nil {
+		cfg.Poll = func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+			return PollLeader(ctx, cfg.Control, req)
+		}
+	}
 	f := &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
 	f.seq.n = rand.New(rand.NewPCG(cfg.Seed, 0)).Uint64() >> 1
 	return f
@@ -156,6 +165,13 @@
 	}
 }
 
+// PollLeader carries a poll to the control leader.
+func PollLeader(ctx context.Context, control *hosts.GroupClient, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, control, hosts.ProcedureFollow, pollTimeout, req)
+}
+
 // poll makes one request to the leader and applies its answer.
 func (f *Follower) poll(ctx context.Context) error {
 	req := &hosts.FollowRequest{Host: f.cfg.Host, Hold: Hold}
@@ -166,16 +182,17 @@
 	if f.cfg.Seen != nil {
 		req.Seen = f.cfg.Seen()
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	sent := time.Now()
-	res, err := hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, f.cfg.Control, hosts.ProcedureFollow, pollTimeout, req)
+	res, err := f.cfg.Poll(ctx, req)
 	if err != nil {
 		return err
 	}
 	if err := f.apply(res, sent); err != nil {
 		return err
 	}
+	if f.cfg.Applied != nil {
+		f.cfg.Applied(res)
+	}
 	if res.Newest && (res.Status == hosts.StatusClosed || req.Incarnation == 0) {
 		return f.open(ctx)
 	}
