placement: places by number, checkpoints near a server with an unload under way count as remote

Change: regions, data centres and racks are numbered per view; caches are not trusted during an unload; an owner treats an engine that does not show the present fence in its inventory as one that ignores fences.

--- a/cmd/toucanway-lab/internal/placementpolicy/loop.go
+++ b/cmd/toucanway-lab/internal/placementpolicy/loop.go
@@ -33,6 +33,8 @@
 	replicas  map[fleet.OrderID]*replica
 	cache     map[fleet.BackendID][]fleet.ModelID
 	cut       bool
+	// outage holds models that lost all replicas, with the time of the first call since, or -1.
+	outage map[int]time.Duration
 	figures
 }
 
@@ -58,7 +60,7 @@
 		sc: sc, catalogue: c, policy: p, start: time.Unix(1_000_000, 0), requests: requests, waiting: make([][]request, sc.models),
 		calls: map[int]map[int]int{}, replicas: map[fleet.OrderID]*replica{}, cache: map[fleet.BackendID][]fleet.ModelID{},
 	}
-	l.restored = map[int]time.Duration{}
+	l.outage = map[int]time.Duration{}
 	for i := range sc.hosts {
 		l.apply(&control.OpenSession{Host: fleet.HostID(fmt.Sprintf("h%d", i)), Incarnation: 1, Place: place(i)})
 	}
@@ -131,7 +133,7 @@
 		if r := l.replicas[o]; r.backend == id {
 			delete(l.replicas, o)
 			if r.ready && l.readyOf(r.model) == 0 {
-				l.restored[r.model] = -1
+				l.outage[r.model] = -1
 			}
 		}
 	}
@@ -176,8 +178,11 @@
 			continue
 		}
 		r.ready = true
-		if at, ok := l.restored[r.model]; ok && at < 0 {
-			l.restored[r.model] = l.now - l.sc.lossAt
+		if at, ok := l.outage[r.model]; ok {
+			if at >= 0 {
+				l.restored = append(l.restored, l.now-at)
+			}
+			delete(l.outage, r.model)
 		}
 		rec, _ := l.state.Replica(id)
 		b, _ := l.state.Backend(rec.Backend)
--- a/cmd/toucanway-lab/internal/placementpolicy/run.go
+++ b/cmd/toucanway-lab/internal/placementpolicy/run.go
@@ -66,9 +66,9 @@
 	} {
 		f := newLoop(sc, c, requests, p.policy).run()
 		t.Rows = append(t.Rows, Row{Policy: p.name, Values: []float64{
-			percent(f.served, f.all), percent(f.peakServed, f.peakAll), float64(len(f.cold)), f.coldP(0.5), f.coldP(0.99),
+			percent(f.served, f.all), percent(f.peakServed, f.peakAll), float64(len(f.cold)), quantile(f.cold, 0.5), quantile(f.cold, 0.99),
 			f.idleHours, float64(f.loadCount), float64(f.maxStore), float64(f.maxStarts), f.overStore.Seconds(),
-			f.restoreP(0.5), f.restoreP(1),
+			quantile(f.restored, 0.5), quantile(f.restored, 1),
 		}})
 	}
 	return t, nil
--- a/cmd/toucanway-lab/internal/placementpolicy/serve.go
+++ b/cmd/toucanway-lab/internal/placementpolicy/serve.go
@@ -22,29 +22,16 @@
 	maxStore, maxStarts int
 	overStore           time.Duration
 	loadCount, rejected int
-	// restored is the time from the loss until each affected model was ready again; -1 means never.
-	restored map[int]time.Duration
+	// restored is the time from the first call after the loss until each model without replica was ready again.
+	restored []time.Duration
 }
 
-func (f *figures) coldP(q float64) float64 {
-	if len(f.cold) == 0 {
-		return 0
-	}
-	slices.Sort(f.cold)
-	return f.cold[min(len(f.cold)-1, int(q*float64(len(f.cold))))].Seconds()
-}
-
-func (f *figures) restoreP(q float64) float64 {
-	var all []time.Duration
-	for _, d := range f.restored {
-		if d >= 0 {
-			all = append(all, d)
-		}
-	}
+// quantile returns a quantile in seconds.
+func quantile(all []time.Duration, q float64) float64 {
 	if len(all) == 0 {
 		return 0
 	}
-	slices.Sort(all)
+	all = slices.Sorted(slices.Values(all))
 	return all[min(len(all)-1, int(q*float64(len(all))))].Seconds()
 }
 
@@ -57,6 +44,9 @@
 			l.peakAll++
 		}
 		l.waiting[r.model] = append(l.waiting[r.model], r)
+		if at, ok := l.outage[r.model]; ok && at < 0 {
+			l.outage[r.model] = l.now
+		}
 		if l.calls[r.host] == nil {
 			l.calls[r.host] = map[int]int{}
 		}
--- a/core/orders/advance.go
+++ b/core/orders/advance.go
@@ -18,7 +18,7 @@
 		}
 		// A proposal to send may be committed already, after which the load may not be dropped.
 		if !t.sentBefore {
-			if _, ok := o.quarantine[r.Model]; ok && !o.checksFence {
+			if _, ok := o.quarantine[r.Model]; ok && !o.fenced {
 				if t.proposed.IsZero() {
 					out = append(out, o.measured(r, 0, true))
 				}
--- a/core/orders/fake_test.go
+++ b/core/orders/fake_test.go
@@ -22,6 +22,8 @@
 	running     map[fleet.ModelID]int
 	seq         uint64
 	unreachable bool
+	// learns says that a read of the inventory shows the engine the fence.
+	learns bool
 }
 
 type held struct {
@@ -92,7 +94,7 @@
 }
 
 func (e *engine) inventory(fence fleet.Fence) *fleet.Inventory {
-	if e.a.ChecksFence {
+	if e.a.ChecksFence && e.learns {
 		e.fence = max(e.fence, fence)
 	}
 	e.seq++
--- a/core/orders/machine_test.go
+++ b/core/orders/machine_test.go
@@ -78,7 +78,7 @@
 		w.open(t, h)
 	}
 	for i := range 4 {
-		e := &engine{w: w, a: fleet.Announcement{
+		e := &engine{w: w, learns: i == 0, a: fleet.Announcement{
 			ID: fleet.BackendID(fmt.Sprintf("e%d", i)), Memory: 25 * fleet.GiB, Slots: 4, ChecksFence: i%2 == 0,
 		}}
 		e.restart(t)
--- a/core/orders/owner.go
+++ b/core/orders/owner.go
@@ -25,7 +25,10 @@
 	fence       fleet.Fence
 	incarnation fleet.Incarnation
 	checksFence bool
-	readyAt     time.Time
+	// fenced says that the engine showed this fence in its last inventory, so that it refuses all older orders.
+	fenced  bool
+	taken   time.Time
+	readyAt time.Time
 	// consistent says that the last inventory agreed with the records, which is required before the first order.
 	consistent bool
 	inv        *reading
@@ -93,8 +96,9 @@
 		return
 	}
 	seen := inv != nil && inv.Backend == o.backend && inv.Incarnation == o.incarnation
-	if !seen || o.checksFence && inv.Fence < o.fence {
-		// An engine that did not take note of this fence may still accept older orders.
+	o.fenced = seen && o.checksFence && inv.Fence >= o.fence
+	if !seen || !o.fenced && now.Before(o.taken.Add(o.cfg.takeoverWait())) {
+		// An engine that did not take note of this fence may still accept orders of an earlier owner.
 		o.inv = nil
 		o.nextRead = now.Add(o.cfg.RetryInterval)
 		return
@@ -149,7 +153,7 @@
 	o.fence, o.incarnation = b.Fence, b.Announcement.Incarnation
 	o.checksFence = b.Announcement.ChecksFence
 	o.consistent, o.inv, o.paused, o.nextRead = false, nil, time.Time{}, now
-	o.readyAt = now
+	o.fenced, o.taken, o.readyAt = false, now, now
 	if !o.checksFence {
 		o.readyAt = now.Add(o.cfg.takeoverWait())
 	}
--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -135,14 +135,14 @@
 	return differs, before
 }
 
-// mayGiveUp reports whether an inventory read at a time settles a doubt. A load that is missing at an engine that
-// ignores fences may still arrive until the longest delay of an order has passed.
+// mayGiveUp reports whether an inventory read at a time settles a doubt. A load that is missing at an engine that does not
+// refuse older fences may still arrive until the longest delay of an order has passed.
 func (o *Owner) mayGiveUp(read time.Time, r *control.Replica, found bool) bool {
 	t := o.tracks[r.Order]
 	if !o.ended(read, t) {
 		return false
 	}
-	if found || o.checksFence || t.ready || r.State == control.ReplicaUnloadInDoubt {
+	if found || o.fenced || t.ready || r.State == control.ReplicaUnloadInDoubt {
 		return true
 	}
 	return !read.Before(t.deadline.Add(o.cfg.MaxOrderDelay))
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -38,25 +38,36 @@
 	left    fleet.Bytes
 }
 
-// spread is where a model's replicas stand.
+// spread counts a model's replicas by the numbers of their places.
 type spread struct {
-	centres map[fleet.DataCentre]int
-	regions map[fleet.Region]int
-	racks   map[fleet.Place]int
+	regions, centres, racks []int
+	// inRegions and inCentres are the numbers of different places.
+	inRegions, inCentres int
+	// weight is the share of the callers' requests by region.
+	weight []float64
 }
 
 func (p *Planner) spreadOf(m *model) spread {
-	s := spread{centres: map[fleet.DataCentre]int{}, regions: map[fleet.Region]int{}, racks: map[fleet.Place]int{}}
+	v := &p.view
+	s := spread{
+		regions: make([]int, len(v.regions)), centres: make([]int, len(v.centres)), racks: make([]int, len(v.racks)),
+		weight: make([]float64, len(v.regions)),
+	}
 	add := func(id fleet.BackendID) {
-		if sv := p.view.server(id); sv != nil {
-			pl := sv.Announcement.Place
-			s.centres[pl.DataCentre]++
-			s.regions[pl.Region]++
-			s.racks[pl]++
+		sv := v.server(id)
+		if sv == nil {
+			return
+		}
+		if s.regions[sv.region]++; s.regions[sv.region] == 1 {
+			s.inRegions++
+		}
+		if s.centres[sv.centre]++; s.centres[sv.centre] == 1 {
+			s.inCentres++
 		}
+		s.racks[sv.rack]++
 	}
 	for _, i := range m.records {
-		switch r := &p.view.replicas[i]; r.State {
+		switch r := &v.replicas[i]; r.State {
 		case control.ReplicaIntended, control.ReplicaSent, control.ReplicaReady, control.ReplicaInDoubt:
 			add(r.Backend)
 		}
@@ -68,6 +79,15 @@
 			}
 		}
 	}
+	total := 0
+	for _, n := range m.regions {
+		total += n
+	}
+	for r, n := range m.regions {
+		if i, ok := v.regions[r]; ok {
+			s.weight[i] = float64(n) / float64(total)
+		}
+	}
 	return s
 }
 
@@ -77,10 +97,7 @@
 	sp := p.spreadOf(m)
 	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown()) +
 		p.budget.Wait(now, ahead, m.loadTime(fleet.TierRemote))
-	total := 0
-	for _, n := range m.regions {
-		total += n
-	}
+	called := len(m.regions) > 0
 	var best choice
 	found, ties := false, 0
 	for i := range p.view.servers {
@@ -95,7 +112,7 @@
 			load = m.loadTime(c.tier)
 		}
 		c.ready += load
-		c.score = c.ready + m.penalty(&sp, sv.Announcement.Place, total)
+		c.score = c.ready + m.penalty(&sp, sv, called)
 		switch {
 		case !found || c.score < best.score || c.score == best.score && c.left > best.left:
 			best, found, ties = c, true, 1
@@ -122,17 +139,22 @@
 			return false
 		}
 	}
-	k := slot{m.decl.ID, a.ID}
 	if len(p.failed) > 0 {
-		if _, ok := p.failed[k]; ok {
+		if _, ok := p.failed[slot{m.decl.ID, a.ID}]; ok {
 			return false
 		}
 	}
-	if _, ok := p.proposed[k]; ok {
-		return false
+	if sv.pending > 0 {
+		if _, ok := p.proposed[slot{m.decl.ID, a.ID}]; ok {
+			return false
+		}
+	}
+	if len(p.reserved) > 0 {
+		if r, ok := p.reserved[a.ID]; ok && r.model != m.decl.ID {
+			return false
+		}
 	}
-	r, ok := p.reserved[a.ID]
-	return !ok || r.model == m.decl.ID
+	return true
 }
 
 // fit checks the memory of a backend server and chooses what to unload first when there is too little.
@@ -143,7 +165,7 @@
 	if c.left >= 0 {
 		return true
 	}
-	if m.background || needed > sv.Announcement.Memory {
+	if m.background || needed > sv.Announcement.Memory || sv.pending > 0 {
 		return false
 	}
 	if _, ok := p.reserved[sv.Announcement.ID]; ok {
@@ -201,20 +223,20 @@
 }
 
 // penalty returns what a place counts as longer than its time to ready.
-func (m *model) penalty(sp *spread, pl fleet.Place, total int) time.Duration {
+func (m *model) penalty(sp *spread, sv *server, called bool) time.Duration {
 	var out time.Duration
-	if n := sp.centres[pl.DataCentre]; n > 0 {
+	if n := sp.centres[sv.centre]; n > 0 {
 		out += time.Duration(n) * sameCentre
-		if len(sp.centres) < m.decl.SpreadDataCentres {
+		if sp.inCentres < m.decl.SpreadDataCentres {
 			out += unmetSpread
 		}
 	}
-	if sp.regions[pl.Region] > 0 && len(sp.regions) < m.decl.SpreadRegions {
+	if sp.regions[sv.region] > 0 && sp.inRegions < m.decl.SpreadRegions {
 		out += unmetSpread
 	}
-	out += time.Duration(sp.racks[pl]) * sameRack
-	if total > 0 {
-		out += farRegion * time.Duration(total-m.regions[pl.Region]) / time.Duration(total)
+	out += time.Duration(sp.racks[sv.rack]) * sameRack
+	if called {
+		out += time.Duration(float64(farRegion) * (1 - sp.weight[sv.region]))
 	}
 	return out
 }
@@ -286,8 +308,8 @@
 		report("pinned", m.decl.Pinned, have)
 		if m.decl.SpreadDataCentres > 1 || m.decl.SpreadRegions > 1 {
 			sp := p.spreadOf(m)
-			report("spread-data-centres", min(m.decl.SpreadDataCentres, m.want), len(sp.centres))
-			report("spread-regions", min(m.decl.SpreadRegions, m.want), len(sp.regions))
+			report("spread-data-centres", min(m.decl.SpreadDataCentres, m.want), sp.inCentres)
+			report("spread-regions", min(m.decl.SpreadRegions, m.want), sp.inRegions)
 		}
 	}
 }
--- a/core/placement/replicas.go
+++ b/core/placement/replicas.go
@@ -24,12 +24,24 @@
 		}
 		unsent := m.serving + m.coming + m.lost - m.want
 		for _, id := range p.removable(m, max(ready, 0), max(unsent, 0)) {
+			p.markMoving(m, id)
 			out = append(out, &control.DecideUnload{Order: id})
 		}
 	}
 	return out
 }
 
+// markMoving marks the backend server of an order that is unloaded.
+func (p *Planner) markMoving(m *model, id fleet.OrderID) {
+	for _, i := range m.records {
+		if r := &p.view.replicas[i]; r.Order == id {
+			if sv := p.view.server(r.Backend); sv != nil {
+				sv.moving = true
+			}
+		}
+	}
+}
+
 // atMaximum reports that a replacement beside the replicas on record would exceed the operators' maximum. A model with
 // a maximum of one has to exceed it by one while it is replaced, or else it would not serve meanwhile.
 func (m *model) atMaximum() bool {
@@ -263,6 +275,7 @@
 // evict unloads idle replicas to make room and keeps the room for the model.
 func (p *Planner) evict(now time.Time, m *model, c choice) []control.Command {
 	p.reserved[c.sv.Announcement.ID] = reservation{model: m.decl.ID, until: now.Add(reservationAge)}
+	c.sv.moving = true
 	var out []control.Command
 	for _, i := range c.victims {
 		r := &p.view.replicas[i]
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -18,12 +18,20 @@
 	replicas []control.Replica
 	// typical is the mean memory of an engine.
 	typical fleet.Bytes
+	// regions, centres and racks number the places of servers.
+	regions map[fleet.Region]int32
+	centres map[fleet.DataCentre]int32
+	racks   map[fleet.Place]int32
 }
 
 // server is one registered engine or plain service.
 type server struct {
 	*control.Backend
 	replicas []int32
+	// region, centre and rack are the numbers of its place.
+	region, centre, rack int32
+	// moving says that a replica is being unloaded, which may push a checkpoint out of the cache.
+	moving bool
 	// used is the memory of all records; reserved is the memory that their models need beside the weights.
 	used     fleet.Bytes
 	reserved fleet.Bytes
@@ -61,6 +69,16 @@
 	pending int
 }
 
+// number returns the number of a place and gives a new one the next number.
+func number[K comparable](m map[K]int32, k K) int32 {
+	n, ok := m[k]
+	if !ok {
+		n = int32(len(m))
+		m[k] = n
+	}
+	return n
+}
+
 func (v *view) server(id fleet.BackendID) *server {
 	i, ok := v.byID[id]
 	if !ok {
@@ -79,12 +97,17 @@
 	v.sessions, v.backends, v.replicas = s.Sessions(), s.Backends(), s.AllReplicas()
 	v.servers = make([]server, len(v.backends))
 	v.byID = make(map[fleet.BackendID]int32, len(v.backends))
+	v.regions, v.centres, v.racks = map[fleet.Region]int32{}, map[fleet.DataCentre]int32{}, map[fleet.Place]int32{}
 	var sum fleet.Bytes
 	engines := 0
 	for i := range v.backends {
 		b := &v.backends[i]
 		v.servers[i].Backend = b
 		v.byID[b.Announcement.ID] = int32(i)
+		pl := b.Announcement.Place
+		v.servers[i].region = number(v.regions, pl.Region)
+		v.servers[i].centre = number(v.centres, pl.DataCentre)
+		v.servers[i].rack = number(v.racks, pl)
 		if b.Announcement.Kind == fleet.KindEngine {
 			sum += b.Announcement.Memory
 			engines++
@@ -115,6 +138,7 @@
 	for i := range p.view.servers {
 		sv := &p.view.servers[i]
 		sv.pending, sv.pendingReserve = 0, 0
+		sv.moving = false
 		sv.cached = nil
 		if c, ok := p.cached[sv.Announcement.ID]; ok && c.incarnation == sv.Announcement.Incarnation {
 			sv.cached = c.checkpoints
@@ -215,6 +239,9 @@
 	case control.ReplicaUnloadIntended, control.ReplicaUnloadSent, control.ReplicaUnloadInDoubt:
 		o.loading = false
 		m.unloading++
+		if sv := p.view.server(r.Backend); sv != nil {
+			sv.moving = true
+		}
 	default:
 		panic("placement: replica record in state " + r.State.String())
 	}
@@ -229,9 +256,13 @@
 	}
 }
 
-// tierOf returns the tier of a model's checkpoint near a backend server.
+// tierOf returns the tier of a model's checkpoint near a backend server. While a replica is unloaded there, its checkpoint
+// may push out the one that the last inventory named, so that the load has to count as one from the store.
 func tierOf(sv *server, id fleet.ModelID) fleet.Tier {
 	best := fleet.TierRemote
+	if sv.moving {
+		return best
+	}
 	for _, c := range sv.cached {
 		if c.Model == id {
 			best = min(best, c.Tier)
