orders: the state-machine test unloads and runs requests more often

Change: the test begins with demand, unloads replicas at random and puts requests on ready replicas.

--- a/core/orders/fake_test.go
+++ b/core/orders/fake_test.go
@@ -141,7 +141,8 @@
 	owners      map[fleet.BackendID]*orders.Owner
 	held        []control.Command
 	holds       bool
-	stopped     map[slot]bool
+	// stopped holds the log index at which grants on a replica ended.
+	stopped map[slot]fleet.OrderID
 }
 
 type slot struct {
@@ -188,7 +189,7 @@
 				inv := e.inventory(eff.Fence)
 				w.later = append(w.later, func() { o.Inventory(w.now, eff.Read, inv) })
 			case orders.StopGrants:
-				h.stopped[slot{eff.Backend, eff.Model}] = true
+				h.stopped[slot{eff.Backend, eff.Model}] = fleet.OrderID(len(w.log) + 1)
 			case orders.Measured:
 				w.planner.ObserveLoad(w.now, measured(eff))
 			default:
--- a/core/orders/machine_test.go
+++ b/core/orders/machine_test.go
@@ -14,6 +14,7 @@
 	"toucanway/core/orders"
 	"toucanway/core/placement"
 	"toucanway/core/store"
+	"toucanway/core/warm"
 )
 
 const (
@@ -73,7 +74,7 @@
 	}
 	w.newPlanner()
 	for i := range 3 {
-		h := &host{id: fleet.HostID(fmt.Sprintf("h%d", i)), owners: map[fleet.BackendID]*orders.Owner{}, stopped: map[slot]bool{}}
+		h := &host{id: fleet.HostID(fmt.Sprintf("h%d", i)), owners: map[fleet.BackendID]*orders.Owner{}, stopped: map[slot]fleet.OrderID{}}
 		w.hosts = append(w.hosts, h)
 		w.open(t, h)
 	}
@@ -89,13 +90,14 @@
 }
 
 func (w *world) newPlanner() {
-	w.planner = placement.New(placement.Settings{Catalogue: w.catalogue, Store: store.Settings{Rate: storeRate, Concurrency: storeLimit}})
+	w.planner = placement.New(placement.Settings{Catalogue: w.catalogue, Store: store.Settings{Rate: storeRate, Concurrency: storeLimit},
+		Warm: warm.Settings{Fixed: 20 * time.Second}})
 }
 
 func (w *world) open(t *rapid.T, h *host) {
 	h.incarnation++
 	h.epoch++
-	h.owners, h.held, h.stopped = map[fleet.BackendID]*orders.Owner{}, nil, map[slot]bool{}
+	h.owners, h.held, h.stopped = map[fleet.BackendID]*orders.Owner{}, nil, map[slot]fleet.OrderID{}
 	w.apply(t, &control.OpenSession{Host: h.id, Incarnation: h.incarnation})
 	h.lease = w.now.Add(sessionLease)
 }
@@ -246,6 +248,10 @@
 			}
 			return rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
 		}
+		for _, m := range w.catalogue.Models {
+			w.demand[m.ID] = rapid.IntRange(0, 20).Draw(t, "waiting")
+		}
+		w.advance(t, 30*time.Second)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass time":    func(t *rapid.T) { w.advance(t, time.Duration(rapid.IntRange(1, 20).Draw(t, "s"))*time.Second) },
 			"pass minutes": func(t *rapid.T) { w.advance(t, time.Duration(rapid.IntRange(1, 4).Draw(t, "m"))*time.Minute) },
@@ -279,7 +285,12 @@
 				b, _ := w.state.Backend(eng().a.ID)
 				w.apply(t, &control.AssignOwner{Backend: b.Announcement.ID, Owner: host().id, Expected: b.Fence})
 			},
-			"run requests": func(t *rapid.T) { w.setRunning(eng(), model(), rapid.IntRange(0, 2).Draw(t, "n")) },
+			"unload one": func(t *rapid.T) {
+				if all := w.state.AllReplicas(); len(all) > 0 {
+					w.apply(t, &control.DecideUnload{Order: all[rapid.IntRange(0, len(all)-1).Draw(t, "replica")].Order})
+				}
+			},
+			"run requests": func(t *rapid.T) { w.setRunning(t) },
 			"restart engine": func(t *rapid.T) {
 				e := eng()
 				e.restart(t)
@@ -301,24 +312,23 @@
 	})
 }
 
-// setRunning changes the requests on a replica; new ones need grants, which end before an unload.
-func (w *world) setRunning(e *engine, m fleet.ModelID, n int) {
-	if n > e.running[m] {
-		ready := false
-		for _, r := range w.state.ReplicasOn(e.a.ID) {
-			ready = ready || r.Model == m && r.State == control.ReplicaReady
-		}
-		b, _ := w.state.Backend(e.a.ID)
-		for _, h := range w.hosts {
-			if h.id == b.Owner && h.stopped[slot{e.a.ID, m}] {
-				ready = false
-			}
-		}
-		if !ready || e.models[m] == nil {
+// setRunning changes the requests on a ready replica; new ones need grants, which end before an unload.
+func (w *world) setRunning(t *rapid.T) {
+	all := w.state.AllReplicas()
+	if len(all) == 0 {
+		t.Skip("no replica")
+	}
+	r := all[rapid.IntRange(0, len(all)-1).Draw(t, "replica")]
+	e, n := w.engine(r.Backend), rapid.IntRange(0, 2).Draw(t, "n")
+	b, _ := w.state.Backend(r.Backend)
+	for _, h := range w.hosts {
+		if h.id == b.Owner && h.stopped[slot{r.Backend, r.Model}] > r.Order {
 			return
 		}
 	}
-	e.running[m] = n
+	if n < e.running[r.Model] || r.State == control.ReplicaReady && e.models[r.Model] != nil {
+		e.running[r.Model] = n
+	}
 }
 
 // heal ends all faults; then every record has to be settled and every minimum met.
