placement: scale by running requests averaged over a load

Cause: bursts shorter than a load were answered with replicas that came too late and evicted other models. Change: the replicas for steady demand follow the average of running requests over about one load from disk.

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"toucanway/core/fleet"
@@ -72,6 +73,9 @@
 	calls   int
 	counted time.Time
 	rate    float64
+	// busy is the number of running requests, smoothed over about one load time.
+	busy   float64
+	busyAt time.Time
 	// serviceTime is the smoothed time that a request runs.
 	serviceTime time.Duration
 }
@@ -163,6 +167,15 @@
 	}
 }
 
+// smooth follows the running requests over a span; a rise shorter than a load cannot be met by one.
+func (d *demand) smooth(now time.Time, span time.Duration) {
+	if !d.busyAt.IsZero() {
+		w := 1 - math.Exp(-now.Sub(d.busyAt).Seconds()/span.Seconds())
+		d.busy += (float64(d.running) - d.busy) * w
+	}
+	d.busyAt = now
+}
+
 func (d *demand) sumRate(now time.Time) {
 	if d.counted.IsZero() {
 		d.counted = now
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -23,6 +23,9 @@
 	// load time, since demand swings within seconds and a replica removed too early costs another load.
 	shrinkMin = 30 * time.Second
 	shrinkMax = 2 * time.Minute
+	// smoothMin and smoothMax bound the span over which running requests are averaged, which is one load from disk.
+	smoothMin = 5 * time.Second
+	smoothMax = time.Minute
 )
 
 // model is what the planner knows of one model.
@@ -135,6 +138,7 @@
 		return
 	}
 	m.sum(now)
+	m.smooth(now, min(max(m.loadTime(fleet.TierDisk), smoothMin), smoothMax))
 	need := 0
 	if m.active() {
 		need = max(1, m.steady(), m.backlog())
@@ -195,8 +199,7 @@
 
 // steady returns the replicas that carry the present rate of requests.
 func (m *model) steady() int {
-	offered := max(float64(m.running), m.rate*m.service().Seconds())
-	return int(math.Ceil(offered / (float64(m.decl.Slots) * targetUse)))
+	return int(math.Ceil(m.busy / (float64(m.decl.Slots) * targetUse)))
 }
 
 // backlog returns the replicas that work off the waiting requests within one load time or the earliest deadline; more
