--- /dev/null
+++ b/core/store/budget_test.go
@@ -0,0 +1,63 @@
+package store
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against more starts in any second than the rate, and more loads under way than the limit.
+func TestAdmitKeepsBudget(t *testing.T) {
+	const seed = 1
+	t.Log("seed", seed)
+	rng := rand.New(rand.NewPCG(seed, 0))
+	now := time.Unix(1_000_000, 0)
+	b := New(now, Settings{Rate: 3, Concurrency: 4})
+	starts := []time.Time{now, now, now}
+	active := 0
+	for range 20_000 {
+		now = now.Add(time.Duration(rng.IntN(700)) * time.Millisecond)
+		active -= min(active, rng.IntN(3))
+		b.SetActive(active)
+		b.Observe(now, time.Duration(5+rng.IntN(10))*time.Second, 10*time.Second)
+		if b.Admit(now, rng.IntN(2) == 0) {
+			active++
+			starts = append(starts, now)
+		}
+		for len(starts) > 0 && now.Sub(starts[0]) >= time.Second {
+			starts = starts[1:]
+		}
+		require.LessOrEqual(t, len(starts), 3)
+		require.LessOrEqual(t, active, 4)
+	}
+}
+
+// Guards against full concurrency at a slow store and against staying slow once it recovered.
+func TestSlowStoreLowersConcurrency(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := New(now, Settings{})
+	for range 4 {
+		now = now.Add(time.Minute)
+		b.Observe(now, 30*time.Second, 10*time.Second)
+	}
+	require.Equal(t, 1, b.Limit())
+	require.Greater(t, b.Slowdown(), 1.5)
+	for range 20 {
+		now = now.Add(time.Minute)
+		b.Observe(now, 10*time.Second, 10*time.Second)
+	}
+	require.Equal(t, DefaultConcurrency, b.Limit())
+}
+
+// Guards against a load ahead of need taking the last place of a waiting request.
+func TestBackgroundLeavesOnePlace(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := New(now, Settings{Rate: 10, Concurrency: 2})
+	now = now.Add(time.Second)
+	require.True(t, b.Admit(now, true))
+	require.False(t, b.Admit(now, true))
+	require.True(t, b.Admit(now, false))
+	require.Positive(t, b.Wait(now, 0, 10*time.Second))
+}
--- a/core/warm/tracker.go
+++ b/core/warm/tracker.go
@@ -200,12 +200,11 @@
 
 // ahead judges by the time of day: the share of earlier days with a call in the slot that begins within the load time.
 func (t *Tracker) ahead(now time.Time, h *history, c Costs) bool {
-	d, _ := t.dayOf(now)
+	d, slot := t.dayOf(now.Add(c.Load))
 	first, _ := t.dayOf(h.first)
 	if d-first < minDays {
 		return false
 	}
-	_, slot := t.dayOf(now.Add(c.Load))
 	if h.lastDay[slot] == d && h.days[slot] > 0 {
 		return false
 	}
--- /dev/null
+++ b/core/warm/tracker_test.go
@@ -0,0 +1,99 @@
+package warm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+)
+
+var costs = Costs{IdleHour: 1, Cold: 0.5, Load: 30 * time.Second}
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+// Guards against keeping a target whose next call is far away, and against dropping one that is called again soon.
+func TestKeepFollowsGaps(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap, age time.Duration
+		keep     bool
+	}{
+		"short gaps, just called":       {time.Minute, 10 * time.Second, true},
+		"short gaps, long silent":       {time.Minute, time.Hour, false},
+		"gaps dearer than a cold start": {2 * time.Hour, time.Minute, false},
+		"end of a long gap":             {2 * time.Hour, 110 * time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := New(Settings{})
+			m := fleet.Target{Model: "m"}
+			var now time.Duration
+			for range 20 {
+				now += c.gap
+				tr.Observe(at(now), m)
+			}
+			require.Equal(t, c.keep, tr.Keep(at(now+c.age), m, costs))
+		})
+	}
+}
+
+// Guards against histogram or prediction judging by a handful of calls.
+func TestFewCallsUseFixedTime(t *testing.T) {
+	tr := New(Settings{})
+	m := fleet.Target{Model: "m"}
+	tr.Observe(at(0), m)
+	require.True(t, tr.Keep(at(DefaultFixed-time.Second), m, costs))
+	require.False(t, tr.Keep(at(DefaultFixed+time.Second), m, costs))
+}
+
+// Guards against missing regular calls, calls at a time of day and follow-up calls, and against loading ahead otherwise.
+func TestAheadOfPredictedCalls(t *testing.T) {
+	m, lead := fleet.Target{Model: "m"}, fleet.Target{Model: "lead"}
+	for name, c := range map[string]struct {
+		observe func(*Tracker) time.Duration
+		ahead   time.Duration
+		early   time.Duration
+	}{
+		"regular": {func(tr *Tracker) time.Duration {
+			for i := range 12 {
+				tr.Observe(at(time.Duration(i)*time.Hour), m)
+			}
+			return 11 * time.Hour
+		}, 58 * time.Minute, 20 * time.Minute},
+		"time of day": {func(tr *Tracker) time.Duration {
+			for i := range 8 {
+				tr.Observe(at(time.Duration(i)*day+time.Duration(i%3)*time.Minute), m)
+			}
+			return 7 * day
+		}, day - 10*time.Second, 10 * time.Hour},
+		"follow-up": {func(tr *Tracker) time.Duration {
+			var now time.Duration
+			for i := range 10 {
+				now += time.Duration(2+i*i) * time.Hour
+				tr.Observe(at(now), lead)
+				tr.Observe(at(now+time.Minute), m)
+			}
+			now += 300 * time.Hour
+			tr.Observe(at(now), lead)
+			return now
+		}, time.Second, 2 * time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := New(Settings{})
+			last := c.observe(tr)
+			require.True(t, tr.Ahead(at(last+c.ahead), m, costs))
+			require.False(t, tr.Ahead(at(last+c.early), m, costs))
+		})
+	}
+}
+
+// Guards against a table that grows with every target ever called.
+func TestTargetsAreBounded(t *testing.T) {
+	tr := New(Settings{})
+	for i := range maxTargets + 10 {
+		tr.Observe(at(time.Duration(i)*time.Hour), fleet.Target{Model: "m", Adapter: fleet.AdapterID(time.Duration(i).String())})
+	}
+	require.Len(t, tr.targets, maxTargets)
+	_, ok := tr.Last(fleet.Target{Model: "m", Adapter: "0s"})
+	require.False(t, ok)
+}
