placement: repair of unmet spread, gentler eviction, tighter packing

Cause: replicas in one data centre stayed there when another came back; further replicas of busy models evicted the only replica of others.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -114,7 +114,7 @@
 		c.ready += load
 		c.score = c.ready + m.penalty(&sp, sv, called)
 		switch {
-		case !found || c.score < best.score || c.score == best.score && c.left > best.left:
+		case !found || c.score < best.score || c.score == best.score && c.left < best.left:
 			best, found, ties = c, true, 1
 		case c.score == best.score && c.left == best.left:
 			if ties++; p.rng.IntN(ties) == 0 {
@@ -213,6 +213,9 @@
 		return false
 	case v.serving <= v.floor():
 		return false
+	case v.serving <= 1 && m.serving+m.coming > 0:
+		// A further replica of one model is worth less than the only one of another.
+		return false
 	case m.waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
 		return false
 	}
@@ -295,8 +298,16 @@
 			continue
 		}
 		reason := m.blocked
-		if reason == "" {
+		switch {
+		case reason != "":
+		case m.coming > 0:
 			reason = "a replica is loading"
+		case m.lost > 0:
+			reason = "a replica is lost; it is replaced after the hold time"
+		case m.atMaximum():
+			reason = "the maximum leaves no room to move a replica; raise it"
+		default:
+			reason = "replicas are unloaded or too few places have engines; add capacity"
 		}
 		have := m.serving + m.old
 		report := func(bound string, want, have int) {
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -22,7 +22,7 @@
 	// shrinkMin and shrinkMax bound the time after which one unneeded replica is removed; within them it is twice the
 	// load time, since demand swings within seconds and a replica removed too early costs another load.
 	shrinkMin = 30 * time.Second
-	shrinkMax = 2 * time.Minute
+	shrinkMax = 45 * time.Second
 	// smoothMin and smoothMax bound the span over which running requests are averaged, which is one load from disk.
 	smoothMin = 5 * time.Second
 	smoothMax = time.Minute
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -292,3 +292,50 @@
 	require.LessOrEqual(t, wakes, 7)
 	require.Greater(t, wakes, 2)
 }
+
+// Guards against a spread that stays unmet although engines in another data centre come back.
+func TestSpreadIsRepaired(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 3, 1, 80*fleet.GiB)
+	m := testModel("m")
+	m.Minimum, m.SpreadDataCentres = 2, 2
+	p := newPlanner(m)
+	for range 5 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 2)
+	require.Equal(t, []UnmetBound{{Model: "m", Bound: "spread-data-centres", Want: 2, Have: 1, Reason: p.Unmet()[0].Reason}}, p.Unmet())
+	w.must(&control.PutBackend{Announcement: fleet.Announcement{
+		ID: "new", Incarnation: 1, Place: fleet.Place{Region: "r9", DataCentre: "dc9"}, Memory: 80 * fleet.GiB,
+	}})
+	for range 6 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 2)
+	require.Len(t, w.state.ReplicasOn("new"), 1)
+	require.Empty(t, p.Unmet())
+}
+
+// Guards against recovery that ignores classes or the store budget after the loss of a data centre.
+func TestRecoveryIsInOrderOfClass(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	var models []Model
+	for i, class := range []fleet.Class{fleet.ClassBatch, fleet.ClassCritical, fleet.ClassStandard, fleet.ClassInteractive} {
+		m := testModel(fleet.ModelID(fmt.Sprintf("m%d", i)))
+		m.Minimum, m.Class = 1, class
+		models = append(models, m)
+	}
+	p := newPlanner(models...)
+	w.round(p, 0)
+	var got []fleet.ModelID
+	for range 3 {
+		for _, l := range loads(w.round(p, time.Second)) {
+			got = append(got, l.Model)
+		}
+		w.carryOut()
+	}
+	require.Equal(t, []fleet.ModelID{"m1", "m3", "m2", "m0"}, got)
+}
--- a/core/placement/replicas.go
+++ b/core/placement/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 	var out []control.Command
 	for _, m := range p.order {
 		m.surge = 0
-		if m.old > 0 && m.want > 0 {
+		if m.want > 0 && (m.old > 0 || p.misplaced(m)) {
 			m.surge = 1
 		}
 		// Replicas on the way out serve until their replacements are ready, unless the maximum leaves no room for those.
@@ -31,6 +32,52 @@
 	return out
 }
 
+// misplaced reports whether the ready replicas cover fewer places than the operators want although engines stand in
+// others. One more replica is then loaded there, after which the most crowded data centre loses one.
+func (p *Planner) misplaced(m *model) bool {
+	if m.decl.SpreadDataCentres <= 1 && m.decl.SpreadRegions <= 1 || m.serving < m.want {
+		return false
+	}
+	var ready, possible places
+	for _, i := range m.records {
+		if r := &p.view.replicas[i]; r.State == control.ReplicaReady {
+			ready.add(p.view.server(r.Backend))
+		}
+	}
+	centres, regions := min(m.decl.SpreadDataCentres, m.want), min(m.decl.SpreadRegions, m.want)
+	if len(ready.centres) >= centres && len(ready.regions) >= regions {
+		return false
+	}
+	for i := range p.view.servers {
+		if sv := &p.view.servers[i]; p.usable(m, sv) {
+			possible.add(sv)
+		}
+	}
+	possible.addAll(&ready)
+	return len(ready.centres) < min(centres, len(possible.centres)) || len(ready.regions) < min(regions, len(possible.regions))
+}
+
+// places is a set of data centres and regions by number.
+type places struct{ centres, regions map[int32]bool }
+
+func (p *places) add(sv *server) {
+	if sv == nil {
+		return
+	}
+	if p.centres == nil {
+		p.centres, p.regions = map[int32]bool{}, map[int32]bool{}
+	}
+	p.centres[sv.centre], p.regions[sv.region] = true, true
+}
+
+func (p *places) addAll(o *places) {
+	if p.centres == nil {
+		p.centres, p.regions = map[int32]bool{}, map[int32]bool{}
+	}
+	maps.Copy(p.centres, o.centres)
+	maps.Copy(p.regions, o.regions)
+}
+
 // markMoving marks the backend server of an order that is unloaded.
 func (p *Planner) markMoving(m *model, id fleet.OrderID) {
 	for _, i := range m.records {
