--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -244,45 +244,6 @@
 	return out
 }
 
-// Estimate returns the expected time until a model has a ready replica, 0 when it has one, and false when no load is
-// possible at present.
-func (p *Planner) Estimate(id fleet.ModelID) (time.Duration, bool) {
-	m := p.models[id]
-	if m == nil || !m.declared || p.budget == nil {
-		return 0, false
-	}
-	if m.serving+m.old > 0 {
-		return 0, true
-	}
-	best, found := time.Duration(0), false
-	for _, i := range m.records {
-		r := &p.view.replicas[i]
-		o := p.orders[r.Order]
-		if o == nil || r.State != control.ReplicaIntended && r.State != control.ReplicaSent {
-			continue
-		}
-		expected := m.loadTime(fleet.TierRemote)
-		if o.remote {
-			expected = time.Duration(float64(expected) * p.budget.Slowdown())
-		} else if sv := p.view.server(r.Backend); sv != nil {
-			expected = m.loadTime(tierOf(sv, id))
-		}
-		// A load that is late already is expected to take another quarter of its time.
-		left := max(expected-p.now.Sub(o.seen), expected/4)
-		if !found || left < best {
-			best, found = left, true
-		}
-	}
-	if found {
-		return best, true
-	}
-	if !m.estimated {
-		c, ok := p.choose(p.now, m, 0)
-		m.estimated, m.estimateOK, m.estimate = true, ok, c.ready
-	}
-	return m.estimate, m.estimateOK
-}
-
 func (p *Planner) whyNone(m *model) string {
 	return fmt.Sprintf("no reachable engine in the allowed regions has %d MiB free; add capacity or lower other bounds",
 		(m.decl.Memory+m.reserve())/fleet.MiB)
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -124,6 +124,7 @@
 	left, ok := p.Estimate("m")
 	require.True(t, ok)
 	require.Positive(t, left)
+	require.Equal(t, []Estimate{{Model: "m", Ready: left, Possible: true}}, p.Estimates(waiting(0, 2, "m", 1)))
 	w.carryOut()
 	w.round(p, time.Second)
 	left, ok = p.Estimate("m")
--- a/core/store/budget_test.go
+++ b/core/store/budget_test.go
@@ -61,3 +61,18 @@
 	require.True(t, b.Admit(now, false))
 	require.Positive(t, b.Wait(now, 0, 10*time.Second))
 }
+
+// Guards against owners whose shares of adapter loads together exceed the store's limit.
+func TestAdapterSharesStayWithinLimit(t *testing.T) {
+	for name, c := range map[string]struct{ owners, each int }{"today": {6, 3}, "one": {1, 18}, "target": {1300, 5}} {
+		t.Run(name, func(t *testing.T) {
+			s := ShareAdapters(c.each, c.owners*c.each)
+			load := 1.0
+			if s.Every > 0 {
+				load = float64(AdapterLoad) / float64(s.Every)
+			}
+			require.LessOrEqual(t, float64(c.owners*s.InFlight)*load, AdapterLimit+0.01)
+			require.Positive(t, s.InFlight)
+		})
+	}
+}
