--- /dev/null
+++ b/core/demand/doc.go
@@ -0,0 +1,2 @@
+// Package demand adds up what entry hosts report of waiting requests and recent calls, by model.
+package demand
--- /dev/null
+++ b/core/demand/report.go
@@ -0,0 +1,34 @@
+package demand
+
+import (
+	"time"
+
+	"toucanway/core/fleet"
+)
+
+// Report is one host's account of what its callers wait for and called since its last report.
+type Report struct {
+	Host        fleet.HostID      `cbor:"1,keyasint"`
+	Incarnation fleet.Incarnation `cbor:"2,keyasint"`
+	// Seq orders the reports of one incarnation; older and repeated ones are dropped.
+	Seq   uint64      `cbor:"3,keyasint"`
+	Place fleet.Place `cbor:"4,keyasint"`
+	// Entries lists targets with waiting requests, running requests or calls since the last report.
+	Entries []Entry `cbor:"5,keyasint,omitempty"`
+}
+
+// Entry is the demand of one target, class and region of callers.
+type Entry struct {
+	Target fleet.Target `cbor:"1,keyasint"`
+	Class  fleet.Class  `cbor:"2,keyasint"`
+	Region fleet.Region `cbor:"3,keyasint,omitempty"`
+	// Waiting counts requests that wait now, Running those that run now.
+	Waiting int `cbor:"4,keyasint,omitempty"`
+	Running int `cbor:"5,keyasint,omitempty"`
+	// Calls counts requests that arrived since the last report.
+	Calls int `cbor:"6,keyasint,omitempty"`
+	// Earliest is the time left until the earliest deadline of the waiting requests.
+	Earliest time.Duration `cbor:"7,keyasint,omitempty"`
+	// Oldest is the time that the oldest waiting request has waited.
+	Oldest time.Duration `cbor:"8,keyasint,omitempty"`
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -80,10 +80,10 @@
 		}
 	}
 	total := 0
-	for _, n := range m.regions {
+	for _, n := range m.demand.Regions {
 		total += n
 	}
-	for r, n := range m.regions {
+	for r, n := range m.demand.Regions {
 		if i, ok := v.regions[r]; ok {
 			s.weight[i] = float64(n) / float64(total)
 		}
@@ -97,7 +97,7 @@
 	sp := p.spreadOf(m)
 	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown()) +
 		p.budget.Wait(now, ahead, m.loadTime(fleet.TierRemote))
-	called := len(m.regions) > 0
+	called := len(m.demand.Regions) > 0
 	var best choice
 	found, ties := false, 0
 	for i := range p.view.servers {
@@ -209,14 +209,14 @@
 func (p *Planner) evictable(now time.Time, m, v *model, i int32) bool {
 	r := &p.view.replicas[i]
 	switch {
-	case r.State != control.ReplicaReady || v == m || v.waiting > 0 || v.running > 0 || v.decl.Pinned > 0:
+	case r.State != control.ReplicaReady || v == m || v.demand.Waiting > 0 || v.demand.Running > 0 || v.decl.Pinned > 0:
 		return false
 	case v.serving <= v.floor():
 		return false
 	case v.serving <= 1 && m.serving+m.coming > 0:
 		// A further replica of one model is worth less than the only one of another.
 		return false
-	case m.waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
+	case m.demand.Waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
 		return false
 	}
 	if last, ok := p.warm.Last(v.target()); ok && now.Sub(last) < v.decl.KeepWarmMin {
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -56,7 +56,7 @@
 			expected = m.loadTime(tierOf(sv, id))
 		}
 		// A load that is late already is expected to take another quarter of its time.
-		left := max(expected-p.now.Sub(o.seen), expected/4)
+		left := max(expected-o.elapsed(p.now), expected/4)
 		if !found || left < best {
 			best, found = left, true
 		}
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanway/core/control"
+	"toucanway/core/demand"
 	"toucanway/core/fleet"
 	"toucanway/core/warm"
 )
@@ -17,8 +18,6 @@
 const (
 	// targetUse is the share of a model's slots that steady demand may take.
 	targetUse = 0.75
-	// defaultService is the time that one request runs, until it is learnt.
-	defaultService = 2 * time.Second
 	// shrinkMin and shrinkMax bound the time after which one unneeded replica is removed; within them it is twice the
 	// load time, since demand swings within seconds and a replica removed too early costs another load.
 	shrinkMin = 30 * time.Second
@@ -33,8 +32,8 @@
 	decl     Model
 	declared bool
 	// learnt holds measured load times by tier at the store's full speed; 0 means none.
-	learnt [3]time.Duration
-	demand
+	learnt  [3]time.Duration
+	demand  *demand.Model
 	records []int32
 	tally
 	// want is the number of replicas to serve with; background says that no request needs the last of them yet.
@@ -82,7 +81,7 @@
 	if m := p.models[id]; m != nil {
 		return m
 	}
-	m := &model{decl: Model{ID: id, Slots: DefaultSlots}, burst: 1}
+	m := &model{decl: Model{ID: id, Slots: DefaultSlots}, burst: 1, demand: p.reports.Declare(id)}
 	p.models[id] = m
 	i, _ := slices.BinarySearchFunc(p.order, id, func(m *model, id fleet.ModelID) int { return cmp.Compare(m.decl.ID, id) })
 	p.order = slices.Insert(p.order, i, m)
@@ -137,14 +136,13 @@
 		m.want, m.held = 0, 0
 		return
 	}
-	m.sum(now)
-	m.smooth(now, min(max(m.loadTime(fleet.TierDisk), smoothMin), smoothMax))
+	m.demand.Update(now, min(max(m.loadTime(fleet.TierDisk), smoothMin), smoothMax))
 	need := 0
-	if m.active() {
+	if m.demand.Active() {
 		need = max(1, m.steady(), m.backlog())
 		m.evicted = false
-		if m.waiting > 0 && m.serving == 0 {
-			m.burst = max(m.burst, 0.5*m.burst+0.5*float64(m.waiting))
+		if m.demand.Waiting > 0 && m.serving == 0 {
+			m.burst = max(m.burst, 0.5*m.burst+0.5*float64(m.demand.Waiting))
 		}
 	}
 	if need >= m.held {
@@ -153,7 +151,7 @@
 		m.held, m.heldAt = max(need, m.held-1), now
 	}
 	want := m.held
-	if want <= 1 && !m.active() {
+	if want <= 1 && !m.demand.Active() {
 		want = p.idleWant(now, m)
 	}
 	want = min(max(want, m.floor()), m.decl.Maximum)
@@ -199,20 +197,20 @@
 
 // steady returns the replicas that carry the present rate of requests.
 func (m *model) steady() int {
-	return int(math.Ceil(m.busy / (float64(m.decl.Slots) * targetUse)))
+	return int(math.Ceil(m.demand.Busy / (float64(m.decl.Slots) * targetUse)))
 }
 
 // backlog returns the replicas that work off the waiting requests within one load time or the earliest deadline; more
 // would come too late to relieve anyone.
 func (m *model) backlog() int {
-	if m.waiting == 0 {
+	if m.demand.Waiting == 0 {
 		return 0
 	}
 	within := m.loadTime(fleet.TierRemote)
-	if m.earliest > 0 {
-		within = min(within, m.earliest)
+	if m.demand.Earliest > 0 {
+		within = min(within, m.demand.Earliest)
 	}
 	within = max(within, time.Second)
-	work := float64(m.waiting) * m.service().Seconds()
+	work := float64(m.demand.Waiting) * m.demand.Service().Seconds()
 	return int(math.Ceil(work / (float64(m.decl.Slots) * within.Seconds())))
 }
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucanway/core/control"
+	"toucanway/core/demand"
 	"toucanway/core/fleet"
 	"toucanway/core/ownership"
 	"toucanway/core/store"
@@ -21,7 +22,7 @@
 	started time.Time
 	models  map[fleet.ModelID]*model
 	order   []*model
-	hosts   map[fleet.HostID]*report
+	reports *demand.Table
 	cached  map[fleet.BackendID]cache
 	warm    *warm.Tracker
 	budget  *store.Budget
@@ -67,7 +68,7 @@
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
 		models:   map[fleet.ModelID]*model{},
-		hosts:    map[fleet.HostID]*report{},
+		reports:  demand.New(cfg.DemandAge),
 		cached:   map[fleet.BackendID]cache{},
 		warm:     warm.New(cfg.Warm),
 		orders:   map[fleet.OrderID]*order{},
@@ -154,11 +155,7 @@
 
 // expire forgets what is too old to count.
 func (p *Planner) expire(now time.Time) {
-	for id, h := range p.hosts {
-		if now.Sub(h.at) > p.cfg.DemandAge {
-			p.dropReport(id, h)
-		}
-	}
+	p.reports.Expire(now)
 	for k, v := range p.proposed {
 		if now.Sub(v.at) > p.cfg.ProposalAge {
 			delete(p.proposed, k)
@@ -174,9 +171,4 @@
 			delete(p.reserved, k)
 		}
 	}
-	for id := range p.cached {
-		if p.view.server(id) == nil {
-			delete(p.cached, id)
-		}
-	}
 }
--- a/core/placement/replicas.go
+++ b/core/placement/replicas.go
@@ -200,7 +200,7 @@
 func (p *Planner) needs() []need {
 	var out []need
 	for _, m := range p.order {
-		for k := range m.deficit() {
+		for k := range min(m.deficit(), maxLoads) {
 			out = append(out, m.need(k))
 		}
 	}
@@ -227,10 +227,10 @@
 	const noDeadline = time.Hour
 	n := need{m: m, class: m.decl.Class, step: 2, deadline: noDeadline}
 	have := m.serving + m.old + m.coming + k
-	if m.waiting > 0 {
-		n.class = min(m.class, fleet.ClassBatch)
-		if m.earliest > 0 {
-			n.deadline = m.earliest
+	if m.demand.Waiting > 0 {
+		n.class = min(m.demand.Class, fleet.ClassBatch)
+		if m.demand.Earliest > 0 {
+			n.deadline = m.demand.Earliest
 		}
 	}
 	switch {
@@ -240,7 +240,7 @@
 		n.step = 1
 	}
 	load := m.loadTime(fleet.TierRemote).Seconds()
-	n.value = float64(m.waiting) / float64(have+1) / load / float64(max(m.decl.Memory, 1))
+	n.value = float64(m.demand.Waiting) / float64(have+1) / load / float64(max(m.decl.Memory, 1))
 	return n
 }
 
--- a/core/placement/settings.go
+++ b/core/placement/settings.go
@@ -12,8 +12,6 @@
 const (
 	// DefaultHoldTime is how long a lost replica counts against its target before it may be replaced.
 	DefaultHoldTime = 30 * time.Second
-	// DefaultDemandAge is the age at which a host's demand report no longer counts.
-	DefaultDemandAge = 5 * time.Second
 	// DefaultProposalAge is how long a proposed load counts as under way before its record appears.
 	DefaultProposalAge = 3 * time.Second
 	// DefaultOwnerMoves bounds how many backend servers change owner for balance in one round.
@@ -36,8 +34,9 @@
 	// IdleHourCost is the cost of keeping one whole backend server idle for an hour; 0 means 1.
 	IdleHourCost float64
 	// WaitCost is the cost of one second that one request waits, in the unit of IdleHourCost.
-	WaitCost    float64
-	HoldTime    time.Duration
+	WaitCost float64
+	HoldTime time.Duration
+	// DemandAge is the age at which a host's report no longer counts; 0 means demand.DefaultMaxAge.
 	DemandAge   time.Duration
 	ProposalAge time.Duration
 	RetryDelay  time.Duration
@@ -56,9 +55,6 @@
 	if s.HoldTime <= 0 {
 		s.HoldTime = DefaultHoldTime
 	}
-	if s.DemandAge <= 0 {
-		s.DemandAge = DefaultDemandAge
-	}
 	if s.ProposalAge <= 0 {
 		s.ProposalAge = DefaultProposalAge
 	}
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -43,7 +43,8 @@
 
 // order is what the planner remembers of one replica record.
 type order struct {
-	seen time.Time
+	// sent is when the record was first seen sent; zero before.
+	sent time.Time
 	// since is when the record was first seen lost or in doubt; zero when it is neither.
 	since time.Time
 	// loading says that a load may be under way, remote that it takes from the weight store.
@@ -117,6 +118,11 @@
 	if engines > 0 {
 		v.typical = sum / fleet.Bytes(engines)
 	}
+	for id := range p.cached {
+		if v.server(id) == nil {
+			delete(p.cached, id)
+		}
+	}
 	for _, m := range p.models {
 		m.records = m.records[:0]
 	}
@@ -190,7 +196,7 @@
 func (p *Planner) orderOf(now time.Time, r *control.Replica) *order {
 	o := p.orders[r.Order]
 	if o == nil {
-		o = &order{seen: now, remote: true, loading: r.State == control.ReplicaInDoubt || r.State == control.ReplicaLost}
+		o = &order{remote: true, loading: r.State == control.ReplicaInDoubt || r.State == control.ReplicaLost}
 		o.inherited = r.State == control.ReplicaLost
 		if sv := p.view.server(r.Backend); sv != nil && tierOf(sv, r.Model) != fleet.TierRemote {
 			o.remote = false
@@ -207,6 +213,9 @@
 	case control.ReplicaIntended, control.ReplicaSent:
 		o.loading, o.since = true, time.Time{}
 		m.coming++
+		if r.State == control.ReplicaSent && o.sent.IsZero() {
+			o.sent = now
+		}
 		p.watch(now, m, o)
 	case control.ReplicaReady:
 		o.loading, o.since = false, time.Time{}
@@ -221,7 +230,7 @@
 			o.since = now
 		}
 		expected := m.loadTime(fleet.TierRemote)
-		if age := now.Sub(o.seen); o.inherited && age > 2*expected || age > max(time.Minute, 4*expected) {
+		if age := now.Sub(o.since); o.inherited && age > 2*expected || age > max(time.Minute, 4*expected) {
 			// A load in doubt ends by its order's deadline; the store is not held back by it for longer.
 			o.loading = false
 		}
@@ -247,10 +256,19 @@
 	}
 }
 
+// elapsed returns the time since the order was sent.
+func (o *order) elapsed(now time.Time) time.Duration {
+	if o.sent.IsZero() {
+		return 0
+	}
+	return now.Sub(o.sent)
+}
+
 // watch reports a load that overruns to the store budget before it ends.
 func (p *Planner) watch(now time.Time, m *model, o *order) {
 	const overrun = 2
-	if took, expected := now.Sub(o.seen), m.loadTime(fleet.TierRemote); o.remote && !o.overrun && took > overrun*expected {
+	took, expected := o.elapsed(now), m.loadTime(fleet.TierRemote)
+	if o.remote && !o.overrun && took > overrun*expected {
 		o.overrun = true
 		p.budget.Observe(now, took, expected)
 	}
