--- a/core/demand/table.go
+++ b/core/demand/table.go
@@ -74,6 +74,9 @@
 	return m
 }
 
+// Forget drops a model.
+func (t *Table) Forget(id fleet.ModelID) { delete(t.models, id) }
+
 // Observe replaces the last report of a host and returns whether it is newer than that one.
 func (t *Table) Observe(now time.Time, r Report) bool {
 	old := t.hosts[r.Host]
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// forget drops models that are no longer declared once their replicas and targets are gone.
+func (p *Planner) forget(s *control.State) {
+	p.order = slices.DeleteFunc(p.order, func(m *model) bool {
+		gone := !m.declared && len(m.records) == 0 && m.pending == 0 && s.Target(m.decl.ID) == 0
+		if gone {
+			delete(p.models, m.decl.ID)
+			p.reports.Forget(m.decl.ID)
+		}
+		return gone
+	})
+}
+
 // modelOf returns the entry of a model and makes one that nobody declared when there is none.
 func (p *Planner) modelOf(id fleet.ModelID) *model {
 	if m := p.models[id]; m != nil {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -127,6 +127,7 @@
 	p.refresh(s)
 	p.expire(now)
 	p.classify(now)
+	p.forget(s)
 	out := ownership.Assign(p.view.sessions, p.view.backends, p.busy, p.cfg.OwnerMoves)
 	for _, m := range p.order {
 		p.decideWant(now, m)
