warm: a target that would be loaded ahead is kept

Cause: a model loaded ahead of a follow-up call was unloaded again at once, since keeping judged by gaps alone. Change: Keep includes the rule of Ahead.

--- a/core/warm/tracker.go
+++ b/core/warm/tracker.go
@@ -166,20 +166,19 @@
 	return h.last, true
 }
 
-// Keep reports whether an idle loaded target is worth its idle cost at present.
+// Keep reports whether an idle loaded target is worth its idle cost at present. A target that would be loaded ahead is
+// kept, or else it would be unloaded again before the call.
 func (t *Tracker) Keep(now time.Time, target fleet.Target, c Costs) bool {
 	h := t.targets[target]
 	if h == nil {
 		return false
 	}
 	age := now.Sub(h.last)
-	if t.cfg.Policy == PolicyFixed || h.gaps.total < minGaps {
-		return age < t.cfg.Fixed
+	worth := age < t.cfg.Fixed
+	if t.cfg.Policy != PolicyFixed && h.gaps.total >= minGaps {
+		worth = h.gaps.profit(age, 0, c) > 0
 	}
-	if h.gaps.profit(age, 0, c) > 0 {
-		return true
-	}
-	return t.cfg.Policy == PolicyPrediction && t.ahead(now, h, c)
+	return worth || t.Ahead(now, target, c)
 }
 
 // Ahead reports whether an unloaded target is worth loading before its next call.
--- a/core/warm/tracker_test.go
+++ b/core/warm/tracker_test.go
@@ -83,6 +83,7 @@
 			last := c.observe(tr)
 			require.True(t, tr.Ahead(at(last+c.ahead), m, costs))
 			require.False(t, tr.Ahead(at(last+c.early), m, costs))
+			require.True(t, tr.Keep(at(last+c.ahead), m, costs), "loaded ahead and unloaded at once")
 		})
 	}
 }
