--- a/core/placement/settings.go
+++ b/core/placement/settings.go
@@ -17,7 +17,7 @@
 	// DefaultOwnerMoves bounds how many backend servers change owner for balance in one round.
 	DefaultOwnerMoves = 4
 	// DefaultWaitCost is the cost of one second that one request waits, in units of an accelerator hour.
-	DefaultWaitCost = 0.001
+	DefaultWaitCost = 0.0004
 	// DefaultRetryDelay keeps a backend server out of the choice after a load failed there.
 	DefaultRetryDelay = time.Minute
 	// DefaultSlots is the number of requests that one replica runs at once.
