placement: loads ahead of need stay interruptible until they are sent

Cause: a decided load ahead of need no longer counted as background, so that it was not dropped for a waiting request. Change: a model without waiting or ready replica is background, also while its load is decided; a test of the interruption. Result: the test failed before and passes.

--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -141,11 +141,10 @@
 // decideWant sets the number of replicas to serve with from demand, the operators' bounds and the time since the last
 // call.
 func (p *Planner) decideWant(now time.Time, m *model) {
-	m.background = false
 	m.blocked = ""
 	m.estimated = false
 	if !m.declared {
-		m.want, m.held = 0, 0
+		m.want, m.held, m.background = 0, 0, false
 		return
 	}
 	m.demand.Update(now, min(max(m.loadTime(fleet.TierDisk), smoothMin), smoothMax))
@@ -176,6 +175,7 @@
 		}
 	}
 	m.want = want
+	m.background = !m.demand.Active() && m.serving+m.old == 0 && want > m.floor()
 }
 
 // idleWant returns 1 when an idle model is worth keeping or loading ahead of its next call, else 0.
@@ -201,7 +201,6 @@
 		return 1
 	}
 	if p.warm.Ahead(now, m.target(), c) {
-		m.background = !loaded
 		return 1
 	}
 	return 0
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -340,3 +340,28 @@
 	}
 	require.Equal(t, []fleet.ModelID{"m1", "m3", "m2", "m0"}, got)
 }
+
+// Guards against loads ahead of need holding the store while requests wait.
+func TestBackgroundLoadsGiveWay(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	p := New(Settings{
+		Catalogue: Catalogue{Models: []Model{testModel("a"), testModel("b"), testModel("c")}}, Store: store.Settings{Concurrency: 2},
+		WaitCost: 0.1,
+	})
+	for i := range 12 {
+		p.ObserveDemand(w.now, waiting(0, uint64(i+1), "a", 0))
+		p.ObserveDemand(w.now, Demand{Host: "h0000", Incarnation: 1, Seq: uint64(i + 1)})
+		p.warm.Observe(w.now, fleet.Target{Model: "a"})
+		w.now = w.now.Add(time.Hour)
+	}
+	w.round(p, -2*time.Minute)
+	require.Equal(t, fleet.ModelID("a"), loads(w.round(p, time.Second))[0].Model, "loaded ahead of the regular call")
+	p.ObserveDemand(w.now, waiting(1, 1, "b", 1))
+	p.ObserveDemand(w.now, waiting(2, 1, "c", 1))
+	ahead := w.state.Replicas("a")[0].Order
+	out := w.round(p, time.Second)
+	require.Len(t, loads(out), 1)
+	require.Contains(t, out, &control.DecideUnload{Order: ahead})
+	require.Equal(t, fleet.ModelID("c"), loads(w.round(p, time.Second))[0].Model)
+}
