--- a/core/control/replica.go
+++ b/core/control/replica.go
@@ -28,7 +28,7 @@
 		return reject(RejectIncarnation, "the backend server restarted; read its inventory and decide again")
 	case len(s.byModel[c.Model]) >= s.d.Targets[c.Model]:
 		return reject(RejectTarget, "the decided number of replicas is on record already; raise the target first")
-	case c.Memory <= 0 || s.MemoryOn(c.Backend)+c.Memory+c.Reserve > b.Announcement.Memory:
+	case c.Memory <= 0 || c.Reserve < 0 || s.MemoryOn(c.Backend)+c.Memory+c.Reserve > b.Announcement.Memory:
 		return reject(RejectMemory, "the backend server has too little memory left; unload a replica first")
 	}
 	for _, r := range s.ReplicasOn(c.Backend) {
@@ -112,6 +112,11 @@
 	}
 	known := map[fleet.ModelID]bool{}
 	for _, r := range s.ReplicasOn(c.Backend) {
+		// A load that was not sent yet does not account for a model that is in memory already: the decision is dropped.
+		if r.State == ReplicaIntended && r.Changed <= c.Before && holds(c.Models, r.Model) {
+			s.dropReplica(r.Order)
+			continue
+		}
 		known[r.Model] = true
 		if r.Changed > c.Before {
 			continue
@@ -132,6 +137,12 @@
 	return Result{}
 }
 
+func holds(models []fleet.LoadedModel, id fleet.ModelID) bool {
+	return slices.ContainsFunc(models, func(m fleet.LoadedModel) bool {
+		return m.Model == id && m.State != fleet.ReplicaUnloading
+	})
+}
+
 // surplusOrder numbers records of unexpected models apart from those of decisions, whose ids are log indexes.
 func surplusOrder(index fleet.Index, i int) fleet.OrderID {
 	const surplusBit = 1 << 63
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanway/core/control"
+	"toucanway/core/demand"
 	"toucanway/core/fleet"
 	"toucanway/core/warm"
 )
@@ -17,12 +18,13 @@
 const (
 	// targetUse is the share of a model's slots that steady demand may take.
 	targetUse = 0.75
-	// defaultService is the time that one request runs, until it is learnt.
-	defaultService = 2 * time.Second
 	// shrinkMin and shrinkMax bound the time after which one unneeded replica is removed; within them it is twice the
 	// load time, since demand swings within seconds and a replica removed too early costs another load.
 	shrinkMin = 30 * time.Second
-	shrinkMax = 2 * time.Minute
+	shrinkMax = 45 * time.Second
+	// smoothMin and smoothMax bound the span over which running requests are averaged, which is one load from disk.
+	smoothMin = 5 * time.Second
+	smoothMax = time.Minute
 )
 
 // model is what the planner knows of one model.
@@ -30,8 +32,8 @@
 	decl     Model
 	declared bool
 	// learnt holds measured load times by tier at the store's full speed; 0 means none.
-	learnt [3]time.Duration
-	demand
+	learnt  [3]time.Duration
+	demand  *demand.Model
 	records []int32
 	tally
 	// want is the number of replicas to serve with; background says that no request needs the last of them yet.
@@ -74,12 +76,24 @@
 	}
 }
 
+// forget drops models that are no longer declared once their replicas and targets are gone.
+func (p *Planner) forget(s *control.State) {
+	p.order = slices.DeleteFunc(p.order, func(m *model) bool {
+		gone := !m.declared && len(m.records) == 0 && m.pending == 0 && s.Target(m.decl.ID) == 0
+		if gone {
+			delete(p.models, m.decl.ID)
+			p.reports.Forget(m.decl.ID)
+		}
+		return gone
+	})
+}
+
 // modelOf returns the entry of a model and makes one that nobody declared when there is none.
 func (p *Planner) modelOf(id fleet.ModelID) *model {
 	if m := p.models[id]; m != nil {
 		return m
 	}
-	m := &model{decl: Model{ID: id, Slots: DefaultSlots}, burst: 1}
+	m := &model{decl: Model{ID: id, Slots: DefaultSlots}, burst: 1, demand: p.reports.Declare(id)}
 	p.models[id] = m
 	i, _ := slices.BinarySearchFunc(p.order, id, func(m *model, id fleet.ModelID) int { return cmp.Compare(m.decl.ID, id) })
 	p.order = slices.Insert(p.order, i, m)
@@ -127,24 +141,23 @@
 // decideWant sets the number of replicas to serve with from demand, the operators' bounds and the time since the last
 // call.
 func (p *Planner) decideWant(now time.Time, m *model) {
-	m.background = false
 	m.blocked = ""
 	m.estimated = false
 	if !m.declared {
-		m.want, m.held = 0, 0
+		m.want, m.held, m.background = 0, 0, false
 		return
 	}
-	m.sum(now)
+	m.demand.Update(now, min(max(m.loadTime(fleet.TierDisk), smoothMin), smoothMax))
 	need := 0
-	if m.active() {
+	if m.demand.Active() {
 		need = max(1, m.steady(), m.backlog())
-		if m.alone > 0 {
+		if m.demand.Alone > 0 {
 			// A request suspected of crashes needs a replica that is not the model's last one.
 			need = max(need, 2)
 		}
 		m.evicted = false
-		if m.waiting > 0 && m.serving == 0 {
-			m.burst = max(m.burst, 0.5*m.burst+0.5*float64(m.waiting))
+		if m.demand.Waiting > 0 && m.serving == 0 {
+			m.burst = max(m.burst, 0.5*m.burst+0.5*float64(m.demand.Waiting))
 		}
 	}
 	if need >= m.held {
@@ -153,7 +166,7 @@
 		m.held, m.heldAt = max(need, m.held-1), now
 	}
 	want := m.held
-	if want <= 1 && !m.active() {
+	if want <= 1 && !m.demand.Active() {
 		want = p.idleWant(now, m)
 	}
 	want = min(max(want, m.floor()), m.decl.Maximum)
@@ -166,6 +179,7 @@
 		}
 	}
 	m.want = want
+	m.background = !m.demand.Active() && m.serving+m.old == 0 && want > m.floor()
 }
 
 // idleWant returns 1 when an idle model is worth keeping or loading ahead of its next call, else 0.
@@ -191,7 +205,6 @@
 		return 1
 	}
 	if p.warm.Ahead(now, m.target(), c) {
-		m.background = !loaded
 		return 1
 	}
 	return 0
@@ -199,21 +212,20 @@
 
 // steady returns the replicas that carry the present rate of requests.
 func (m *model) steady() int {
-	offered := max(float64(m.running), m.rate*m.service().Seconds())
-	return int(math.Ceil(offered / (float64(m.decl.Slots) * targetUse)))
+	return int(math.Ceil(m.demand.Busy / (float64(m.decl.Slots) * targetUse)))
 }
 
 // backlog returns the replicas that work off the waiting requests within one load time or the earliest deadline; more
 // would come too late to relieve anyone.
 func (m *model) backlog() int {
-	if m.waiting == 0 {
+	if m.demand.Waiting == 0 {
 		return 0
 	}
 	within := m.loadTime(fleet.TierRemote)
-	if m.earliest > 0 {
-		within = min(within, m.earliest)
+	if m.demand.Earliest > 0 {
+		within = min(within, m.demand.Earliest)
 	}
 	within = max(within, time.Second)
-	work := float64(m.waiting) * m.service().Seconds()
+	work := float64(m.demand.Waiting) * m.demand.Service().Seconds()
 	return int(math.Ceil(work / (float64(m.decl.Slots) * within.Seconds())))
 }
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -18,12 +18,20 @@
 	replicas []control.Replica
 	// typical is the mean memory of an engine.
 	typical fleet.Bytes
+	// regions, centres and racks number the places of servers.
+	regions map[fleet.Region]int32
+	centres map[fleet.DataCentre]int32
+	racks   map[fleet.Place]int32
 }
 
 // server is one registered engine or plain service.
 type server struct {
 	*control.Backend
 	replicas []int32
+	// region, centre and rack are the numbers of its place.
+	region, centre, rack int32
+	// moving says that a replica is being unloaded, which may push a checkpoint out of the cache.
+	moving bool
 	// used is the memory of all records; reserved is the memory that their models need beside the weights.
 	used     fleet.Bytes
 	reserved fleet.Bytes
@@ -35,7 +43,8 @@
 
 // order is what the planner remembers of one replica record.
 type order struct {
-	seen time.Time
+	// sent is when the record was first seen sent; zero before.
+	sent time.Time
 	// since is when the record was first seen lost or in doubt; zero when it is neither.
 	since time.Time
 	// loading says that a load may be under way, remote that it takes from the weight store.
@@ -61,6 +70,16 @@
 	pending int
 }
 
+// number returns the number of a place and gives a new one the next number.
+func number[K comparable](m map[K]int32, k K) int32 {
+	n, ok := m[k]
+	if !ok {
+		n = int32(len(m))
+		m[k] = n
+	}
+	return n
+}
+
 func (v *view) server(id fleet.BackendID) *server {
 	i, ok := v.byID[id]
 	if !ok {
@@ -79,12 +98,17 @@
 	v.sessions, v.backends, v.replicas = s.Sessions(), s.Backends(), s.AllReplicas()
 	v.servers = make([]server, len(v.backends))
 	v.byID = make(map[fleet.BackendID]int32, len(v.backends))
+	v.regions, v.centres, v.racks = map[fleet.Region]int32{}, map[fleet.DataCentre]int32{}, map[fleet.Place]int32{}
 	var sum fleet.Bytes
 	engines := 0
 	for i := range v.backends {
 		b := &v.backends[i]
 		v.servers[i].Backend = b
 		v.byID[b.Announcement.ID] = int32(i)
+		pl := b.Announcement.Place
+		v.servers[i].region = number(v.regions, pl.Region)
+		v.servers[i].centre = number(v.centres, pl.DataCentre)
+		v.servers[i].rack = number(v.racks, pl)
 		if b.Announcement.Kind == fleet.KindEngine {
 			sum += b.Announcement.Memory
 			engines++
@@ -94,6 +118,11 @@
 	if engines > 0 {
 		v.typical = sum / fleet.Bytes(engines)
 	}
+	for id := range p.cached {
+		if v.server(id) == nil {
+			delete(p.cached, id)
+		}
+	}
 	for _, m := range p.models {
 		m.records = m.records[:0]
 	}
@@ -115,6 +144,7 @@
 	for i := range p.view.servers {
 		sv := &p.view.servers[i]
 		sv.pending, sv.pendingReserve = 0, 0
+		sv.moving = false
 		sv.cached = nil
 		if c, ok := p.cached[sv.Announcement.ID]; ok && c.incarnation == sv.Announcement.Incarnation {
 			sv.cached = c.checkpoints
@@ -166,7 +196,7 @@
 func (p *Planner) orderOf(now time.Time, r *control.Replica) *order {
 	o := p.orders[r.Order]
 	if o == nil {
-		o = &order{seen: now, remote: true, loading: r.State == control.ReplicaInDoubt || r.State == control.ReplicaLost}
+		o = &order{remote: true, loading: r.State == control.ReplicaInDoubt || r.State == control.ReplicaLost}
 		o.inherited = r.State == control.ReplicaLost
 		if sv := p.view.server(r.Backend); sv != nil && tierOf(sv, r.Model) != fleet.TierRemote {
 			o.remote = false
@@ -183,6 +213,9 @@
 	case control.ReplicaIntended, control.ReplicaSent:
 		o.loading, o.since = true, time.Time{}
 		m.coming++
+		if r.State == control.ReplicaSent && o.sent.IsZero() {
+			o.sent = now
+		}
 		p.watch(now, m, o)
 	case control.ReplicaReady:
 		o.loading, o.since = false, time.Time{}
@@ -197,7 +230,7 @@
 			o.since = now
 		}
 		expected := m.loadTime(fleet.TierRemote)
-		if age := now.Sub(o.seen); o.inherited && age > 2*expected || age > max(time.Minute, 4*expected) {
+		if age := now.Sub(o.since); o.inherited && age > 2*expected || age > max(time.Minute, 4*expected) {
 			// A load in doubt ends by its order's deadline; the store is not held back by it for longer.
 			o.loading = false
 		}
@@ -215,23 +248,39 @@
 	case control.ReplicaUnloadIntended, control.ReplicaUnloadSent, control.ReplicaUnloadInDoubt:
 		o.loading = false
 		m.unloading++
+		if sv := p.view.server(r.Backend); sv != nil {
+			sv.moving = true
+		}
 	default:
 		panic("placement: replica record in state " + r.State.String())
 	}
 }
 
+// elapsed returns the time since the order was sent.
+func (o *order) elapsed(now time.Time) time.Duration {
+	if o.sent.IsZero() {
+		return 0
+	}
+	return now.Sub(o.sent)
+}
+
 // watch reports a load that overruns to the store budget before it ends.
 func (p *Planner) watch(now time.Time, m *model, o *order) {
 	const overrun = 2
-	if took, expected := now.Sub(o.seen), m.loadTime(fleet.TierRemote); o.remote && !o.overrun && took > overrun*expected {
+	took, expected := o.elapsed(now), m.loadTime(fleet.TierRemote)
+	if o.remote && !o.overrun && took > overrun*expected {
 		o.overrun = true
 		p.budget.Observe(now, took, expected)
 	}
 }
 
-// tierOf returns the tier of a model's checkpoint near a backend server.
+// tierOf returns the tier of a model's checkpoint near a backend server. While a replica is unloaded there, its checkpoint
+// may push out the one that the last inventory named, so that the load has to count as one from the store.
 func tierOf(sv *server, id fleet.ModelID) fleet.Tier {
 	best := fleet.TierRemote
+	if sv.moving {
+		return best
+	}
 	for _, c := range sv.cached {
 		if c.Model == id {
 			best = min(best, c.Tier)
