--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -49,7 +49,12 @@
 func DecodeState(snapshot []byte) (*State, error) {
 	var s State
 	s.init()
-	if err := cbor.Unmarshal(snapshot, &s.d); err != nil {
+	// The library's default limit is 131,072 elements; the bounds of the state allow more replica records.
+	mode, err := cbor.DecOptions{MaxMapPairs: maxSnapshotPairs}.DecMode()
+	if err != nil {
+		return nil, err
+	}
+	if err := mode.Unmarshal(snapshot, &s.d); err != nil {
 		return nil, ErrCorrupt.Wrap(err, "control snapshot cannot be decoded; it was written by another version")
 	}
 	for _, b := range s.d.Backends {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -15,6 +15,8 @@
 	MaxBackends         = 16384
 	MaxReplicasPerModel = 64
 	MaxMarks            = 4096
+
+	maxSnapshotPairs = 1 << 24
 )
 
 // ReplicaState is the state of a replica record.
--- a/core/ledger/machine.go
+++ b/core/ledger/machine.go
@@ -15,10 +15,12 @@
 
 // Bounds of the ledger.
 const (
-	MaxAnswerBytes    = 256 << 10
-	maxAbandoned      = 16
-	defaultMaxRecords = 200_000
-	maxBodyBytes      = 128 << 20
+	MaxAnswerBytes = 256 << 10
+	// maxSnapshotRecords is above the highest setting of the records of a group.
+	maxSnapshotRecords = 1 << 26
+	maxAbandoned       = 16
+	defaultMaxRecords  = 200_000
+	maxBodyBytes       = 128 << 20
 )
 
 // Status is the state of a record.
@@ -308,8 +310,13 @@
 
 // Restore replaces the ledger by an encoded one.
 func (m *Machine) Restore(_ fleet.Index, data []byte) error {
+	// The library's default limit is 131,072 elements, less than the records that a ledger may hold.
+	mode, err := cbor.DecOptions{MaxArrayElements: maxSnapshotRecords}.DecMode()
+	if err != nil {
+		return err
+	}
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := mode.Unmarshal(data, &s); err != nil {
 		return ErrCorrupt.Wrap(err, "ledger snapshot cannot be decoded; it was written by another version")
 	}
 	m.elapsed, m.maxRecords = s.Elapsed, s.MaxRecords
--- a/core/ledger/machine_test.go
+++ b/core/ledger/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -113,3 +114,17 @@
 		}
 	})
 }
+
+// Guards against a snapshot of a large ledger that cannot be read back.
+func TestLargeSnapshot(t *testing.T) {
+	var m Machine
+	const records = 140_000
+	for i := range uint64(records) {
+		m.apply(&Dispatch{Key: Key{Key: strconv.FormatUint(i, 10)}, Attempt: attempt("h", i)})
+	}
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	var got Machine
+	require.NoError(t, got.Restore(1, data))
+	require.Equal(t, records, got.Len())
+}
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,8 +43,8 @@
 	groups  map[raft.GroupID]*voters.Group
 	control *control.Machine
 	ledgers []*ledger.Machine
-
-	replacing sync.Mutex
+	// replacing holds a token while a voter is replaced.
+	replacing chan struct{}
 }
 
 // Open opens all groups.
@@ -54,7 +53,7 @@
 		cfg.Log = zap.NewNop()
 	}
 	cfg.LedgerGroups = max(cfg.LedgerGroups, 1)
-	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}}
+	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}, replacing: make(chan struct{}, 1)}
 	if err := s.open(Control, s.control); err != nil {
 		return nil, err
 	}
--- a/io/groups/rejoin.go
+++ b/io/groups/rejoin.go
@@ -53,8 +53,12 @@
 		}
 		return res, nil
 	}
-	s.replacing.Lock()
-	defer s.replacing.Unlock()
+	select {
+	case s.replacing <- struct{}{}:
+		defer func() { <-s.replacing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if err := g.Replace(ctx, from); err != nil {
 		return nil, err
 	}
