--- a/cmd/toucanway-lab/internal/docs/observe.go
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -77,8 +77,12 @@
 		"drain requested":        {settings.LogOperators, "An operator drains a host or a backend server.", nothing},
 		"raft role changed":      {settings.LogRaft, "The voter became follower, candidate or leader of a group.", "Frequent changes: check the network and disks of the voters."},
 		"raft leader changed":    {settings.LogRaft, "The group follows another leader, or none.", "Empty `leader` for long: a majority of voters is lost; see the runbooks."},
+		"host state changed":     {settings.LogMembership, "The probes between hosts found another state of `peer`, such as suspected or dead.", "See the runbook of a lost host when it stays so."},
+		"raft message rejected":  {settings.LogRaft, "A message from another voter could not be used and was dropped.", "Check that all voters run the same version and have the same `voters`."},
+		"path to host changed":   {settings.LogMembership, "The probes reach `peer` directly, through other hosts only, or not at all.", "Check the network between the two hosts."},
+		"voter replaced":         {settings.LogRaft, "A voter whose disk was lost has its vote in this group again.", nothing},
 		"raft snapshot taken":    {settings.LogRaft, "The log was cut to a snapshot.", nothing},
-		"raft group knows this host under another data folder; remove it and add it again as a learner": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote.", "See the runbook of a lost voter."},
+		"raft group knows this host under another data folder; remove it and add it again as a learner": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote until it is replaced, which it asks for by itself.", "See the runbook of a lost voter."},
 		"raft storage or state machine failed; this host no longer votes":                               {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
 	}
 }
--- a/cmd/toucanway-lab/internal/policy/experiments.go
+++ b/cmd/toucanway-lab/internal/policy/experiments.go
@@ -48,16 +48,55 @@
 	return t, nil
 }
 
+// Mean runs an experiment with several seeds from the first one on and returns the mean of each value.
+func Mean(name string, first uint64, seeds int) (Table, error) {
+	sum, err := Run(name, first)
+	if err != nil {
+		return Table{}, err
+	}
+	for i := 1; i < seeds; i++ {
+		t, err := Run(name, first+uint64(i))
+		if err != nil {
+			return Table{}, err
+		}
+		for r, row := range t.Rows {
+			for k, v := range row.Values {
+				sum.Rows[r].Values[k] += v
+			}
+		}
+	}
+	for _, row := range sum.Rows {
+		for k := range row.Values {
+			row.Values[k] /= float64(max(seeds, 1))
+		}
+	}
+	sum.Name = fmt.Sprintf("%s, mean of %d seeds", name, max(seeds, 1))
+	return sum, nil
+}
+
 func experiments() map[string]experiment {
 	return map[string]experiment{
 		"stragglers": stragglers(),
+		"cold-start": coldStart(),
 		"slowdown":   slowdown(),
+		"herding":    herding(),
 		"peak":       peak(),
 		"prefix":     prefix(),
 		"resends":    resends(),
 	}
 }
 
+// times returns one time of each served request, of those that value selects.
+func (s *simulation) times(value func(r *request) (time.Duration, bool)) []time.Duration {
+	var out []time.Duration
+	for _, r := range s.requests {
+		if d, ok := value(r); ok && r.served {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func steady(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
 }
@@ -73,6 +112,11 @@
 	return out
 }
 
+// ours is the policy of the entry hosts, without hedging and preemption.
+func ours(name string) func(*settings) {
+	return func(p *settings) { p.name, p.redirects, p.second = name, 1, true }
+}
+
 // mixed makes short requests and a share of stragglers, half of which come from a caller that always sends them.
 func mixed(s *simulation, straggler float64) *request {
 	r := &request{
@@ -96,9 +140,9 @@
 		columns: []string{"p50 short wait ms", "p99 short wait ms", "p99 long wait ms", "served"},
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind = "fifo", true, true },
-			func(p *settings) { p.name = "ours" },
-			func(p *settings) { p.name, p.preempt = "ours, preemption", 2 },
-			func(p *settings) { p.name, p.oracle = "oracle", true },
+			ours("ours"),
+			func(p *settings) { ours("ours, preemption")(p); p.preempt = 2 },
+			func(p *settings) { ours("oracle")(p); p.oracle = true },
 		),
 		measure: func(s *simulation) []float64 {
 			var short, long []time.Duration
@@ -134,8 +178,8 @@
 		policies: with(base,
 			func(p *settings) { p.name, p.choose = "random", chooseRandom },
 			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
-			func(p *settings) { p.name = "ours" },
-			func(p *settings) { p.name, p.hedge = "ours, hedged", true },
+			ours("ours"),
+			func(p *settings) { ours("ours, hedged")(p); p.hedge = true },
 		),
 		measure: func(s *simulation) []float64 {
 			var total, first []time.Duration
@@ -150,6 +194,24 @@
 	}
 }
 
+// herding has many hosts that see the same late reports.
+func herding() experiment {
+	base := settings{hosts: 60, servers: 18, slots: 8, until: 40 * time.Second}
+	base.arrivals = func(s *simulation) { s.poisson(steady(145), 145, func() *request { return mixed(s, 0) }) }
+	return experiment{
+		columns: []string{"p50 wait ms", "p99 wait ms"},
+		policies: with(base,
+			func(p *settings) { p.name, p.choose = "random", chooseRandom },
+			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
+			ours("ours"),
+		),
+		measure: func(s *simulation) []float64 {
+			waited := s.times(func(r *request) (time.Duration, bool) { return r.waited, true })
+			return []float64{quantile(waited, 0.5), quantile(waited, 0.99)}
+		},
+	}
+}
+
 func peak() experiment {
 	base := settings{hosts: 3, servers: 6, slots: 8, until: time.Minute}
 	rate := func(at time.Duration) float64 {
@@ -158,56 +220,84 @@
 		}
 		return 40
 	}
-	deadlines := [fleet.Classes]time.Duration{5 * time.Second, 5 * time.Second, 10 * time.Second, 60 * time.Second}
-	base.arrivals = func(s *simulation) {
-		s.poisson(rate, 120, func() *request {
-			r := mixed(s, 0)
-			switch x := s.rand.Float64(); {
-			case x < 0.1:
-				r.class = fleet.ClassCritical
-			case x < 0.4:
-				r.class = fleet.ClassInteractive
-			case x < 0.8:
-				r.class = fleet.ClassStandard
-			default:
-				r.class = fleet.ClassBatch
-			}
-			r.deadline = s.now.Add(deadlines[r.class])
-			return r
-		})
-	}
-	columns := []string{"all in time"}
-	for c := range fleet.Class(fleet.Classes) {
-		columns = append(columns, c.String())
+	base.arrivals = func(s *simulation) { s.poisson(rate, 120, func() *request { return classed(s) }) }
+	during := func(at time.Duration) bool { return at >= 20*time.Second && at < 30*time.Second }
+	return experiment{
+		columns: inTimeColumns(),
+		policies: with(base,
+			func(p *settings) { p.name, p.fifo, p.blind, p.choose = "fifo", true, true, chooseLeast },
+			ours("ours"),
+		),
+		measure: func(s *simulation) []float64 { return inTime(s, during) },
 	}
+}
+
+func coldStart() experiment {
+	base := settings{hosts: 6, servers: 4, slots: 8, until: 30 * time.Second}
+	base.upAfter = func(server int) time.Duration { return time.Duration(6+4*(server/2)) * time.Second }
+	base.arrivals = func(s *simulation) { s.poisson(steady(25), 25, func() *request { return classed(s) }) }
+	during := func(at time.Duration) bool { return at < 15*time.Second }
 	return experiment{
-		columns: columns,
+		columns: append(inTimeColumns(), "p99 first token ms"),
 		policies: with(base,
 			func(p *settings) { p.name, p.fifo, p.blind, p.choose = "fifo", true, true, chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var in, of [fleet.Classes + 1]int
-			for _, r := range s.requests {
-				if at := r.arrived.Sub(epoch); at < 20*time.Second || at >= 30*time.Second {
-					continue
-				}
-				of[r.class]++
-				of[fleet.Classes]++
-				if r.first > 0 && !r.arrived.Add(r.first).After(r.deadline) {
-					in[r.class]++
-					in[fleet.Classes]++
-				}
-			}
-			out := []float64{share(in[fleet.Classes], of[fleet.Classes])}
-			for c := range fleet.Classes {
-				out = append(out, share(in[c], of[c]))
-			}
-			return out
+			first := s.times(func(r *request) (time.Duration, bool) { return r.first, during(r.arrived.Sub(epoch)) })
+			return append(inTime(s, during), quantile(first, 0.99))
 		},
 	}
 }
 
+// classed makes requests of all classes with their usual deadlines.
+func classed(s *simulation) *request {
+	deadlines := [fleet.Classes]time.Duration{5 * time.Second, 5 * time.Second, 10 * time.Second, 60 * time.Second}
+	r := mixed(s, 0)
+	switch x := s.rand.Float64(); {
+	case x < 0.1:
+		r.class = fleet.ClassCritical
+	case x < 0.4:
+		r.class = fleet.ClassInteractive
+	case x < 0.8:
+		r.class = fleet.ClassStandard
+	default:
+		r.class = fleet.ClassBatch
+	}
+	r.deadline = s.now.Add(deadlines[r.class])
+	return r
+}
+
+func inTimeColumns() []string {
+	columns := []string{"all in time"}
+	for c := range fleet.Class(fleet.Classes) {
+		columns = append(columns, c.String())
+	}
+	return columns
+}
+
+// inTime returns the share of requests that arrived during a time and got their first token before the deadline, in all and
+// by class.
+func inTime(s *simulation, during func(time.Duration) bool) []float64 {
+	var in, of [fleet.Classes + 1]int
+	for _, r := range s.requests {
+		if !during(r.arrived.Sub(epoch)) {
+			continue
+		}
+		of[r.class]++
+		of[fleet.Classes]++
+		if r.first > 0 && !r.arrived.Add(r.first).After(r.deadline) {
+			in[r.class]++
+			in[fleet.Classes]++
+		}
+	}
+	out := []float64{share(in[fleet.Classes], of[fleet.Classes])}
+	for c := range fleet.Classes {
+		out = append(out, share(in[c], of[c]))
+	}
+	return out
+}
+
 func prefix() experiment {
 	base := settings{hosts: 6, servers: 18, slots: 8, until: time.Minute}
 	base.arrivals = func(s *simulation) {
@@ -224,15 +314,10 @@
 		policies: with(base,
 			func(p *settings) { p.name, p.choose = "random", chooseRandom },
 			func(p *settings) { p.name, p.choose = "least outstanding", chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
-			var first []time.Duration
-			for _, r := range s.requests {
-				if r.served {
-					first = append(first, r.first)
-				}
-			}
+			first := s.times(func(r *request) (time.Duration, bool) { return r.first, true })
 			return []float64{share(s.hits, s.prompts), quantile(first, 0.5), quantile(first, 0.99)}
 		},
 	}
@@ -256,10 +341,10 @@
 		})
 	}
 	return experiment{
-		columns: []string{"dispatches a request", "crashes", "served", "p99 ms"},
+		columns: []string{"dispatches a request", "acquires a request", "crashes", "served", "p99 ms"},
 		policies: with(base,
 			func(p *settings) { p.name, p.unbounded, p.choose = "unbounded retries", true, chooseLeast },
-			func(p *settings) { p.name = "ours" },
+			ours("ours"),
 		),
 		measure: func(s *simulation) []float64 {
 			var total []time.Duration
@@ -276,7 +361,7 @@
 					total = append(total, r.finished.Sub(r.arrived))
 				}
 			}
-			return []float64{share(s.attempts, origins), float64(s.crashes), share(served, origins), quantile(total, 0.99)}
+			return []float64{share(s.dispatches, origins), share(s.attempts, origins), float64(s.crashes), share(served, origins), quantile(total, 0.99)}
 		},
 	}
 }
--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	prefillToken = 100 * time.Microsecond
+	prefillToken = 150 * time.Microsecond
 	outputToken  = 20 * time.Millisecond
 	// chunk is the number of tokens between two events of a stream.
 	chunk = 8
@@ -77,14 +77,18 @@
 	for _, e := range v.table.Handle(v.s.now, ev) {
 		switch e := e.(type) {
 		case capacity.Granted:
-			a := v.waiting[e.Grant.Request]
-			delete(v.waiting, e.Grant.Request)
-			a.grant = e.Grant
-			v.begin(a)
+			// A grant may cross a cancellation, which ends it.
+			if a := v.waiting[e.Grant.Request]; a != nil {
+				delete(v.waiting, e.Grant.Request)
+				a.grant = e.Grant
+				v.begin(a)
+			}
 		case capacity.Refused:
-			a := v.waiting[e.Request]
-			delete(v.waiting, e.Request)
-			v.s.refused(a, e.Refusal)
+			// A refusal may cross a cancellation.
+			if a := v.waiting[e.Request]; a != nil {
+				delete(v.waiting, e.Request)
+				v.s.refused(a, e.Refusal)
+			}
 		case capacity.ReadInventory:
 			asked := v.s.now
 			v.s.after(oneWay, func() { v.handle(capacity.InventoryEvent{Asked: asked, Inventory: v.inventory()}) })
@@ -162,6 +166,7 @@
 		return
 	}
 	v.tell(a.host)
+	v.s.dispatches++
 	a.granted = v.s.now
 	v.s.granted(a)
 	a.life = v.life
@@ -287,8 +292,7 @@
 		v.s.replicas()
 		v.s.after(downFor, func() {
 			v.down = false
-			v.s.up = append(v.s.up, v)
-			v.s.replicas()
+			v.s.join(v)
 		})
 	}
 	for _, a := range lost {
--- a/cmd/toucanway-lab/internal/policy/simulation.go
+++ b/cmd/toucanway-lab/internal/policy/simulation.go
@@ -17,6 +17,9 @@
 	"toucanway/core/routing"
 )
 
+// secondAfter is the wait after which a request looks for a second queue first.
+const secondAfter = 50 * time.Millisecond
+
 // target is the one model of all experiments.
 var target = fleet.Target{Model: "m"}
 
@@ -41,6 +44,11 @@
 	queue                 queue.Settings
 	choose                choosing
 	hedge                 bool
+	// redirects bounds the other servers asked after a refusal; second lets a request wait at two servers.
+	redirects int
+	second    bool
+	// upAfter is when a server's replica is ready; nil means from the start.
+	upAfter func(server int) time.Duration
 	// crashAt is when the first crashed servers end; they are back after downFor.
 	crashAt, downFor time.Duration
 	crashed          int
@@ -86,6 +94,7 @@
 	done, preempted int
 	resent          int
 	live            []*attempt
+	refusedBy       []fleet.BackendID
 	answered        bool
 
 	waited, first time.Duration
@@ -101,7 +110,11 @@
 	lens   *length.Predictor
 	sent   retry.Resends
 	poison *poison.View
-	own    map[*server]int
+	// waiting holds requests while no server is up, in order, and held those of the baseline.
+	waiting *queue.Queue
+	tickets map[queue.Ticket]*request
+	held    []*request
+	own     map[*server]int
 }
 
 type simulation struct {
@@ -115,12 +128,13 @@
 	control  control.State
 	index    fleet.Index
 	requests []*request
-	attempts int
-	hedges   int
-	crashes  int
-	stops    int
-	prompts  int
-	hits     int
+	// attempts counts requests for a slot, dispatches those that got one.
+	attempts, dispatches int
+	hedges               int
+	crashes              int
+	stops                int
+	prompts              int
+	hits                 int
 }
 
 func newSimulation(p settings, seed uint64) *simulation {
@@ -137,6 +151,7 @@
 		h := &host{own: map[*server]int{}, lens: length.New(length.Settings{LongTokens: longTokens})}
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		h.router = routing.New(routing.Settings{Rand: own})
+		h.waiting, h.tickets = queue.New(queue.Settings{Limit: 4096}), map[queue.Ticket]*request{}
 		h.poison = poison.New(poison.Settings{})
 		h.budget = retry.NewBudget(retry.Settings{Rand: own})
 		for _, id := range on {
@@ -144,7 +159,13 @@
 		}
 		s.hosts = append(s.hosts, h)
 	}
-	s.up = slices.Clone(s.servers)
+	for i, v := range s.servers {
+		if p.upAfter == nil || p.upAfter(i) == 0 {
+			s.up = append(s.up, v)
+			continue
+		}
+		s.after(p.upAfter(i), func() { s.join(v) })
+	}
 	s.replicas()
 	for i, v := range s.servers {
 		s.after(time.Duration(i)*7*time.Millisecond, v.report)
@@ -155,38 +176,6 @@
 	return s
 }
 
-// replicas tells the hosts which servers are up.
-func (s *simulation) replicas() {
-	var on []fleet.BackendID
-	for _, v := range s.up {
-		on = append(on, v.id)
-	}
-	for _, h := range s.hosts {
-		h.router.SetReplicas(target.Model, on)
-	}
-}
-
-// recordCrash tells the control state of a crash; its marks reach the hosts after a while.
-func (s *simulation) recordCrash(v *server, lost []*attempt) {
-	c := &control.RecordCrash{Backend: v.id, Incarnation: fleet.Incarnation(v.life)}
-	for _, a := range lost {
-		c.Fingerprints = append(c.Fingerprints, a.r.origin)
-		c.Alone = a.alone
-		a.host.poison.Suspect(s.now, a.r.origin)
-	}
-	data, err := control.Encode(control.Proposal{Command: c})
-	if err != nil {
-		panic(err)
-	}
-	s.index++
-	s.control.Apply(s.index, data)
-	s.after(300*time.Millisecond, func() {
-		for _, h := range s.hosts {
-			h.poison.SetMarks(s.now, s.control.Marks())
-		}
-	})
-}
-
 // live says that arrivals go on, or that requests are open.
 func (s *simulation) live() bool { return s.since() < s.p.until+20*time.Second }
 
@@ -278,6 +267,10 @@
 		return
 	}
 	h := s.hostOf(r)
+	if len(s.up) == 0 {
+		s.hold(h, r)
+		return
+	}
 	runAlone := false
 	if !s.p.unbounded {
 		switch h.poison.Decide(s.now, r.origin, len(s.up)).(type) {
@@ -313,6 +306,25 @@
 	h.own[a.server]++
 	h.router.Begin(s.now, a.server.id)
 	s.after(oneWay, func() { a.server.acquire(a) })
+	if s.p.second && len(r.live) == 1 && !s.p.long(r) {
+		s.queueTwice(r, a, secondAfter)
+	}
+}
+
+// queueTwice lets a request that waits join the queue of a second server, and leaves one queue when the other grants.
+func (s *simulation) queueTwice(r *request, a *attempt, waited time.Duration) {
+	s.after(waited, func() {
+		if a.over || !a.granted.IsZero() || r.answered || len(r.live) != 1 {
+			return
+		}
+		q := s.query(r)
+		q.Avoid = []fleet.BackendID{a.server.id}
+		if _, ok := a.host.router.Second(s.now, q, s.now.Sub(a.asked)); ok {
+			s.try(r, q.Avoid)
+			return
+		}
+		s.queueTwice(r, a, 2*waited)
+	})
 }
 
 func (s *simulation) hedge(r *request, a *attempt) {
@@ -327,7 +339,14 @@
 }
 
 func (s *simulation) granted(a *attempt) {
-	if a.r.tries == 1 {
+	if s.p.second {
+		for _, other := range slices.Clone(a.r.live) {
+			if other != a && other.granted.IsZero() {
+				s.drop(other)
+			}
+		}
+	}
+	if a.r.waited == 0 {
 		a.r.waited = s.now.Sub(a.r.arrived)
 	}
 	if s.p.hedge && len(a.r.live) == 1 {
@@ -403,6 +422,11 @@
 	if !s.p.unbounded {
 		a.r.retryAfter = refusal.RetryAfter
 	}
+	a.r.refusedBy = append(a.r.refusedBy, a.server.id)
+	if len(a.r.live) == 0 && len(a.r.refusedBy) <= s.p.redirects {
+		s.try(a.r, a.r.refusedBy)
+		return
+	}
 	if len(a.r.live) == 0 {
 		s.again(a.r)
 	}
--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -49,9 +49,17 @@
 func DecodeState(snapshot []byte) (*State, error) {
 	var s State
 	s.init()
-	if err := cbor.Unmarshal(snapshot, &s.d); err != nil {
+	// The library's default limit is 131,072 elements; the bounds of the state allow more replica records.
+	mode, err := cbor.DecOptions{MaxMapPairs: maxSnapshotPairs}.DecMode()
+	if err != nil {
+		return nil, err
+	}
+	if err := mode.Unmarshal(snapshot, &s.d); err != nil {
 		return nil, ErrCorrupt.Wrap(err, "control snapshot cannot be decoded; it was written by another version")
 	}
+	for _, b := range s.d.Backends {
+		s.setBackend(b)
+	}
 	for _, r := range s.AllReplicas() {
 		s.byModel[r.Model] = append(s.byModel[r.Model], r.Order)
 		s.byBackend[r.Backend] = append(s.byBackend[r.Backend], r.Order)
@@ -78,7 +86,7 @@
 	}
 	res := s.apply(index, p.Command)
 	res.Index = index
-	if p.Seq != 0 {
+	if _, open := s.d.Sessions[p.Proposer.Host]; open && p.Seq != 0 {
 		s.d.Proposers[p.Proposer.Host] = lastResult{Incarnation: p.Proposer.Incarnation, Seq: p.Seq, Result: res}
 	}
 	return res
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -38,25 +38,36 @@
 	left    fleet.Bytes
 }
 
-// spread is where a model's replicas stand.
+// spread counts a model's replicas by the numbers of their places.
 type spread struct {
-	centres map[fleet.DataCentre]int
-	regions map[fleet.Region]int
-	racks   map[fleet.Place]int
+	regions, centres, racks []int
+	// inRegions and inCentres are the numbers of different places.
+	inRegions, inCentres int
+	// weight is the share of the callers' requests by region.
+	weight []float64
 }
 
 func (p *Planner) spreadOf(m *model) spread {
-	s := spread{centres: map[fleet.DataCentre]int{}, regions: map[fleet.Region]int{}, racks: map[fleet.Place]int{}}
+	v := &p.view
+	s := spread{
+		regions: make([]int, len(v.regions)), centres: make([]int, len(v.centres)), racks: make([]int, len(v.racks)),
+		weight: make([]float64, len(v.regions)),
+	}
 	add := func(id fleet.BackendID) {
-		if sv := p.view.server(id); sv != nil {
-			pl := sv.Announcement.Place
-			s.centres[pl.DataCentre]++
-			s.regions[pl.Region]++
-			s.racks[pl]++
+		sv := v.server(id)
+		if sv == nil {
+			return
+		}
+		if s.regions[sv.region]++; s.regions[sv.region] == 1 {
+			s.inRegions++
 		}
+		if s.centres[sv.centre]++; s.centres[sv.centre] == 1 {
+			s.inCentres++
+		}
+		s.racks[sv.rack]++
 	}
 	for _, i := range m.records {
-		switch r := &p.view.replicas[i]; r.State {
+		switch r := &v.replicas[i]; r.State {
 		case control.ReplicaIntended, control.ReplicaSent, control.ReplicaReady, control.ReplicaInDoubt:
 			add(r.Backend)
 		}
@@ -68,6 +79,15 @@
 			}
 		}
 	}
+	total := 0
+	for _, n := range m.demand.Regions {
+		total += n
+	}
+	for r, n := range m.demand.Regions {
+		if i, ok := v.regions[r]; ok {
+			s.weight[i] = float64(n) / float64(total)
+		}
+	}
 	return s
 }
 
@@ -77,10 +97,7 @@
 	sp := p.spreadOf(m)
 	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown()) +
 		p.budget.Wait(now, ahead, m.loadTime(fleet.TierRemote))
-	total := 0
-	for _, n := range m.regions {
-		total += n
-	}
+	called := len(m.demand.Regions) > 0
 	var best choice
 	found, ties := false, 0
 	for i := range p.view.servers {
@@ -95,9 +112,9 @@
 			load = m.loadTime(c.tier)
 		}
 		c.ready += load
-		c.score = c.ready + m.penalty(&sp, sv.Announcement.Place, total)
+		c.score = c.ready + m.penalty(&sp, sv, called)
 		switch {
-		case !found || c.score < best.score || c.score == best.score && c.left > best.left:
+		case !found || c.score < best.score || c.score == best.score && c.left < best.left:
 			best, found, ties = c, true, 1
 		case c.score == best.score && c.left == best.left:
 			if ties++; p.rng.IntN(ties) == 0 {
@@ -122,17 +139,22 @@
 			return false
 		}
 	}
-	k := slot{m.decl.ID, a.ID}
 	if len(p.failed) > 0 {
-		if _, ok := p.failed[k]; ok {
+		if _, ok := p.failed[slot{m.decl.ID, a.ID}]; ok {
 			return false
 		}
 	}
-	if _, ok := p.proposed[k]; ok {
-		return false
+	if sv.pending > 0 {
+		if _, ok := p.proposed[slot{m.decl.ID, a.ID}]; ok {
+			return false
+		}
 	}
-	r, ok := p.reserved[a.ID]
-	return !ok || r.model == m.decl.ID
+	if len(p.reserved) > 0 {
+		if r, ok := p.reserved[a.ID]; ok && r.model != m.decl.ID {
+			return false
+		}
+	}
+	return true
 }
 
 // fit checks the memory of a backend server and chooses what to unload first when there is too little.
@@ -143,7 +165,7 @@
 	if c.left >= 0 {
 		return true
 	}
-	if m.background || needed > sv.Announcement.Memory {
+	if m.background || needed > sv.Announcement.Memory || sv.pending > 0 {
 		return false
 	}
 	if _, ok := p.reserved[sv.Announcement.ID]; ok {
@@ -187,11 +209,14 @@
 func (p *Planner) evictable(now time.Time, m, v *model, i int32) bool {
 	r := &p.view.replicas[i]
 	switch {
-	case r.State != control.ReplicaReady || v == m || v.waiting > 0 || v.running > 0 || v.decl.Pinned > 0:
+	case r.State != control.ReplicaReady || v == m || v.demand.Waiting > 0 || v.demand.Running > 0 || v.decl.Pinned > 0:
 		return false
 	case v.serving <= v.floor():
 		return false
-	case m.waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
+	case v.serving <= 1 && m.serving+m.coming > 0:
+		// A further replica of one model is worth less than the only one of another.
+		return false
+	case m.demand.Waiting == 0 && m.decl.Class >= v.decl.Class && v.want >= v.serving:
 		return false
 	}
 	if last, ok := p.warm.Last(v.target()); ok && now.Sub(last) < v.decl.KeepWarmMin {
@@ -201,63 +226,24 @@
 }
 
 // penalty returns what a place counts as longer than its time to ready.
-func (m *model) penalty(sp *spread, pl fleet.Place, total int) time.Duration {
+func (m *model) penalty(sp *spread, sv *server, called bool) time.Duration {
 	var out time.Duration
-	if n := sp.centres[pl.DataCentre]; n > 0 {
+	if n := sp.centres[sv.centre]; n > 0 {
 		out += time.Duration(n) * sameCentre
-		if len(sp.centres) < m.decl.SpreadDataCentres {
+		if sp.inCentres < m.decl.SpreadDataCentres {
 			out += unmetSpread
 		}
 	}
-	if sp.regions[pl.Region] > 0 && len(sp.regions) < m.decl.SpreadRegions {
+	if sp.regions[sv.region] > 0 && sp.inRegions < m.decl.SpreadRegions {
 		out += unmetSpread
 	}
-	out += time.Duration(sp.racks[pl]) * sameRack
-	if total > 0 {
-		out += farRegion * time.Duration(total-m.regions[pl.Region]) / time.Duration(total)
+	out += time.Duration(sp.racks[sv.rack]) * sameRack
+	if called {
+		out += time.Duration(float64(farRegion) * (1 - sp.weight[sv.region]))
 	}
 	return out
 }
 
-// Estimate returns the expected time until a model has a ready replica, 0 when it has one, and false when no load is
-// possible at present.
-func (p *Planner) Estimate(id fleet.ModelID) (time.Duration, bool) {
-	m := p.models[id]
-	if m == nil || !m.declared || p.budget == nil {
-		return 0, false
-	}
-	if m.serving+m.old > 0 {
-		return 0, true
-	}
-	best, found := time.Duration(0), false
-	for _, i := range m.records {
-		r := &p.view.replicas[i]
-		o := p.orders[r.Order]
-		if o == nil || r.State != control.ReplicaIntended && r.State != control.ReplicaSent {
-			continue
-		}
-		expected := m.loadTime(fleet.TierRemote)
-		if o.remote {
-			expected = time.Duration(float64(expected) * p.budget.Slowdown())
-		} else if sv := p.view.server(r.Backend); sv != nil {
-			expected = m.loadTime(tierOf(sv, id))
-		}
-		// A load that is late already is expected to take another quarter of its time.
-		left := max(expected-p.now.Sub(o.seen), expected/4)
-		if !found || left < best {
-			best, found = left, true
-		}
-	}
-	if found {
-		return best, true
-	}
-	if !m.estimated {
-		c, ok := p.choose(p.now, m, 0)
-		m.estimated, m.estimateOK, m.estimate = true, ok, c.ready
-	}
-	return m.estimate, m.estimateOK
-}
-
 func (p *Planner) whyNone(m *model) string {
 	return fmt.Sprintf("no reachable engine in the allowed regions has %d MiB free; add capacity or lower other bounds",
 		(m.decl.Memory+m.reserve())/fleet.MiB)
@@ -273,8 +259,16 @@
 			continue
 		}
 		reason := m.blocked
-		if reason == "" {
+		switch {
+		case reason != "":
+		case m.coming > 0:
 			reason = "a replica is loading"
+		case m.lost > 0:
+			reason = "a replica is lost; it is replaced after the hold time"
+		case m.atMaximum():
+			reason = "the maximum leaves no room to move a replica; raise it"
+		default:
+			reason = "replicas are unloaded or too few places have engines; add capacity"
 		}
 		have := m.serving + m.old
 		report := func(bound string, want, have int) {
@@ -286,8 +280,8 @@
 		report("pinned", m.decl.Pinned, have)
 		if m.decl.SpreadDataCentres > 1 || m.decl.SpreadRegions > 1 {
 			sp := p.spreadOf(m)
-			report("spread-data-centres", min(m.decl.SpreadDataCentres, m.want), len(sp.centres))
-			report("spread-regions", min(m.decl.SpreadRegions, m.want), len(sp.regions))
+			report("spread-data-centres", min(m.decl.SpreadDataCentres, m.want), sp.inCentres)
+			report("spread-regions", min(m.decl.SpreadRegions, m.want), sp.inRegions)
 		}
 	}
 }
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -124,6 +124,7 @@
 	left, ok := p.Estimate("m")
 	require.True(t, ok)
 	require.Positive(t, left)
+	require.Equal(t, []Estimate{{Model: "m", Ready: left, Possible: true}}, p.Estimates(waiting(0, 2, "m", 1)))
 	w.carryOut()
 	w.round(p, time.Second)
 	left, ok = p.Estimate("m")
@@ -292,3 +293,75 @@
 	require.LessOrEqual(t, wakes, 7)
 	require.Greater(t, wakes, 2)
 }
+
+// Guards against a spread that stays unmet although engines in another data centre come back.
+func TestSpreadIsRepaired(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 3, 1, 80*fleet.GiB)
+	m := testModel("m")
+	m.Minimum, m.SpreadDataCentres = 2, 2
+	p := newPlanner(m)
+	for range 5 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 2)
+	require.Equal(t, []UnmetBound{{Model: "m", Bound: "spread-data-centres", Want: 2, Have: 1, Reason: p.Unmet()[0].Reason}}, p.Unmet())
+	w.must(&control.PutBackend{Announcement: fleet.Announcement{
+		ID: "new", Incarnation: 1, Place: fleet.Place{Region: "r9", DataCentre: "dc9"}, Memory: 80 * fleet.GiB,
+	}})
+	for range 6 {
+		w.round(p, time.Second)
+		w.carryOut()
+	}
+	require.Len(t, w.state.Replicas("m"), 2)
+	require.Len(t, w.state.ReplicasOn("new"), 1)
+	require.Empty(t, p.Unmet())
+}
+
+// Guards against recovery that ignores classes or the store budget after the loss of a data centre.
+func TestRecoveryIsInOrderOfClass(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	var models []Model
+	for i, class := range []fleet.Class{fleet.ClassBatch, fleet.ClassCritical, fleet.ClassStandard, fleet.ClassInteractive} {
+		m := testModel(fleet.ModelID(fmt.Sprintf("m%d", i)))
+		m.Minimum, m.Class = 1, class
+		models = append(models, m)
+	}
+	p := newPlanner(models...)
+	w.round(p, 0)
+	var got []fleet.ModelID
+	for range 3 {
+		for _, l := range loads(w.round(p, time.Second)) {
+			got = append(got, l.Model)
+		}
+		w.carryOut()
+	}
+	require.Equal(t, []fleet.ModelID{"m1", "m3", "m2", "m0"}, got)
+}
+
+// Guards against loads ahead of need holding the store while requests wait.
+func TestBackgroundLoadsGiveWay(t *testing.T) {
+	w := newWorld(t)
+	w.fleet(3, 9, 3, 80*fleet.GiB)
+	p := New(Settings{
+		Catalogue: Catalogue{Models: []Model{testModel("a"), testModel("b"), testModel("c")}}, Store: store.Settings{Concurrency: 2},
+		WaitCost: 0.1,
+	})
+	for i := range 12 {
+		p.ObserveDemand(w.now, waiting(0, uint64(i+1), "a", 0))
+		p.ObserveDemand(w.now, Demand{Host: "h0000", Incarnation: 1, Seq: uint64(i + 1)})
+		p.warm.Observe(w.now, fleet.Target{Model: "a"})
+		w.now = w.now.Add(time.Hour)
+	}
+	w.round(p, -2*time.Minute)
+	require.Equal(t, fleet.ModelID("a"), loads(w.round(p, time.Second))[0].Model, "loaded ahead of the regular call")
+	p.ObserveDemand(w.now, waiting(1, 1, "b", 1))
+	p.ObserveDemand(w.now, waiting(2, 1, "c", 1))
+	ahead := w.state.Replicas("a")[0].Order
+	out := w.round(p, time.Second)
+	require.Len(t, loads(out), 1)
+	require.Contains(t, out, &control.DecideUnload{Order: ahead})
+	require.Equal(t, fleet.ModelID("c"), loads(w.round(p, time.Second))[0].Model)
+}
--- a/core/placement/replicas.go
+++ b/core/placement/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 	var out []control.Command
 	for _, m := range p.order {
 		m.surge = 0
-		if m.old > 0 && m.want > 0 {
+		if m.want > 0 && (m.old > 0 || p.misplaced(m)) {
 			m.surge = 1
 		}
 		// Replicas on the way out serve until their replacements are ready, unless the maximum leaves no room for those.
@@ -24,12 +25,70 @@
 		}
 		unsent := m.serving + m.coming + m.lost - m.want
 		for _, id := range p.removable(m, max(ready, 0), max(unsent, 0)) {
+			p.markMoving(m, id)
 			out = append(out, &control.DecideUnload{Order: id})
 		}
 	}
 	return out
 }
 
+// misplaced reports whether the ready replicas cover fewer places than the operators want although engines stand in
+// others. One more replica is then loaded there, after which the most crowded data centre loses one.
+func (p *Planner) misplaced(m *model) bool {
+	if m.decl.SpreadDataCentres <= 1 && m.decl.SpreadRegions <= 1 || m.serving < m.want {
+		return false
+	}
+	var ready, possible places
+	for _, i := range m.records {
+		if r := &p.view.replicas[i]; r.State == control.ReplicaReady {
+			ready.add(p.view.server(r.Backend))
+		}
+	}
+	centres, regions := min(m.decl.SpreadDataCentres, m.want), min(m.decl.SpreadRegions, m.want)
+	if len(ready.centres) >= centres && len(ready.regions) >= regions {
+		return false
+	}
+	for i := range p.view.servers {
+		if sv := &p.view.servers[i]; p.usable(m, sv) {
+			possible.add(sv)
+		}
+	}
+	possible.addAll(&ready)
+	return len(ready.centres) < min(centres, len(possible.centres)) || len(ready.regions) < min(regions, len(possible.regions))
+}
+
+// places is a set of data centres and regions by number.
+type places struct{ centres, regions map[int32]bool }
+
+func (p *places) add(sv *server) {
+	if sv == nil {
+		return
+	}
+	if p.centres == nil {
+		p.centres, p.regions = map[int32]bool{}, map[int32]bool{}
+	}
+	p.centres[sv.centre], p.regions[sv.region] = true, true
+}
+
+func (p *places) addAll(o *places) {
+	if p.centres == nil {
+		p.centres, p.regions = map[int32]bool{}, map[int32]bool{}
+	}
+	maps.Copy(p.centres, o.centres)
+	maps.Copy(p.regions, o.regions)
+}
+
+// markMoving marks the backend server of an order that is unloaded.
+func (p *Planner) markMoving(m *model, id fleet.OrderID) {
+	for _, i := range m.records {
+		if r := &p.view.replicas[i]; r.Order == id {
+			if sv := p.view.server(r.Backend); sv != nil {
+				sv.moving = true
+			}
+		}
+	}
+}
+
 // atMaximum reports that a replacement beside the replicas on record would exceed the operators' maximum. A model with
 // a maximum of one has to exceed it by one while it is replaced, or else it would not serve meanwhile.
 func (m *model) atMaximum() bool {
@@ -141,7 +200,7 @@
 func (p *Planner) needs() []need {
 	var out []need
 	for _, m := range p.order {
-		for k := range m.deficit() {
+		for k := range min(m.deficit(), maxLoads) {
 			out = append(out, m.need(k))
 		}
 	}
@@ -168,10 +227,10 @@
 	const noDeadline = time.Hour
 	n := need{m: m, class: m.decl.Class, step: 2, deadline: noDeadline}
 	have := m.serving + m.old + m.coming + k
-	if m.waiting > 0 {
-		n.class = min(m.class, fleet.ClassBatch)
-		if m.earliest > 0 {
-			n.deadline = m.earliest
+	if m.demand.Waiting > 0 {
+		n.class = min(m.demand.Class, fleet.ClassBatch)
+		if m.demand.Earliest > 0 {
+			n.deadline = m.demand.Earliest
 		}
 	}
 	switch {
@@ -181,7 +240,7 @@
 		n.step = 1
 	}
 	load := m.loadTime(fleet.TierRemote).Seconds()
-	n.value = float64(m.waiting) / float64(have+1) / load / float64(max(m.decl.Memory, 1))
+	n.value = float64(m.demand.Waiting) / float64(have+1) / load / float64(max(m.decl.Memory, 1))
 	return n
 }
 
@@ -263,6 +322,7 @@
 // evict unloads idle replicas to make room and keeps the room for the model.
 func (p *Planner) evict(now time.Time, m *model, c choice) []control.Command {
 	p.reserved[c.sv.Announcement.ID] = reservation{model: m.decl.ID, until: now.Add(reservationAge)}
+	c.sv.moving = true
 	var out []control.Command
 	for _, i := range c.victims {
 		r := &p.view.replicas[i]
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -75,15 +75,23 @@
 // members returns the latest membership in the log, committed or not.
 func (n *Node) members() Membership { return n.history[len(n.history)-1].members }
 
+func decodeMembers(data []byte) (Membership, error) {
+	var ms Membership
+	if err := cbor.Unmarshal(data, &ms); err != nil {
+		return nil, ErrMessage.Wrap(err, "membership entry cannot be decoded; check that all hosts run one version")
+	}
+	return ms, nil
+}
+
 // noteMembers puts the memberships of newly appended entries in force.
 func (n *Node) noteMembers(es []Entry) {
 	for _, e := range es {
 		if e.Kind != EntryMembers {
 			continue
 		}
-		var ms Membership
-		if err := cbor.Unmarshal(e.Data, &ms); err != nil {
-			panic("raft: membership entry cannot be decoded: " + err.Error())
+		ms, err := decodeMembers(e.Data)
+		if err != nil {
+			panic("raft: membership entry was not checked: " + err.Error())
 		}
 		n.history = append(n.history, membershipAt{e.Index, ms})
 		n.membersChanged()
@@ -153,13 +161,22 @@
 	return m.Expect == n.set.Storage || m.Expect == 0 && n.state.Admitted
 }
 
-// promotable says whether this host may become leader.
+// promotable says whether this host may become leader. A host that holds its own removal without knowing that it is
+// committed may have to lead once more: the others may need the entries that only it holds, and can't outvote it.
 func (n *Node) promotable() bool {
-	m, ok := n.members().Find(n.set.Self)
-	if !ok || m.Learner || n.halted {
+	if n.halted {
 		return false
 	}
-	return m.Storage == n.set.Storage || m.Storage == 0 && n.state.Admitted
+	if _, ok := n.members().Find(n.set.Self); !ok {
+		return n.votesIn(n.membersAt(n.commit))
+	}
+	return n.votesIn(n.members())
+}
+
+// votesIn says whether this host, with its present folder, is a voter of a membership.
+func (n *Node) votesIn(ms Membership) bool {
+	m, ok := ms.Find(n.set.Self)
+	return ok && !m.Learner && (m.Storage == n.set.Storage || m.Storage == 0 && n.state.Admitted)
 }
 
 // helloNeeded returns how many others must accept a new folder. The sets that accept two folders of one host
@@ -230,7 +247,14 @@
 
 // fillStorages records in the log the folders under which voters of a new group have answered.
 func (n *Node) fillStorages() {
-	ms, filled := n.members(), false
+	if ms, filled := n.filled(); filled && n.changeAllowed() == nil {
+		n.changeMembers(ms)
+	}
+}
+
+// filled returns the membership with the folders under which voters have answered, and whether that adds any.
+func (n *Node) filled() (ms Membership, filled bool) {
+	ms = n.members()
 	for _, m := range ms {
 		id := n.set.Storage
 		if p := n.peers[m.Host]; p != nil {
@@ -242,9 +266,7 @@
 			ms, filled = ms.with(Member{Host: m.Host, Storage: id}), true
 		}
 	}
-	if filled && n.changeAllowed() == nil {
-		n.changeMembers(ms)
-	}
+	return ms, filled
 }
 
 // changeAllowed refuses a membership change while another one, or the first entry of the term, isn't committed.
@@ -295,8 +317,8 @@
 		return 0, ErrMember.New("host %s is no learner; add it as a learner first", h)
 	}
 	p := n.peers[h]
-	if p.storage == 0 || p.match+n.set.PromoteGap < n.commit || n.now.Sub(p.lastAck) > n.set.ElectionMax {
-		return 0, ErrBusy.New("learner %s has not caught up (entry %d of %d); wait until it has", h, p.match, n.commit)
+	if p == nil || p.storage == 0 || p.match+n.set.PromoteGap < n.commit || n.now.Sub(p.lastAck) > n.set.ElectionMax {
+		return 0, ErrBusy.New("learner %s has not caught up with entry %d; wait until it has", h, n.commit)
 	}
 	return n.changeMembers(n.members().with(Member{Host: h, Storage: p.storage})), nil
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -114,6 +114,10 @@
 	// contact is when this host last heard from a leader, or started.
 	contact    time.Time
 	electionAt time.Time
+	// tries counts the elections that this host began since it last followed or led.
+	tries int
+	// since is when this host last became leader.
+	since time.Time
 	// votes holds the folders under which voters granted their vote.
 	votes    map[fleet.HostID]StorageID
 	transfer bool
@@ -173,6 +177,11 @@
 			return nil, ErrCorrupt.New("saved entry %d of term %d follows entry %d of term %d; "+
 				"replace this voter by an empty learner", e.Index, e.Term, n.log.last(), n.log.lastTerm())
 		}
+		if e.Kind == EntryMembers {
+			if _, err := decodeMembers(e.Data); err != nil {
+				return nil, err
+			}
+		}
 		n.log.append(e)
 	}
 	n.unsaved, n.stable = n.log.last()+1, n.log.last()
@@ -218,26 +227,29 @@
 	}
 }
 
-// Step takes in a message of another member.
-func (n *Node) Step(now time.Time, m Message) {
+// Step takes in a message of another member. A message that no correct member sends is dropped with an error.
+func (n *Node) Step(now time.Time, m Message) error {
 	n.setNow(now)
 	if n.halted || m.To != n.set.Self || m.From == n.set.Self {
-		return
+		return nil
+	}
+	if err := m.check(); err != nil {
+		return err
 	}
 	if m.Kind == MsgHello {
 		n.stepHello(&m)
-		return
+		return nil
 	}
 	if m.Kind == MsgHelloReply {
 		n.stepHelloReply(&m)
-		return
+		return nil
 	}
 	if m.Term > n.state.Term && !n.newerTerm(&m) {
-		return
+		return nil
 	}
 	if m.Term < n.state.Term {
 		n.olderTerm(&m)
-		return
+		return nil
 	}
 	switch m.Kind {
 	case MsgPreVote:
@@ -247,7 +259,7 @@
 	case MsgVote:
 		n.stepVote(&m)
 	case MsgAppend:
-		n.stepAppend(&m)
+		return n.stepAppend(&m)
 	case MsgAppendReply, MsgSnapshotReply:
 		n.stepReply(&m)
 	case MsgSnapshot:
@@ -260,6 +272,7 @@
 	default:
 		// A kind of a later version, which this one can't answer.
 	}
+	return nil
 }
 
 // newerTerm moves to the term of a message and says whether to go on with it.
@@ -373,14 +386,16 @@
 
 // Status describes a node.
 type Status struct {
-	Role     Role
-	Leader   fleet.HostID
-	Term     Term
-	Commit   fleet.Index
-	Last     fleet.Index
-	First    fleet.Index
-	Snapshot fleet.Index
-	Members  Membership
+	Role   Role
+	Leader fleet.HostID
+	// LeaderSince is when this host was elected; it is the zero time on other hosts.
+	LeaderSince time.Time
+	Term        Term
+	Commit      fleet.Index
+	Last        fleet.Index
+	First       fleet.Index
+	Snapshot    fleet.Index
+	Members     Membership
 	// Refused says that the group knows this host under another folder: its disk was lost, and it has no vote
 	// until an operator removes it and adds it again as a learner.
 	Refused bool
@@ -388,8 +403,12 @@
 
 // Status returns the node's state.
 func (n *Node) Status() Status {
+	since := n.since
+	if n.role != Leader {
+		since = time.Time{}
+	}
 	return Status{
-		Role: n.role, Leader: n.leader, Term: n.state.Term, Commit: n.commit, Last: n.log.last(),
+		Role: n.role, LeaderSince: since, Leader: n.leader, Term: n.state.Term, Commit: n.commit, Last: n.log.last(),
 		First: n.log.offset + 1, Snapshot: n.snapshot.Index, Members: n.members(), Refused: n.refused && !n.promotable() && !n.learning(),
 	}
 }
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -129,7 +129,7 @@
 		r.Begin(epoch, "b0")
 	}
 	c, _ := r.Choose(epoch, request(100))
-	require.Equal(t, Choice{Backend: "b1", Expected: c.Expected, FirstToken: c.FirstToken, CrossRegion: true}, c)
+	require.Equal(t, Choice{Backend: "b1", Expected: c.Expected, FirstToken: c.FirstToken, Wait: c.Wait, CrossRegion: true}, c)
 	r.Charge(epoch, "t", 2000)
 	c, _ = r.Choose(epoch, request(100))
 	require.Equal(t, fleet.BackendID("b0"), c.Backend)
@@ -157,6 +157,10 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(18, Settings{})
 			slow := map[int]bool{}
+			var all []fleet.BackendID
+			for i := range r.backends {
+				all = append(all, r.backends[i].id)
+			}
 			for i := range c.slow {
 				slow[i] = true
 			}
@@ -179,6 +183,16 @@
 				require.Positive(t, got["b0"], "probes")
 				require.Less(t, got["b0"], 20_000/18/20)
 			}
+			r.SetReplicas("m", []fleet.BackendID{"b0", "b1", "b8", "b9", "b10", "b11"})
+			observeAll(r, now.Add(time.Second), slow)
+			left := 0
+			for _, id := range []fleet.BackendID{"b0", "b1", "b8", "b9", "b10", "b11"} {
+				if r.Weight("m", id) < 1 {
+					left++
+				}
+			}
+			require.LessOrEqual(t, left, 2, "a third of the replicas that are left")
+			r.SetReplicas("m", all)
 			for range 60 {
 				now = now.Add(50 * time.Millisecond)
 				observeAll(r, now, nil)
@@ -190,6 +204,36 @@
 	}
 }
 
+// Guards against a model whose prompts take far longer than the default being taken for slow on every server.
+func TestPrefillIsLearnt(t *testing.T) {
+	for name, perToken := range map[string]time.Duration{
+		"ten times the default": time.Millisecond, "a tenth": 10 * time.Microsecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(6, Settings{})
+			now := epoch
+			for i := range 300 {
+				now = now.Add(20 * time.Millisecond)
+				id := r.backends[i%6].id
+				work := time.Duration(200 + 50*(i%9))
+				if i == 0 {
+					work *= 8
+				}
+				r.Observe(now, Progress{
+					Backend: id, Model: "m", FirstToken: work * perToken, Prompt: fleet.Tokens(work - promptBase),
+					Tokens: 10, Elapsed: 200 * time.Millisecond,
+				})
+			}
+			c, ok := r.Choose(now, &Request{Target: fleet.Target{Model: "m"}, Prompt: 1000 - promptBase})
+			require.True(t, ok)
+			require.InEpsilon(t, 1000*perToken, c.FirstToken, 0.2)
+			for i := range r.backends {
+				require.InDelta(t, 1, r.Weight("m", r.backends[i].id), 0)
+			}
+		})
+	}
+}
+
 // Guards against unbounded belief: both bounds on prefixes hold, and the index stays consistent.
 func TestPrefixesAreBounded(t *testing.T) {
 	r := newRouter(4, Settings{Prefixes: 100, BackendPrefixes: 40})
--- a/core/warm/tracker.go
+++ b/core/warm/tracker.go
@@ -166,20 +166,19 @@
 	return h.last, true
 }
 
-// Keep reports whether an idle loaded target is worth its idle cost at present.
+// Keep reports whether an idle loaded target is worth its idle cost at present. A target that would be loaded ahead is
+// kept, or else it would be unloaded again before the call.
 func (t *Tracker) Keep(now time.Time, target fleet.Target, c Costs) bool {
 	h := t.targets[target]
 	if h == nil {
 		return false
 	}
 	age := now.Sub(h.last)
-	if t.cfg.Policy == PolicyFixed || h.gaps.total < minGaps {
-		return age < t.cfg.Fixed
+	worth := age < t.cfg.Fixed
+	if t.cfg.Policy != PolicyFixed && h.gaps.total >= minGaps {
+		worth = h.gaps.profit(age, 0, c) > 0
 	}
-	if h.gaps.profit(age, 0, c) > 0 {
-		return true
-	}
-	return t.cfg.Policy == PolicyPrediction && t.ahead(now, h, c)
+	return worth || t.Ahead(now, target, c)
 }
 
 // Ahead reports whether an unloaded target is worth loading before its next call.
@@ -200,12 +199,11 @@
 
 // ahead judges by the time of day: the share of earlier days with a call in the slot that begins within the load time.
 func (t *Tracker) ahead(now time.Time, h *history, c Costs) bool {
-	d, _ := t.dayOf(now)
+	d, slot := t.dayOf(now.Add(c.Load))
 	first, _ := t.dayOf(h.first)
 	if d-first < minDays {
 		return false
 	}
-	_, slot := t.dayOf(now.Add(c.Load))
 	if h.lastDay[slot] == d && h.days[slot] > 0 {
 		return false
 	}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -51,6 +52,13 @@
 	Control       *hosts.GroupClient
 	// Seen returns the backend servers that announced themselves since the last call; nil means none.
 	Seen func() []control.Life
+	// Seed makes the first sequence number of this process differ from that of an earlier one, whose first command must not
+	// be taken for this one's.
+	Seed uint64
+	// Poll carries a poll in place of Control, and bounds its time; nil means that all polls go to the leader.
+	Poll func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error)
+	// Applied sees each answer whose entries were applied; nil means none. It must not wait.
+	Applied func(res *hosts.FollowResponse)
 	// Log receives changes of the session's state; nil means no log.
 	Log *zap.Logger
 	// Metrics holds the follower's metrics; nil means that nothing is counted.
@@ -95,7 +103,13 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.New(metrics.Options{})
 	}
+	if cfg.Poll == nil {
+		cfg.Poll = func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+			return PollLeader(ctx, cfg.Control, req)
+		}
+	}
 	f := &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
+	f.seq.n = rand.New(rand.NewPCG(cfg.Seed, 0)).Uint64() >> 1
 	f.met = f.newMetrics(cfg.Metrics)
 	return f
 }
@@ -167,6 +181,13 @@
 	}
 }
 
+// PollLeader carries a poll to the control leader.
+func PollLeader(ctx context.Context, control *hosts.GroupClient, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, control, hosts.ProcedureFollow, pollTimeout, req)
+}
+
 // poll makes one request to the leader and applies its answer.
 func (f *Follower) poll(ctx context.Context) error {
 	req := &hosts.FollowRequest{Host: f.cfg.Host, Hold: Hold}
@@ -177,16 +198,17 @@
 	if f.cfg.Seen != nil {
 		req.Seen = f.cfg.Seen()
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	sent := time.Now()
-	res, err := hosts.CallLeader[hosts.FollowRequest, hosts.FollowResponse](ctx, f.cfg.Control, hosts.ProcedureFollow, pollTimeout, req)
+	res, err := f.cfg.Poll(ctx, req)
 	if err != nil {
 		return err
 	}
 	if err := f.apply(res, sent); err != nil {
 		return err
 	}
+	if f.cfg.Applied != nil {
+		f.cfg.Applied(res)
+	}
 	if res.Newest && (res.Status == hosts.StatusClosed || req.Incarnation == 0) {
 		return f.open(ctx)
 	}
@@ -273,19 +295,23 @@
 // open registers a new life of the host under the next incarnation.
 func (f *Follower) open(ctx context.Context) error {
 	f.mu.Lock()
-	next := f.state.LastIncarnation(f.cfg.Host) + 1
+	own := f.incarnation
+	cur, open := f.state.Session(f.cfg.Host)
 	f.incarnation = 0
 	f.mu.Unlock()
-	res, err := f.propose(ctx, next, &control.OpenSession{
-		Host: f.cfg.Host, Incarnation: next, Address: f.cfg.Address,
-		CallerAddress: f.cfg.CallerAddress, Place: f.cfg.Place,
+	if own > 0 && open && cur.Incarnation > own {
+		return ErrSuperseded.New("another process uses the host id %s; give each host its own", f.cfg.Host)
+	}
+	res, err := f.propose(ctx, 0, &control.OpenSession{
+		Host: f.cfg.Host, Address: f.cfg.Address, CallerAddress: f.cfg.CallerAddress, Place: f.cfg.Place,
 	})
 	if err != nil {
 		return err
 	}
 	if err := res.Err(); err != nil {
-		return ErrSuperseded.Wrap(err, "another process uses the host id %s; give each host its own", f.cfg.Host)
+		return err
 	}
+	next := fleet.Incarnation(res.Index)
 	f.mu.Lock()
 	f.incarnation = next
 	f.mu.Unlock()
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -46,6 +46,8 @@
 	groups  map[raft.GroupID]*voters.Group
 	control *control.Machine
 	ledgers []*ledger.Machine
+	// replacing holds a token while a voter is replaced.
+	replacing chan struct{}
 }
 
 // Open opens all groups.
@@ -57,7 +59,7 @@
 		cfg.Metrics = metrics.New(metrics.Options{})
 	}
 	cfg.LedgerGroups = max(cfg.LedgerGroups, 1)
-	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}}
+	s := &Set{cfg: cfg, groups: map[raft.GroupID]*voters.Group{}, control: &control.Machine{}, replacing: make(chan struct{}, 1)}
 	if err := s.open(Control, s.control); err != nil {
 		return nil, err
 	}
@@ -132,6 +134,7 @@
 func (s *Set) Register(srv *hosts.Server) {
 	hosts.Handle(srv, hosts.ProcedureStep, s.step)
 	hosts.Handle(srv, hosts.ProcedurePropose, s.propose)
+	hosts.Handle(srv, hosts.ProcedureRejoin, s.replace)
 }
 
 func (s *Set) step(_ context.Context, from fleet.HostID, req *hosts.StepRequest) (*hosts.StepResponse, error) {
@@ -160,8 +163,12 @@
 // Run runs all groups until the context ends.
 func (s *Set) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, one := range s.groups {
+	for id, one := range s.groups {
 		g.Go(func() error { return one.Run(ctx) })
+		g.Go(func() error {
+			s.rejoin(ctx, id, one)
+			return nil
+		})
 	}
 	return g.Wait()
 }
