follow, policy: a restarted process never repeats the first sequence number of its past

Cause: a test with a relay showed a restarted host under its old incarnation: its first command had the sequence number of the earlier process and got that one's stored answer. Change: sequence numbers begin at random; the policy experiments tell their tables of a ready replica.

--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -65,7 +65,7 @@
 			Backend: id, Fence: 1, Memory: 1 << 40, Slots: slots, Taken: epoch.Add(-time.Hour),
 			Preempt: s.p.preempt > 0, Long: queue.LongRule{Share: s.p.longShare, Hold: s.p.longHold}, Queue: s.p.queue,
 		})
-		v.handle(capacity.ReplicasEvent{})
+		v.handle(capacity.ReplicasEvent{Replicas: []capacity.Replica{{Order: 1, Model: target.Model, Ready: true}}})
 	}
 	return v
 }
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -45,7 +45,7 @@
 	// Seen returns the backend servers that announced themselves since the last call; nil means none.
 	Seen func() []control.Life
 	// Seed makes the first sequence number of this process differ from that of an earlier one, whose first command must not
-	// be taken for this one's.
+	// be taken for this one's. Zero means a random one.
 	Seed uint64
 	// Poll carries a poll in place of Control, and bounds its time; nil means that all polls go to the leader.
 	Poll func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error)
@@ -95,6 +95,9 @@
 		}
 	}
 	f := &Follower{cfg: cfg, doc: &config.Document{}, changed: make(chan struct{})}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
 	f.seq.n = rand.New(rand.NewPCG(cfg.Seed, 0)).Uint64() >> 1
 	return f
 }
