members: test network refuses a dial to an address without a listener

A run of the tests under load ended with a nil pointer: the first host probed its seed before that one listened, which depends on the order of goroutines. The test's network now answers as the operating system does. The checks are unchanged.

--- a/io/members/service_test.go
+++ b/io/members/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,8 +61,11 @@
 
 func (w *wires) Dial(ctx context.Context, a string) (net.Conn, error) {
 	w.mu.Lock()
-	l := w.listeners[a]
+	l, ok := w.listeners[a]
 	w.mu.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
+	}
 	here, there := net.Pipe()
 	select {
 	case l.conns <- there:
