toucanway-lab: demo and live deployments on loopback

The lab had stand-ins and an in-memory network, but nothing showed the daemon on real connections at the size of an organisation.

The workload calls the models, services and callers of the example documents. entry, dispatch, planning, queue and routing get policies that replace decisions by simpler baselines; their zero value changes nothing.

--- a/cmd/toucanway-lab/internal/caller/attempt.go
+++ b/cmd/toucanway-lab/internal/caller/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -103,7 +104,7 @@
 			return nil, err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+r.path(), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, cmp.Or(r.Method, http.MethodPost), "http://"+host+r.path(), bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/toucanway-lab/internal/caller/request.go
+++ b/cmd/toucanway-lab/internal/caller/request.go
@@ -31,7 +31,9 @@
 	Stream    bool
 
 	Service fleet.ServiceID
-	Path    string
+	// Method of a service request; empty means POST.
+	Method string
+	Path   string
 	// Body is the body of a service request, with the key in its field "key".
 	Body []byte
 }
--- a/cmd/toucanway-lab/internal/caller/transport.go
+++ b/cmd/toucanway-lab/internal/caller/transport.go
@@ -11,8 +11,9 @@
 
 const (
 	maxIdlePerHost = 1024
-	// idleTimeout is shorter than that of entry hosts, so that no request is sent on a connection that is being closed.
-	idleTimeout = 20 * time.Second
+	// idleTimeout is shorter than those of entry hosts, 10 s before the first request and 30 s after it, so that no request
+	// is sent on a connection that is being closed.
+	idleTimeout = 8 * time.Second
 )
 
 // NewTransport returns an HTTP transport that dials on a network.
--- a/cmd/toucanway-lab/internal/commands/runs.go
+++ b/cmd/toucanway-lab/internal/commands/runs.go
@@ -29,10 +29,9 @@
 
 	Hosts        []string      `long:"host" required:"true" description:"IP:PORT of an entry host; may be repeated"`
 	Local        string        `long:"from" default:"127.0.0.1" description:"IP address to send from"`
-	Organisation string        `long:"organisation" choice:"kopi" choice:"audit" default:"kopi" description:"whose calls to send"`
+	Organisation string        `long:"organisation" choice:"kopi" choice:"asociacion" default:"kopi" description:"whose calls to send"`
 	Rate         float64       `long:"rate" default:"20" description:"mean calls a second, without bursts and resends"`
 	Duration     time.Duration `long:"duration" default:"30s" description:"time of the last call"`
-	Models       int           `long:"models" description:"number of models; 0 means the organisation's own"`
 	Seed         uint64        `long:"seed" default:"1" description:"seed of the calls"`
 	Steady       bool          `long:"steady" description:"keep the rate constant"`
 	NoAdvice     bool          `long:"no-advice" description:"send to the given hosts without asking for better ones"`
@@ -46,8 +45,8 @@
 		return fmt.Errorf("--from %q is no IP address: %w", c.Local, err)
 	}
 	org := workload.KopiLintasData()
-	if c.Organisation == "audit" {
-		org = workload.Auditoria()
+	if c.Organisation == "asociacion" {
+		org = workload.Asociacion()
 	}
 	s := load.Settings{}
 	for i := range clients {
@@ -58,7 +57,7 @@
 		s.Callers = append(s.Callers, client)
 	}
 	plan := org.Plan(workload.Settings{
-		Seed: c.Seed, Duration: c.Duration, Rate: c.Rate, Models: c.Models, Steady: c.Steady,
+		Seed: c.Seed, Duration: c.Duration, Rate: c.Rate, Steady: c.Steady,
 	})
 	summaries := load.Run(c.run.ctx, s, plan).Summaries()
 	if c.JSON {
--- a/cmd/toucanway-lab/internal/deployment/deployment.go
+++ b/cmd/toucanway-lab/internal/deployment/deployment.go
@@ -58,8 +58,12 @@
 	Engines []engine.Settings
 	// Services are the stand-ins of plain services.
 	Services []service.Settings
+	// Policies are those of the entry hosts.
+	Policies entry.Policies
 	// LedgerGroups is the number of ledger groups; zero means one.
 	LedgerGroups int
+	// FirstOperator may submit the first document; the zero value means the operator lab with OperatorToken.
+	FirstOperator settings.FirstOperator
 	// Log receives the hosts' log lines; nil drops them.
 	Log     io.Writer
 	Seed    uint64
@@ -152,7 +156,7 @@
 	cfg := d.settingsOf(spec)
 	h, err := entry.New(entry.Settings{
 		Settings: cfg, Network: d.Settings.Network(spec.IP), Loggers: settings.NewLoggers(cfg, d.log()),
-		Seed:    d.Settings.Seed + d.starts,
+		Seed: d.Settings.Seed + d.starts, Policies: d.Settings.Policies,
 		Storage: func(g raft.GroupID) (voters.Storage, error) { return d.storage(id, g) },
 	})
 	if err != nil {
@@ -205,11 +209,12 @@
 		Listen: settings.Listen{
 			Callers: at(h.IP, PortCallers), Hosts: at(h.IP, PortHosts), Operators: at(h.IP, PortOperators),
 		},
-		LedgerGroups: max(d.Settings.LedgerGroups, 1),
-		DrainBound:   drainBound,
-		FirstOperator: settings.FirstOperator{
-			ID: "lab", Credential: config.HashToken("", OperatorToken),
-		},
+		LedgerGroups:  max(d.Settings.LedgerGroups, 1),
+		DrainBound:    drainBound,
+		FirstOperator: d.Settings.FirstOperator,
+	}
+	if s.FirstOperator.ID == "" {
+		s.FirstOperator = settings.FirstOperator{ID: "lab", Credential: config.HashToken("", OperatorToken)}
 	}
 	for _, v := range d.Settings.Hosts {
 		if v.Voter {
@@ -318,6 +323,16 @@
 	return errors.Join(errs...)
 }
 
+// HostID names the host behind a callers' address; an unknown address is its own name.
+func (d *Deployment) HostID(address string) fleet.HostID {
+	for _, h := range d.Settings.Hosts {
+		if CallerAddress(h) == address {
+			return h.ID
+		}
+	}
+	return fleet.HostID(address)
+}
+
 // HasLease reports whether a host has its session lease, and false when it does not run.
 func (d *Deployment) HasLease(id fleet.HostID, now time.Time) (valid, runs bool) {
 	d.mu.Lock()
--- a/cmd/toucanway-lab/internal/engine/orders.go
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -257,7 +257,7 @@
 		}
 		return nil
 	}
-	memory := p.settings.model(t.Model).Adapter
+	memory := p.settings.adapter(t)
 	if !p.take(memory) {
 		p.mu.Unlock()
 		return &refusal{reason: "memory-exceeded"}
--- a/cmd/toucanway-lab/internal/engine/settings.go
+++ b/cmd/toucanway-lab/internal/engine/settings.go
@@ -28,7 +28,9 @@
 type Model struct {
 	Weights    fleet.Bytes
 	KVPerToken fleet.Bytes
-	Adapter    fleet.Bytes
+	// Adapter is the memory of adapters that Adapters does not name.
+	Adapter  fleet.Bytes
+	Adapters map[fleet.AdapterID]fleet.Bytes
 	// Load is the load time by the tier of the checkpoint; the time from the remote tier is that at full speed.
 	Load [3]time.Duration
 }
@@ -114,3 +116,11 @@
 	}
 	return DefaultModel()
 }
+
+func (s *Settings) adapter(t fleet.Target) fleet.Bytes {
+	m := s.model(t.Model)
+	if a, ok := m.Adapters[t.Adapter]; ok {
+		return a
+	}
+	return m.Adapter
+}
--- a/cmd/toucanway-lab/internal/examples/hosts.go
+++ b/cmd/toucanway-lab/internal/examples/hosts.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// hostsPerRegion gives 6 hosts in 3 regions; the first of each region is a voter.
-const hostsPerRegion = 2
+// HostsPerRegion gives 6 hosts in 3 regions; the first of each region is a voter.
+const HostsPerRegion = 2
 
 // Host is one entry host of an example.
 type Host struct {
@@ -18,7 +18,7 @@
 func (o *Organisation) Hosts() []Host {
 	var out []Host
 	for r, region := range o.Regions {
-		for n := range hostsPerRegion {
+		for n := range HostsPerRegion {
 			out = append(out, Host{
 				ID: fmt.Sprintf("%s-entry-%d", region.Name, n+1), Region: region.Name,
 				DataCentre: region.DataCentres[n%len(region.DataCentres)],
--- a/cmd/toucanway-lab/internal/examples/organisation.go
+++ b/cmd/toucanway-lab/internal/examples/organisation.go
@@ -25,7 +25,9 @@
 	Services  []Service
 	// LoadsPerSecond is the rate of the weight store.
 	LoadsPerSecond int
-	Limits         []string
+	// LoadDivisor shortens the declared load times for runs of bounded length; zero means 1.
+	LoadDivisor int
+	Limits      []string
 }
 
 // Region is a region with its data centres; the first host of each region is a voter.
@@ -114,7 +116,8 @@
 
 // Adapters of a model vary around the average of 95.
 const (
-	fewestAdapters  = 90
+	// FewestAdapters is what every model has at least.
+	FewestAdapters  = 90
 	adapterSpread   = 11
 	smallestAdapter = 32
 	adapterSizes    = 5
@@ -123,19 +126,21 @@
 
 func (o *Organisation) models(b *strings.Builder) {
 	b.WriteString("\nmodels:\n")
+	divisor := max(o.LoadDivisor, 1)
 	n := 0
 	for _, t := range o.Tasks {
 		for g, group := range o.Groups {
 			fmt.Fprintf(b, "  %s-%s:\n", t.Name, group)
 			fmt.Fprintf(b, "    versions: [\"2026-11\", \"2026-08\"]\n    memory: %dGiB\n    kv-bytes-per-token: %s\n", t.GiB, t.KVBytes)
-			fmt.Fprintf(b, "    load-times: {memory: %dms, disk: %dms, remote: %dms}\n", 150*t.GiB, 700*t.GiB, 2500*t.GiB)
+			fmt.Fprintf(b, "    load-times: {memory: %dms, disk: %dms, remote: %dms}\n",
+				150*t.GiB/divisor, 700*t.GiB/divisor, 2500*t.GiB/divisor)
 			if g == 0 {
 				for _, k := range t.Keys {
 					fmt.Fprintf(b, "    %s\n", k)
 				}
 			}
 			fmt.Fprintf(b, "    adapters:\n")
-			for a := range fewestAdapters + n*7%adapterSpread {
+			for a := range FewestAdapters + n*7%adapterSpread {
 				fmt.Fprintf(b, "      %s-%s-%03d: %dMiB\n", o.Adapter, group, a+1, smallestAdapter+adapterStep*((n+a)%adapterSizes))
 			}
 			n++
--- /dev/null
+++ b/cmd/toucanway-lab/internal/live/live.go
@@ -0,0 +1,246 @@
+package live
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/deployment"
+	"toucanway/cmd/toucanway-lab/internal/engine"
+	"toucanway/cmd/toucanway-lab/internal/examples"
+	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/service"
+	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/core/config"
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+	"toucanway/io/disk"
+	"toucanway/io/entry"
+	"toucanway/io/network"
+	"toucanway/io/settings"
+	"toucanway/io/voters"
+)
+
+// Sizes and one-way delays of the deployments of today.
+const (
+	EnginesPerRegion = 6
+	Services         = 3
+	DelayNear        = time.Millisecond
+	DelayRegions     = 12 * time.Millisecond
+)
+
+// Addresses are 127.NETWORK.REGION.N: entry hosts count from 1, the others from these numbers.
+const (
+	firstCaller   = 50
+	firstOperator = 90
+	firstEngine   = 100
+	firstService  = 200
+	portBackend   = 8000
+)
+
+// networks bounds the loopback networks that are tried when another process uses the organisation's own.
+const networks = 20
+
+// Settings describe a live deployment.
+type Settings struct {
+	Organisation *examples.Organisation
+	// Folder gets the voters' files.
+	Folder string
+	// Transport replaces loopback TCP; tests set it.
+	Transport func(ip string) network.Network
+	// Policies are those of the entry hosts.
+	Policies entry.Policies
+	Seed     uint64
+	History  *history.History
+	Log      io.Writer
+}
+
+// Live is a running deployment of an organisation.
+type Live struct {
+	*deployment.Deployment
+	Organisation *examples.Organisation
+	// Network is nil with a transport of a test.
+	Network  *Network
+	Store    *store.Store
+	settings Settings
+	number   int
+}
+
+// Start starts the hosts and stand-ins of an organisation without a document.
+func Start(s Settings) (*Live, error) {
+	l := &Live{Organisation: s.Organisation, settings: s, number: s.Organisation.Network}
+	if s.Transport == nil {
+		n, err := freeNetwork(s.Organisation.Network)
+		if err != nil {
+			return nil, err
+		}
+		l.number, l.Network = n, NewNetwork(Delay)
+		l.settings.Transport = l.Network.Host
+	}
+	declared, problems := config.Parse("document.yaml", s.Organisation.Document())
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	d, err := deployment.Start(l.deployment(declared))
+	l.Deployment = d
+	return l, err
+}
+
+// freeNetwork returns the second byte of loopback addresses whose ports are free.
+func freeNetwork(first int) (int, error) {
+	var err error
+	for n := first; n < first+networks; n++ {
+		l, lerr := network.TCP{}.Listen(fmt.Sprintf("127.%d.1.1:%d", n, deployment.PortCallers))
+		if lerr == nil {
+			return n, l.Close()
+		}
+		err = lerr
+	}
+	return 0, fmt.Errorf("no loopback network from 127.%d is free; end the other runs: %w", first, err)
+}
+
+// Delay returns the one-way delay between two addresses of a deployment.
+func Delay(from, to netip.Addr) time.Duration {
+	switch {
+	case from == to || !from.Is4() || !to.Is4():
+		return 0
+	case from.As4()[2] != to.As4()[2]:
+		return DelayRegions
+	default:
+		return DelayNear
+	}
+}
+
+func (l *Live) ip(region, n int) string { return fmt.Sprintf("127.%d.%d.%d", l.number, region+1, n) }
+
+func (l *Live) place(region, n int) fleet.Place {
+	r := l.Organisation.Regions[region]
+	return fleet.Place{
+		Region: fleet.Region(r.Name), DataCentre: fleet.DataCentre(r.DataCentres[n%len(r.DataCentres)]), Rack: "rack-1",
+	}
+}
+
+func (l *Live) deployment(declared *config.Document) deployment.Settings {
+	o, s := l.Organisation, l.settings
+	first := o.Operators[0].ID
+	out := deployment.Settings{
+		Network: s.Transport, Seed: s.Seed, Log: s.Log, History: s.History, LedgerGroups: 2, Policies: s.Policies,
+		FirstOperator: settings.FirstOperator{ID: fleet.OperatorID(first), Credential: config.HashToken("", o.Token(first))},
+	}
+	if s.Folder != "" {
+		out.Storage = func(h fleet.HostID, g raft.GroupID) (voters.Storage, error) {
+			return disk.Open(disk.Settings{Dir: filepath.Join(s.Folder, string(h), fmt.Sprintf("group-%d", g))})
+		}
+	}
+	var entries []string
+	for i, h := range o.Hosts() {
+		region, n := i/examples.HostsPerRegion, i%examples.HostsPerRegion
+		one := deployment.Host{ID: fleet.HostID(h.ID), IP: l.ip(region, n+1), Place: l.place(region, n), Voter: h.Voter}
+		out.Hosts = append(out.Hosts, one)
+		entries = append(entries, deployment.CallerAddress(one))
+	}
+	l.Store = store.New(store.Settings{Rate: float64(o.LoadsPerSecond), FullSpeed: 4, AdapterFullSpeed: 30})
+	models := modelsOf(declared)
+	random := rand.New(rand.NewPCG(s.Seed, 3))
+	for region, r := range o.Regions {
+		for n := range EnginesPerRegion {
+			ip := l.ip(region, firstEngine+n)
+			out.Engines = append(out.Engines, engine.Settings{
+				ID: fleet.BackendID(fmt.Sprintf("%s-engine-%d", r.Name, n+1)), Network: s.Transport(ip),
+				Address: fmt.Sprintf("%s:%d", ip, portBackend), Place: l.place(region, n), Entries: entries,
+				ChecksFence: n%2 == 0, Models: models, Tiers: cached(random, declared), Store: l.Store,
+				Seed: s.Seed + uint64(len(out.Engines)), History: s.History, EventLoss: 0.02,
+			})
+		}
+	}
+	var names []fleet.ServiceID
+	for _, v := range o.Services {
+		names = append(names, fleet.ServiceID(v.Name))
+	}
+	for n := range Services {
+		region := n % len(o.Regions)
+		ip := l.ip(region, firstService+n)
+		out.Services = append(out.Services, service.Settings{
+			ID: fleet.BackendID(fmt.Sprintf("%s-service-1", o.Regions[region].Name)), Network: s.Transport(ip),
+			Address: fmt.Sprintf("%s:%d", ip, portBackend), Place: l.place(region, 0), Entries: entries, Services: names,
+			History: s.History,
+		})
+	}
+	return out
+}
+
+// modelsOf returns the engines' table as the document declares it.
+func modelsOf(d *config.Document) map[fleet.ModelID]engine.Model {
+	out := make(map[fleet.ModelID]engine.Model, len(d.Models))
+	for i := range d.Models {
+		m := &d.Models[i]
+		one := engine.Model{Weights: m.Memory, KVPerToken: m.KVBytesPerToken, Adapters: map[fleet.AdapterID]fleet.Bytes{}}
+		for _, t := range []fleet.Tier{fleet.TierMemory, fleet.TierDisk, fleet.TierRemote} {
+			one.Load[t] = m.LoadTimes.Of(t)
+		}
+		for _, a := range m.Adapters {
+			one.Adapters[a.Name] = a.Memory
+		}
+		out[m.Name] = one
+	}
+	return out
+}
+
+// cached draws the checkpoints near an engine at first: few in memory, more on disk, most of them remote.
+func cached(random *rand.Rand, d *config.Document) map[fleet.ModelID]fleet.Tier {
+	const inMemory, onDisk = 1, 8
+	out := map[fleet.ModelID]fleet.Tier{}
+	for i, n := range random.Perm(len(d.Models))[:inMemory+onDisk] {
+		out[d.Models[n].Name] = fleet.TierDisk
+		if i < inMemory {
+			out[d.Models[n].Name] = fleet.TierMemory
+		}
+	}
+	return out
+}
+
+// Caller returns a caller in a region by number. One with hosts uses only these, without asking for better ones.
+func (l *Live) Caller(region int, credential string, seed uint64, hosts ...string) *caller.Client {
+	s := caller.Settings{
+		Network: l.settings.Transport(l.ip(region, firstCaller)), Hosts: l.CallerAddresses(), Credential: credential,
+		Grace: CallerGrace, Seed: seed, History: l.settings.History, HostID: l.HostID,
+	}
+	if len(hosts) > 0 {
+		s.Hosts, s.NoAdvice = hosts, true
+	}
+	return caller.New(s)
+}
+
+const (
+	// CallerDelay is the round trip between regions and the time that a busy machine may add to it.
+	CallerDelay = 2 * time.Second
+	// CallerGrace is longer, so that what comes late is judged by the checker.
+	CallerGrace = CallerDelay + time.Second
+)
+
+// OperatorIP is the address that operators' clients send from.
+func (l *Live) OperatorIP() string { return l.ip(0, firstOperator) }
+
+// Crash ends an entry host and all its connections at once.
+func (l *Live) Crash(h deployment.Host) error {
+	l.settings.History.Add(history.HostStopped{Host: h.ID})
+	if l.Network != nil {
+		l.Network.Break(h.IP)
+	}
+	return l.KillHost(h.ID)
+}
+
+// Close ends everything.
+func (l *Live) Close() error {
+	err := l.Deployment.Close()
+	if l.Network != nil {
+		if nerr := l.Network.Close(); err == nil {
+			err = nerr
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/live/network.go
@@ -0,0 +1,150 @@
+package live
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/cmd/toucanway-lab/internal/pause"
+	"toucanway/io/network"
+)
+
+// Route is a direction between two IP addresses.
+type Route struct{ From, To netip.Addr }
+
+// Network delays and counts the traffic between the addresses of one process. It is safe for concurrent use.
+type Network struct {
+	delay func(from, to netip.Addr) time.Duration
+	group errgroup.Group
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	bytes map[Route]*atomic.Int64
+}
+
+// NewNetwork returns a network with a one-way delay for each route.
+func NewNetwork(delay func(from, to netip.Addr) time.Duration) *Network {
+	return &Network{delay: delay, conns: map[*conn]struct{}{}, bytes: map[Route]*atomic.Int64{}}
+}
+
+// Host returns the network of one IP address.
+func (n *Network) Host(ip string) network.Network {
+	return &host{network: n, tcp: network.TCP{Local: netip.MustParseAddr(ip)}}
+}
+
+// Traffic returns the bytes that were sent on each route.
+func (n *Network) Traffic() map[Route]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[Route]int64, len(n.bytes))
+	for r, b := range n.bytes {
+		out[r] = b.Load()
+	}
+	return out
+}
+
+// Break ends all connections of an IP address at once, as the end of its process does.
+func (n *Network) Break(ip string) {
+	a := netip.MustParseAddr(ip)
+	for _, c := range n.open() {
+		if c.route.From == a || c.route.To == a {
+			c.abort()
+		}
+	}
+}
+
+// Close ends all connections and waits for their senders.
+func (n *Network) Close() error {
+	for _, c := range n.open() {
+		c.abort()
+	}
+	return n.group.Wait()
+}
+
+func (n *Network) open() []*conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]*conn, 0, len(n.conns))
+	for c := range n.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// wrap delays what is written to a connection.
+func (n *Network) wrap(inner net.Conn) net.Conn {
+	r := Route{From: addressOf(inner.LocalAddr()), To: addressOf(inner.RemoteAddr())}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.bytes[r]
+	if sent == nil {
+		sent = &atomic.Int64{}
+		n.bytes[r] = sent
+	}
+	c := newConn(inner, r, n.delay(r.From, r.To), sent)
+	n.conns[c] = struct{}{}
+	n.group.Go(func() error {
+		c.send()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.conns, c)
+		return nil
+	})
+	return c
+}
+
+func addressOf(a net.Addr) netip.Addr {
+	if t, ok := a.(*net.TCPAddr); ok {
+		return t.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+type host struct {
+	network *Network
+	tcp     network.TCP
+}
+
+// Listen opens a listener whose connections are delayed.
+func (h *host) Listen(address string) (net.Listener, error) {
+	l, err := h.tcp.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: l, network: h.network}, nil
+}
+
+// Dial connects after the round trip that opening a connection takes.
+func (h *host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	if err := pause.For(ctx, 2*h.network.delay(h.tcp.Local, to.Addr())); err != nil {
+		return nil, err
+	}
+	c, err := h.tcp.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return h.network.wrap(c), nil
+}
+
+type listener struct {
+	net.Listener
+	network *Network
+}
+
+// Accept returns the next connection, delayed.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.network.wrap(c), nil
+}
--- a/cmd/toucanway-lab/internal/scenario/world.go
+++ b/cmd/toucanway-lab/internal/scenario/world.go
@@ -202,7 +202,7 @@
 	}
 	s := caller.Settings{
 		Network: w.net.Host(address(1, kindCaller, len(w.callers)+1)), Hosts: w.d.CallerAddresses(),
-		Credential: deployment.CallerToken(class), Seed: w.shape.seed, History: w.history, HostID: w.hostID,
+		Credential: deployment.CallerToken(class), Seed: w.shape.seed, History: w.history, HostID: w.d.HostID,
 	}
 	if host != "" {
 		h, err := w.hostOf(host)
@@ -216,15 +216,6 @@
 	return c, nil
 }
 
-func (w *world) hostID(addr string) fleet.HostID {
-	for _, h := range w.d.Settings.Hosts {
-		if deployment.CallerAddress(h) == addr {
-			return h.ID
-		}
-	}
-	return fleet.HostID(addr)
-}
-
 // start sends a request in the background under a name.
 func (w *world) start(name string, c *caller.Client, r *caller.Request) error {
 	w.mu.Lock()
--- a/cmd/toucanway-lab/internal/workload/workload.go
+++ b/cmd/toucanway-lab/internal/workload/workload.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"iter"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/examples"
 	"toucanway/cmd/toucanway-lab/internal/history"
 	"toucanway/cmd/toucanway-lab/internal/load"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
@@ -31,6 +33,8 @@
 	busyPart   = 0.9
 	// prefixWords is the length of the instructions that all prompts of a target begin with.
 	prefixWords = 64
+	// burstDeadline leaves the first requests of a sleeping model time for its load.
+	burstDeadline = 30 * time.Second
 )
 
 // Settings describe a workload; zero fields mean the organisation's own numbers.
@@ -41,11 +45,11 @@
 	Rate float64
 	// Callers is the number of callers.
 	Callers int
-	// Models and Adapters are the numbers of models and of adapters of each.
-	Models, Adapters int
 	// BurstEvery is the time between bursts of first requests for an idle model, and BurstSize their number.
 	BurstEvery time.Duration
 	BurstSize  int
+	// MaxOutput bounds the tokens of one answer.
+	MaxOutput int
 	// Steady switches the swings of the rate off.
 	Steady bool
 }
@@ -54,62 +58,57 @@
 type Call struct {
 	Label string
 	// Weight is the part of the calls that are of this kind.
-	Weight     float64
-	Credential string
-	Deadline   time.Duration
-	// Prompt and Output are mean numbers of tokens.
+	Weight float64
+	// Role is the part of the caller's id that callers of this kind have in common.
+	Role     string
+	Deadline time.Duration
+	// Task is the kind of model; Prompt and Output are mean numbers of tokens.
+	Task           string
 	Prompt, Output int
 	Stream         bool
 	Service        fleet.ServiceID
+	Method, Path   string
 	Once           bool
 }
 
 // Organisation is who calls.
 type Organisation struct {
-	Name             string
-	Models, Adapters int
-	Calls            []Call
+	Name    string
+	Example *examples.Organisation
+	Calls   []Call
 }
 
-// Credentials of callers by priority.
-const (
-	KopiSales     = "kopi-sales"
-	KopiDepot     = "kopi-depot"
-	AuditPartner  = "audit-partner"
-	AuditStaff    = "audit-staff"
-	AuditDrafting = "audit-drafting"
-)
-
 // KopiLintasData is the route sales assistant across Java.
 func KopiLintasData() Organisation {
-	return Organisation{Name: "kopi", Models: 60, Adapters: 95, Calls: []Call{
-		{Label: "visit-summary", Weight: 0.2, Credential: KopiDepot, Deadline: 20 * time.Second, Prompt: 200, Output: 120, Stream: true},
-		{Label: "order-suggestion", Weight: 0.2, Credential: KopiSales, Deadline: 10 * time.Second, Prompt: 150, Output: 60},
-		{Label: "chat", Weight: 0.3, Credential: KopiSales, Deadline: 10 * time.Second, Prompt: 30, Output: 30, Stream: true},
-		{Label: "order", Weight: 0.15, Credential: KopiSales, Deadline: 10 * time.Second, Service: "orders", Once: true},
-		{Label: "price", Weight: 0.15, Credential: KopiSales, Deadline: 5 * time.Second, Service: "prices"},
+	return Organisation{Name: "kopi", Example: examples.KopiLintasData(), Calls: []Call{
+		{Label: "visit-summary", Weight: 0.17, Role: "visit-app", Deadline: 20 * time.Second, Task: "visit-summary", Prompt: 200, Output: 120, Stream: true},
+		{Label: "order-suggestion", Weight: 0.2, Role: "order-app", Deadline: 10 * time.Second, Task: "order-suggestion", Prompt: 150, Output: 60},
+		{Label: "chat", Weight: 0.3, Role: "chat-app", Deadline: 10 * time.Second, Task: "quick-chat", Prompt: 30, Output: 30, Stream: true},
+		{Label: "day-review", Weight: 0.03, Role: "depot-review", Deadline: 60 * time.Second, Task: "day-review", Prompt: 400, Output: 300, Stream: true},
+		{Label: "order", Weight: 0.15, Role: "order-app", Deadline: 10 * time.Second, Service: "orders", Path: "/orders", Once: true},
+		{Label: "price", Weight: 0.15, Role: "chat-app", Deadline: 5 * time.Second, Service: "prices", Method: http.MethodGet, Path: "/prices"},
 	}}
 }
 
-// Auditoria is the sampling service for audit firms.
-func Auditoria() Organisation {
-	return Organisation{Name: "audit", Models: 40, Adapters: 95, Calls: []Call{
-		{Label: "draft", Weight: 0.4, Credential: AuditDrafting, Deadline: 60 * time.Second, Prompt: 400, Output: 400, Stream: true},
-		{Label: "explain", Weight: 0.25, Credential: AuditStaff, Deadline: 20 * time.Second, Prompt: 150, Output: 120, Stream: true},
-		{Label: "memo", Weight: 0.1, Credential: AuditPartner, Deadline: 10 * time.Second, Prompt: 200, Output: 80, Stream: true},
-		{Label: "fieldwork", Weight: 0.2, Credential: AuditStaff, Deadline: 10 * time.Second, Service: "workpapers", Once: true},
-		{Label: "sign-off", Weight: 0.05, Credential: AuditPartner, Deadline: 10 * time.Second, Service: "workpapers", Once: true},
+// Asociacion is the association of audit firms.
+func Asociacion() Organisation {
+	return Organisation{Name: "asociacion", Example: examples.Asociacion(), Calls: []Call{
+		{Label: "draft", Weight: 0.4, Role: "-drafting", Deadline: 60 * time.Second, Task: "sampling-draft", Prompt: 400, Output: 400, Stream: true},
+		{Label: "explain", Weight: 0.25, Role: "-explanations", Deadline: 20 * time.Second, Task: "item-explanation", Prompt: 150, Output: 120, Stream: true},
+		{Label: "memo", Weight: 0.1, Role: "-partners", Deadline: 10 * time.Second, Task: "partner-review", Prompt: 200, Output: 80, Stream: true},
+		{Label: "fieldwork", Weight: 0.1, Role: "-fieldwork", Deadline: 20 * time.Second, Task: "fieldwork-log", Prompt: 100, Output: 40, Stream: true},
+		{Label: "selection", Weight: 0.1, Role: "-fieldwork", Deadline: 10 * time.Second, Service: "workpapers", Path: "/selections", Once: true},
+		{Label: "sign-off", Weight: 0.05, Role: "-partners", Deadline: 10 * time.Second, Service: "workpapers", Path: "/sign-offs", Once: true},
 	}}
 }
 
-func (s Settings) withDefaults(o Organisation) Settings {
+func (s Settings) withDefaults() Settings {
 	fill(&s.Duration, time.Minute)
 	fill(&s.Rate, 20)
 	fill(&s.Callers, 200)
-	fill(&s.Models, o.Models)
-	fill(&s.Adapters, o.Adapters)
 	fill(&s.BurstEvery, 20*time.Second)
 	fill(&s.BurstSize, 30)
+	fill(&s.MaxOutput, maxOutput)
 	return s
 }
 
@@ -119,14 +118,37 @@
 	}
 }
 
-// Model returns the name of an organisation's model by number, from 0.
-func (o Organisation) Model(i int) fleet.ModelID {
-	return fleet.ModelID(fmt.Sprintf("%s-m%03d", o.Name, i+1))
+// Models returns the models of a task, the busy ones first.
+func (o Organisation) Models(task string) []fleet.ModelID {
+	out := make([]fleet.ModelID, 0, len(o.Example.Groups))
+	for _, g := range o.Example.Groups {
+		out = append(out, fleet.ModelID(task+"-"+g))
+	}
+	return out
+}
+
+// Adapter returns an adapter of a model of a task by its number.
+func (o Organisation) Adapter(m fleet.ModelID, task string, n int) fleet.AdapterID {
+	group := strings.TrimPrefix(string(m), task+"-")
+	return fleet.AdapterID(fmt.Sprintf("%s-%s-%03d", o.Example.Adapter, group, n%examples.FewestAdapters+1))
+}
+
+// Credential returns the token of a caller by its number. Numbers that are equal modulo the regions stand in one region.
+func (o Organisation) Credential(role string, number int) string {
+	var ids []string
+	for _, t := range o.Example.Tenants {
+		for _, c := range t.Callers {
+			if strings.Contains(c.ID, role) {
+				ids = append(ids, c.ID)
+			}
+		}
+	}
+	return o.Example.Token(ids[number%len(ids)])
 }
 
 // Plan returns the calls of an organisation in the order of their times.
 func (o Organisation) Plan(s Settings) iter.Seq[load.Planned] {
-	s = s.withDefaults(o)
+	s = s.withDefaults()
 	return func(yield func(load.Planned) bool) {
 		g := &generator{Settings: s, org: o, random: rand.New(rand.NewPCG(s.Seed, 1))}
 		g.swing = newSwing(s)
@@ -191,11 +213,12 @@
 
 // plan adds a call, and its resend if there is one.
 func (g *generator) plan(at time.Duration, c Call) {
-	g.add(at, g.request(c, g.target()))
+	from := g.random.IntN(g.Callers)
+	g.add(at, from, g.request(c, g.target(c), from))
 }
 
-func (g *generator) add(at time.Duration, r *caller.Request) {
-	p := load.Planned{At: at, Caller: g.random.IntN(g.Callers), Request: r}
+func (g *generator) add(at time.Duration, from int, r *caller.Request) {
+	p := load.Planned{At: at, Caller: from, Request: r}
 	heap.Push(&g.later, p)
 	if r.Once && g.random.Float64() < resendPart {
 		again := *r
@@ -209,52 +232,60 @@
 
 // planBurst adds first requests for a model that was not called before, as long as there is one, from many callers.
 func (g *generator) planBurst() {
-	model := g.org.Model(g.Models - 1 - g.bursts%g.Models)
-	g.bursts++
 	var c Call
 	for c = g.call(); c.Service != ""; {
 		c = g.call()
 	}
+	models := g.org.Models(c.Task)
+	model := models[len(models)-1-g.bursts%len(models)]
+	g.bursts++
 	for range g.BurstSize {
 		at := g.burst + time.Duration(g.random.Int64N(int64(200*time.Millisecond)))
-		r := g.request(c, fleet.Target{Model: model})
+		from := g.random.IntN(g.Callers)
+		r := g.request(c, fleet.Target{Model: model}, from)
 		r.Label = "burst"
-		g.add(at, r)
+		r.Deadline = max(r.Deadline, burstDeadline)
+		g.add(at, from, r)
 	}
 	g.burst += g.BurstEvery
 }
 
-func (g *generator) target() fleet.Target {
-	active := max(int(float64(g.Models)*activePart), 1)
-	t := fleet.Target{Model: g.org.Model(g.random.IntN(active))}
+func (g *generator) target(c Call) fleet.Target {
+	if c.Service != "" {
+		return fleet.Target{}
+	}
+	models := g.org.Models(c.Task)
+	active := max(int(float64(len(models))*activePart), 1)
+	t := fleet.Target{Model: models[g.random.IntN(active)]}
 	if g.random.Float64() >= busyPart {
-		t.Model = g.org.Model(g.random.IntN(g.Models))
+		t.Model = models[g.random.IntN(len(models))]
 	}
-	if g.Adapters > 0 && g.random.Float64() < adapterPart {
-		t.Adapter = fleet.AdapterID(fmt.Sprintf("a%03d", g.random.IntN(g.Adapters)+1))
+	if g.random.Float64() < adapterPart {
+		t.Adapter = g.org.Adapter(t.Model, c.Task, g.random.IntN(examples.FewestAdapters))
 	}
 	return t
 }
 
-func (g *generator) request(c Call, t fleet.Target) *caller.Request {
+func (g *generator) request(c Call, t fleet.Target, from int) *caller.Request {
 	g.count++
 	r := &caller.Request{
 		Key: history.Key(fmt.Sprintf("%s-%d-%d", g.org.Name, g.Seed, g.count)), Label: c.Label, Once: c.Once,
-		Credential: c.Credential, Deadline: c.Deadline,
+		Credential: g.org.Credential(c.Role, from), Deadline: c.Deadline,
 	}
 	if c.Service != "" {
-		r.Service, r.Path = c.Service, "/"+c.Label
+		r.Service, r.Method, r.Path = c.Service, c.Method, c.Path
 		r.Body, _ = json.Marshal(map[string]any{"key": r.Key, "quantity": 1 + g.random.IntN(20)})
 		return r
 	}
 	output := max(int(float64(c.Output)*(0.5+g.random.Float64())), 1)
 	if g.random.Float64() < stragglerPart {
-		output = min(output*stragglerFactor, maxOutput)
+		output = output * stragglerFactor
 		r.Label += "-straggler"
 	}
+	output = min(output, g.MaxOutput)
 	r.Target, r.Stream = t, c.Stream
 	// Callers cannot tell which of their calls become stragglers, so the limit leaves room for one.
-	r.MaxTokens = min(2*c.Output*stragglerFactor, maxOutput)
+	r.MaxTokens = min(2*c.Output*stragglerFactor, g.MaxOutput)
 	var b strings.Builder
 	name := t.String()
 	for i := range prefixWords {
--- a/cmd/toucanway-lab/internal/workload/workload_test.go
+++ b/cmd/toucanway-lab/internal/workload/workload_test.go
@@ -10,17 +10,20 @@
 
 	"toucanway/cmd/toucanway-lab/internal/history"
 	"toucanway/cmd/toucanway-lab/internal/load"
+	"toucanway/core/config"
 	"toucanway/core/fleet"
 )
 
 const seed = 7
 
 // Guards against plans that differ between runs, are out of order, or miss what makes the workload hard: stragglers,
-// resends, bursts for idle models from many callers, and swings.
+// resends, bursts for idle models from many callers, and swings; and against calls that the example document does not declare.
 func TestPlan(t *testing.T) {
 	t.Log("seed", seed)
-	for _, org := range []Organisation{KopiLintasData(), Auditoria()} {
+	for _, org := range []Organisation{KopiLintasData(), Asociacion()} {
 		t.Run(org.Name, func(t *testing.T) {
+			declared, problems := config.Parse("document.yaml", org.Example.Document())
+			require.NoError(t, problems.Err())
 			s := Settings{Seed: seed, Duration: 2 * time.Minute, Rate: 50}
 			got := slices.Collect(org.Plan(s))
 			require.True(t, reflect.DeepEqual(got, slices.Collect(org.Plan(s))), "same seed, same plan")
@@ -37,6 +40,11 @@
 					callers[p.Caller] = true
 				}
 				require.Equal(t, keys[p.Request.Key] > 1, p.Request.Resend > 0)
+				if p.Request.Service == "" {
+					require.True(t, declared.HasTarget(p.Request.Target), "%v is not in the example document", p.Request.Target)
+				}
+				_, known := declared.CallerOf(p.Request.Credential)
+				require.True(t, known, "no caller has the credential")
 			}
 			require.Equal(t, 6*30, labels["burst"]+labels["burst-straggler"])
 			require.Greater(t, len(callers), 80)
@@ -51,7 +59,8 @@
 					require.Positive(t, labels[c.Label+"-resend"], c.Label)
 				}
 			}
-			require.Greater(t, models[org.Model(0)], 10*models[org.Model(org.Models/2)])
+			task := org.Models(org.Calls[0].Task)
+			require.Greater(t, models[task[0]], 10*models[task[len(task)/2]])
 		})
 	}
 }
--- a/cmd/toucanway-lab/main.go
+++ b/cmd/toucanway-lab/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"toucanway/cmd/toucanway-lab/internal/commands"
+	"toucanway/cmd/toucanway-lab/internal/demo"
 	"toucanway/cmd/toucanway-lab/internal/experiment"
 )
 
@@ -16,6 +17,6 @@
 	// After the first signal the next one ends the process at once.
 	context.AfterFunc(ctx, stop)
 	os.Exit(commands.Run(ctx, commands.Settings{
-		Args: os.Args[1:], Out: os.Stdout, Err: os.Stderr, Experiments: []experiment.Experiment{},
+		Args: os.Args[1:], Out: os.Stdout, Err: os.Stderr, Experiments: []experiment.Experiment{}, Demo: demo.Demo{},
 	}))
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -28,6 +28,8 @@
 	StarvationEvery int
 	// Weight returns a tenant's share of service; nil or a result that is not positive means 1.
 	Weight func(fleet.TenantID) float64
+	// ArrivalOrder serves in order of arrival, without classes, aging or shares; it is a baseline for measurements.
+	ArrivalOrder bool
 }
 
 // Ticket identifies an entry of one queue; later entries have higher tickets.
@@ -141,6 +143,9 @@
 	e.Ticket = q.next
 	e.Enqueued = now
 	e.Class = known(e.Class)
+	if q.cfg.ArrivalOrder {
+		e.Class, e.Tenant = 0, ""
+	}
 	w := &waiting{Entry: e, at: e.Class}
 	w.promote = now.Add(time.Duration(float64(e.Deadline.Sub(now)) * q.cfg.AgingShare))
 	if at := w.due(); len(q.entries) == 0 || at.Before(q.due) {
@@ -223,6 +228,9 @@
 
 // Ahead returns how many waiting entries are expected to be served before a new one.
 func (q *Queue) Ahead(e Entry) int {
+	if q.cfg.ArrivalOrder {
+		return len(q.entries)
+	}
 	e.Class = known(e.Class)
 	n := 0
 	for i := range e.Class {
@@ -324,6 +332,9 @@
 		c.active = append(c.active, t)
 	}
 	i, _ := slices.BinarySearchFunc(t.waiting, w, func(a, b *waiting) int {
+		if q.cfg.ArrivalOrder {
+			return cmp.Compare(a.Ticket, b.Ticket)
+		}
 		return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.Ticket, b.Ticket))
 	})
 	t.waiting = slices.Insert(t.waiting, i, w)
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -50,6 +50,8 @@
 	TieShare float64
 	// RegionBudget returns the bytes a second that a tenant may move between regions; nil means no bound.
 	RegionBudget func(fleet.TenantID) fleet.Bytes
+	// LeastOutstanding chooses by the number of own requests under way alone; it is a baseline for measurements.
+	LeastOutstanding bool
 }
 
 // Prefix is the hash of a prompt's beginning and its length.
@@ -277,6 +279,9 @@
 		if over && r.backends[p.backend].remote {
 			c += overBudgetCost.Seconds()
 		}
+		if r.cfg.LeastOutstanding {
+			c = float64(r.backends[p.backend].load.own)
+		}
 		if n == 0 || c < least {
 			least = c
 		}
@@ -286,8 +291,10 @@
 	if n == 0 {
 		return Choice{}, false
 	}
-	k, probe := r.probe(m, n)
-	if !probe {
+	k, probe := 0, false
+	if r.cfg.LeastOutstanding {
+		k = slices.Index(r.cost[:len(m.replicas)], least)
+	} else if k, probe = r.probe(m, n); !probe {
 		k = r.nearTie(m, q, least)
 	}
 	i := m.replicas[k].backend
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -55,8 +55,8 @@
 
 // Handler decides about requests; it is safe for concurrent use.
 type Handler interface {
-	// Authenticate returns what a bearer token stands for.
-	Authenticate(token string) (Identity, bool)
+	// Authenticate returns what a bearer token stands for, or why it cannot be told.
+	Authenticate(token string) (Identity, *fleet.Refusal)
 	// Complete admits a completion and returns its answer once the first chunk is ready.
 	Complete(ctx context.Context, c *Completion) (Answer, *fleet.Refusal)
 	// Call carries out a call of a plain service.
@@ -186,9 +186,9 @@
 }
 
 func (s *Server) route(ctx *fasthttp.RequestCtx, id fleet.RequestID) *fleet.Refusal {
-	who, ok := s.cfg.Handler.Authenticate(bearer(&ctx.Request.Header))
-	if !ok {
-		return fleet.Refuse(fleet.CodeUnauthorized, 0, "the bearer token is missing or unknown; send Authorization: Bearer TOKEN")
+	who, r := s.cfg.Handler.Authenticate(bearer(&ctx.Request.Header))
+	if r != nil {
+		return r
 	}
 	if n := len(ctx.Request.Body()); fleet.Bytes(n) > s.cfg.Handler.MaxBody() {
 		return fleet.Refuse(fleet.CodeTooLarge, 0, "the body has %d bytes, more than the limit of %d", n, s.cfg.Handler.MaxBody())
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -33,9 +33,18 @@
 	Ledger   *ledgers.Client
 	Reporter *planning.Reporter
 	Metrics  *metrics.Registry
+	Policies Policies
 	Seed     uint64
 }
 
+// Policies replace request decisions by simpler ones for measurements; the zero value means those of the product.
+type Policies struct {
+	// LeastOutstanding routes by the number of this host's own requests under way.
+	LeastOutstanding bool
+	// NoHedging makes no second attempt of a request whose first token is late.
+	NoHedging bool
+}
+
 // Dispatcher carries requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg         Settings
--- a/io/dispatch/policy.go
+++ b/io/dispatch/policy.go
@@ -46,7 +46,9 @@
 		doc, _ := cfg.Follower.Document()
 		return doc
 	}
-	p.router = routing.New(routing.Settings{Place: cfg.Place, Rand: p.rng, RegionBudget: p.regionBudget})
+	p.router = routing.New(routing.Settings{
+		Place: cfg.Place, Rand: p.rng, RegionBudget: p.regionBudget, LeastOutstanding: cfg.Policies.LeastOutstanding,
+	})
 	p.budget = retry.NewBudget(retry.Settings{Rand: p.rng})
 	return p
 }
--- a/io/dispatch/race.go
+++ b/io/dispatch/race.go
@@ -33,7 +33,7 @@
 	a.attempts++
 	at.start(time.Now())
 	after, ok := a.d.policy.hedgeAfter(a.call.Target.Model, at)
-	if !ok || a.alone || a.received > 0 {
+	if !ok || a.d.cfg.Policies.NoHedging || a.alone || a.received > 0 {
 		return a.settle(a.enter(ctx, at))
 	}
 	if at.choice.Probe {
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -38,12 +38,19 @@
 }
 
 // Authenticate returns what a bearer token stands for.
-func (a handler) Authenticate(token string) (callers.Identity, bool) {
+func (a handler) Authenticate(token string) (callers.Identity, *fleet.Refusal) {
 	c, ok := a.document().CallerOf(token)
-	if !ok {
-		return callers.Identity{}, false
+	switch {
+	case ok:
+		return callers.Identity{Caller: c.ID, Tenant: c.Tenant, Class: c.Class}, nil
+	case !a.h.follower.HasLease(time.Now()):
+		// A host that starts has no document yet, and a stale one may lack a new caller; callers give up on unauthorized.
+		return callers.Identity{}, fleet.Refuse(fleet.CodeConfigurationStale, time.Second,
+			"the host cannot confirm that its configuration is the newest; use another host")
+	default:
+		return callers.Identity{}, fleet.Refuse(fleet.CodeUnauthorized, 0,
+			"the bearer token is missing or unknown; send Authorization: Bearer TOKEN")
 	}
-	return callers.Identity{Caller: c.ID, Tenant: c.Tenant, Class: c.Class}, true
 }
 
 // Complete carries out a completion.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -43,7 +43,17 @@
 	Storage func(raft.GroupID) (voters.Storage, error)
 	Loggers *settings.Loggers
 	// Seed drives random choices and election timeouts.
-	Seed uint64
+	Seed     uint64
+	Policies Policies
+}
+
+// Policies replace decisions by simpler ones for measurements; the zero value means those of the product.
+type Policies struct {
+	Dispatch dispatch.Policies
+	Planning planning.Policies
+	// ArrivalOrder serves waiting requests in order of arrival, without classes, shares of tenants or of long work, and
+	// preemption.
+	ArrivalOrder bool
 }
 
 // Host is one assembled entry host.
@@ -105,7 +115,7 @@
 		Host: cfg.ID, Place: cfg.Place(), Follower: h.follower, Owner: h.owner, Client: h.client, Network: cfg.Network,
 		Engines: engines.NewClient(h.pool), Services: services.NewClient(h.pool),
 		Ledger:   ledgers.NewClient(h.client, members, cfg.LedgerGroups),
-		Reporter: h.reporter, Metrics: h.metrics, Seed: cfg.Seed,
+		Reporter: h.reporter, Metrics: h.metrics, Policies: cfg.Policies.Dispatch, Seed: cfg.Seed,
 	})
 	h.registry.reports = h.dispatch
 	if err := h.newCallers(); err != nil {
@@ -167,7 +177,7 @@
 	})
 	v.planning = planning.New(planning.Settings{
 		Self: h.cfg.ID, Sessions: v.sessions, Group: group, Machine: machine, Document: h.follower.Document,
-		Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogPlacement),
+		Policies: h.cfg.Policies.Planning, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogPlacement),
 	})
 	for n := range max(h.cfg.LedgerGroups, 1) {
 		g, m := set.Ledger(n)
--- a/io/entry/table.go
+++ b/io/entry/table.go
@@ -11,13 +11,17 @@
 // tableSettings returns the part of a capacity table's settings that the configuration document decides.
 func (h *Host) tableSettings() capacity.Settings {
 	doc, _ := h.follower.Document()
-	return capacity.Settings{
+	s := capacity.Settings{
 		KVReserve: doc.Capacity.KVReserve,
 		Queue:     queue.Settings{Limit: doc.Limits.WaitingPerBackend, Weight: weights(doc)},
 		Long:      queue.LongRule{Share: doc.Limits.LongWorkShare},
 		Loads:     h.adapterShare(doc),
 		Preempt:   true,
 	}
+	if h.cfg.Policies.ArrivalOrder {
+		s.Queue.ArrivalOrder, s.Preempt, s.Long = true, false, queue.LongRule{Share: 1, Least: 1}
+	}
+	return s
 }
 
 // weights returns the fair share of each tenant.
--- a/io/planning/service.go
+++ b/io/planning/service.go
@@ -34,12 +34,19 @@
 	Machine  *control.Machine
 	// Document returns the configuration in force.
 	Document func() (*config.Document, fleet.DocumentVersion)
+	Policies Policies
 	// Seed drives choices among equally good backend servers.
 	Seed uint64
 	// Log receives changes of state; nil means no log.
 	Log *zap.Logger
 }
 
+// Policies replace placement decisions by simpler ones for measurements; the zero value means those of the product.
+type Policies struct {
+	// KeepWarm is a fixed time that idle models stay loaded; zero means a time learnt for each model.
+	KeepWarm time.Duration
+}
+
 // Service runs the planner while this host leads the control group. It is safe for concurrent use. Lock order: mu, then
 // the group's own lock.
 type Service struct {
@@ -110,7 +117,7 @@
 	doc, version := s.cfg.Document()
 	if s.planner == nil || !since.Equal(s.since) {
 		s.since = since
-		s.planner = placement.New(settingsOf(doc, version, s.cfg.Seed))
+		s.planner = placement.New(settingsOf(doc, version, s.cfg.Seed, s.cfg.Policies))
 		s.marks = poison.New(poison.Settings{Expiry: doc.Limits.PoisonExpiry})
 		s.version = version
 	}
--- a/io/planning/settings.go
+++ b/io/planning/settings.go
@@ -5,11 +5,12 @@
 	"toucanway/core/fleet"
 	"toucanway/core/placement"
 	"toucanway/core/store"
+	"toucanway/core/warm"
 )
 
 // settingsOf translates the configuration document for the planner.
-func settingsOf(doc *config.Document, version fleet.DocumentVersion, seed uint64) placement.Settings {
-	return placement.Settings{
+func settingsOf(doc *config.Document, version fleet.DocumentVersion, seed uint64, p Policies) placement.Settings {
+	s := placement.Settings{
 		Catalogue: catalogueOf(doc, version),
 		Store: store.Settings{
 			Rate:        int(doc.Capacity.WeightStore.LoadsPerSecond),
@@ -17,6 +18,10 @@
 		},
 		Seed: seed,
 	}
+	if p.KeepWarm > 0 {
+		s.Warm = warm.Settings{Policy: warm.PolicyFixed, Fixed: p.KeepWarm}
+	}
+	return s
 }
 
 func catalogueOf(doc *config.Document, version fleet.DocumentVersion) placement.Catalogue {
