--- a/cmd/toucanway-lab/internal/capacity/control.go
+++ b/cmd/toucanway-lab/internal/capacity/control.go
@@ -148,7 +148,7 @@
 
 // perCommand returns the CPU time of n commands in microseconds for each.
 func perCommand(n int, f func(i int) error) (float64, error) {
-	d, err := cpuOf(func() error { return each(n, f) })
+	d, err := CPUOf(func() error { return each(n, f) })
 	return float64(d) / float64(time.Microsecond) / float64(n), err
 }
 
--- a/cmd/toucanway-lab/internal/capacity/fit.go
+++ b/cmd/toucanway-lab/internal/capacity/fit.go
@@ -128,8 +128,8 @@
 	return float64(m.HeapAlloc)
 }
 
-// cpuOf returns the CPU time that the process spends while f runs.
-func cpuOf(f func() error) (time.Duration, error) {
+// CPUOf returns the CPU time that the process spends while f runs.
+func CPUOf(f func() error) (time.Duration, error) {
 	before, err := cpuTime()
 	if err != nil {
 		return 0, err
--- a/cmd/toucanway-lab/internal/commands/commands.go
+++ b/cmd/toucanway-lab/internal/commands/commands.go
@@ -8,6 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"toucanway/cmd/toucanway-lab/internal/capacity"
 	"toucanway/cmd/toucanway-lab/internal/experiment"
 )
 
@@ -28,9 +29,12 @@
 	Args []string
 	Out  io.Writer
 	Err  io.Writer
-	// Experiments and Demo are those that the binary is linked with.
+	// Experiments, Simulations and Demo are those that the binary is linked with.
 	Experiments []experiment.Experiment
+	Simulations []experiment.Simulation
 	Demo        Demo
+	// Measurements are those of the assembled daemon, which take minutes.
+	Measurements []capacity.Measurement
 }
 
 // runtime is what every command has.
--- a/cmd/toucanway-lab/internal/commands/runs.go
+++ b/cmd/toucanway-lab/internal/commands/runs.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
@@ -77,13 +78,17 @@
 type capacityCommand struct {
 	run *runtime
 
-	JSON bool `long:"json" description:"print the result as JSON"`
+	JSON bool   `long:"json" description:"print the result as JSON"`
+	Only string `long:"only" description:"run the measurements whose name contains this text"`
 }
 
 // Execute runs all measurements and prints their lines.
 func (c *capacityCommand) Execute([]string) error {
 	var slopes []capacity.Slope
-	for _, m := range capacity.Measurements() {
+	for _, m := range append(capacity.Measurements(), c.run.Measurements...) {
+		if !strings.Contains(m.Name, c.Only) {
+			continue
+		}
 		if err := c.run.ctx.Err(); err != nil {
 			return err
 		}
@@ -114,6 +119,11 @@
 	if len(c.run.Experiments) == 0 {
 		return errNotLinked
 	}
+	for _, s := range c.run.Simulations {
+		if s.Name == c.Args.Name {
+			return c.simulate(s)
+		}
+	}
 	e, err := experiment.Find(c.run.Experiments, c.Args.Name)
 	if err != nil {
 		return err
@@ -123,6 +133,20 @@
 	return errors.Join(err, e.Write(c.run.Out, c.Out, results))
 }
 
+// simulate runs a simulation for each seed.
+func (c *experimentCommand) simulate(s experiment.Simulation) error {
+	var results []fmt.Stringer
+	for _, seed := range c.Seeds {
+		t, err := s.Run(seed)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.run.Out, t)
+		results = append(results, t)
+	}
+	return experiment.WriteResults(c.Out, s.Name, results)
+}
+
 type demoCommand struct {
 	run *runtime
 
--- /dev/null
+++ b/cmd/toucanway-lab/internal/cost/decisions.go
@@ -0,0 +1,83 @@
+package cost
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"toucanway/cmd/toucanway-lab/internal/capacity"
+	"toucanway/cmd/toucanway-lab/internal/placementpolicy"
+	"toucanway/core/fleet"
+	"toucanway/core/routing"
+)
+
+const (
+	targetEngines = 6600
+	targetModels  = 210
+	// enginesPerHost is that of the target.
+	enginesPerHost = 5
+	decisions      = 20000
+	// replicasPerModel spreads the target's replicas over its models.
+	replicasPerModel = 32
+	adaptersPerModel = 10
+)
+
+// decisionMeasurements returns the measurements of decisions without a network.
+func decisionMeasurements() []capacity.Measurement {
+	sizes := []int{660, 1650, 3300, targetEngines}
+	return []capacity.Measurement{
+		{
+			Name: "CPU of one routing decision", SizeUnit: "backend server", Unit: "us", Sizes: sizes, Target: targetEngines, Repeat: 3,
+			Run: routingDecision,
+		},
+		{
+			Name: "time of one planning round", SizeUnit: "backend server", Unit: "ms", Sizes: sizes, Target: targetEngines, Repeat: 2,
+			Run: func(n int) (float64, error) {
+				ms, _ := placementpolicy.RoundCost(1, n, n/enginesPerHost, targetModels)
+				return ms, nil
+			},
+		},
+	}
+}
+
+// routingDecision returns the microseconds of a choice among the replicas of a model, its dispatch and its end.
+func routingDecision(n int) (float64, error) {
+	random := rand.New(rand.NewPCG(1, 1))
+	r := routing.New(routing.Settings{Place: fleet.Place{Region: "r0"}, Rand: random})
+	now := time.Now()
+	for i := range n {
+		r.SetBackend(fleet.Announcement{
+			ID: engineID(i), Incarnation: 1, Kind: fleet.KindEngine, Slots: 64,
+			Place: fleet.Place{Region: fleet.Region(fmt.Sprintf("r%d", i%5))},
+		})
+	}
+	for m := range targetModels {
+		var on []fleet.BackendID
+		for range replicasPerModel {
+			on = append(on, engineID(random.IntN(n)))
+		}
+		r.SetReplicas(modelID(m), on)
+	}
+	ms, err := cpu(func() error {
+		for i := range decisions {
+			at := now.Add(time.Duration(i) * time.Microsecond)
+			q := routing.Request{
+				Target: fleet.Target{Model: modelID(i % targetModels), Adapter: fleet.AdapterID(fmt.Sprintf("a%d", i%adaptersPerModel))},
+				Tenant: "t1", Prompt: 300, Prefixes: []routing.Prefix{{Hash: uint64(i % 1000), Length: 256}, {Hash: uint64(i % 100), Length: 64}},
+				Bytes: 1 << 14,
+			}
+			c, ok := r.Choose(at, &q)
+			if !ok {
+				return fmt.Errorf("no choice for %s", q.Target)
+			}
+			r.Begin(at, c.Backend)
+			r.End(at, c.Backend, time.Second)
+		}
+		return nil
+	})
+	return ms * 1000 / decisions, err
+}
+
+func engineID(i int) fleet.BackendID { return fleet.BackendID(fmt.Sprintf("engine-%05d", i)) }
+
+func modelID(i int) fleet.ModelID { return fleet.ModelID(fmt.Sprintf("model-%03d", i)) }
--- a/cmd/toucanway-lab/internal/experiment/experiment.go
+++ b/cmd/toucanway-lab/internal/experiment/experiment.go
@@ -29,6 +29,15 @@
 	Question         string
 	Baseline, Change Variant
 	Runner           Runner
+	// Plotted are beginnings of the names of values that are plotted relative to the baseline.
+	Plotted []string
+}
+
+// Simulation is an experiment without real time: it compares policies in a model of the system.
+type Simulation struct {
+	Name string
+	// Run returns a result that prints as a table and can be encoded as JSON.
+	Run func(seed uint64) (fmt.Stringer, error)
 }
 
 // ErrUnknown reports a name without an experiment.
@@ -78,15 +87,16 @@
 		if err := results[i].Table().WriteText(w); err != nil {
 			return err
 		}
+		for _, side := range []report.Side{results[i].Baseline, results[i].Change} {
+			for _, note := range side.Notes {
+				fmt.Fprintf(w, "%s: %s\n", side.Name, note)
+			}
+		}
 	}
 	if directory == "" {
 		return nil
 	}
-	if err := os.MkdirAll(directory, 0o755); err != nil {
-		return err
-	}
-	err := create(filepath.Join(directory, e.Name+".json"), func(w io.Writer) error { return report.WriteJSON(w, results) })
-	if err != nil {
+	if err := WriteResults(directory, e.Name, results); err != nil {
 		return err
 	}
 	for i := range results {
@@ -97,10 +107,30 @@
 		if err != nil {
 			return err
 		}
+		if len(e.Plotted) == 0 {
+			continue
+		}
+		err = create(filepath.Join(directory, fmt.Sprintf("%s-%d-measures.png", e.Name, i+1)), func(w io.Writer) error {
+			return results[i].RatioBars(w, e.Plotted...)
+		})
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// WriteResults writes results as JSON into a directory, which it makes; an empty name of the directory writes nothing.
+func WriteResults(directory, name string, results any) error {
+	if directory == "" {
+		return nil
+	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
+	return create(filepath.Join(directory, name+".json"), func(w io.Writer) error { return report.WriteJSON(w, results) })
+}
+
 func create(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
 	if err != nil {
--- a/cmd/toucanway-lab/internal/live/live.go
+++ b/cmd/toucanway-lab/internal/live/live.go
@@ -54,9 +54,11 @@
 	Transport func(ip string) network.Network
 	// Policies are those of the entry hosts.
 	Policies entry.Policies
-	Seed     uint64
-	History  *history.History
-	Log      io.Writer
+	// Slots is the number of requests that an engine runs at once; zero means the engine's default.
+	Slots   int
+	Seed    uint64
+	History *history.History
+	Log     io.Writer
 }
 
 // Live is a running deployment of an organisation.
@@ -153,7 +155,7 @@
 				ID: fleet.BackendID(fmt.Sprintf("%s-engine-%d", r.Name, n+1)), Network: s.Transport(ip),
 				Address: fmt.Sprintf("%s:%d", ip, portBackend), Place: l.place(region, n), Entries: entries,
 				ChecksFence: n%2 == 0, Models: models, Tiers: cached(random, declared), Store: l.Store,
-				Seed: s.Seed + uint64(len(out.Engines)), History: s.History, EventLoss: 0.02,
+				Slots: s.Slots, Seed: s.Seed + uint64(len(out.Engines)), History: s.History, EventLoss: 0.02,
 			})
 		}
 	}
@@ -222,6 +224,9 @@
 	CallerGrace = CallerDelay + time.Second
 )
 
+// History returns the history of the run, which may be nil.
+func (l *Live) History() *history.History { return l.settings.History }
+
 // OperatorIP is the address that operators' clients send from.
 func (l *Live) OperatorIP() string { return l.ip(0, firstOperator) }
 
--- a/cmd/toucanway-lab/internal/report/compare.go
+++ b/cmd/toucanway-lab/internal/report/compare.go
@@ -12,6 +12,8 @@
 	Name      string             `json:"name"`
 	Summaries []load.Summary     `json:"summaries,omitempty"`
 	Values    map[string]float64 `json:"values,omitempty"`
+	// Notes are lines to print below the table.
+	Notes []string `json:"notes,omitempty"`
 }
 
 // Comparison is a baseline and a change under the same load.
@@ -35,7 +37,8 @@
 	return m.Change / m.Baseline, true
 }
 
-// Measures returns the values that both sides have, by label and then by name.
+// Measures returns the summaries that both sides have by label, and then all other values by name; a value that one side
+// lacks is zero there.
 func (c *Comparison) Measures() []Measure {
 	var out []Measure
 	for _, b := range c.Baseline.Summaries {
@@ -48,10 +51,13 @@
 			out = append(out, Measure{Name: b.Label + " " + name, Baseline: before[j], Change: after[j]})
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.Baseline.Values)) {
-		if v, ok := c.Change.Values[name]; ok {
-			out = append(out, Measure{Name: name, Baseline: c.Baseline.Values[name], Change: v})
-		}
+	names := maps.Clone(c.Baseline.Values)
+	if names == nil {
+		names = map[string]float64{}
+	}
+	maps.Copy(names, c.Change.Values)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		out = append(out, Measure{Name: name, Baseline: c.Baseline.Values[name], Change: c.Change.Values[name]})
 	}
 	return out
 }
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -76,7 +76,12 @@
 	if !d.policy.admit(now, c.Identity.Tenant, a.fingerprint, c.Target.Model) {
 		return nil, fleet.Refuse(fleet.CodeQueueFull, busyRetry, "too many requests are sent again; wait for the given time before the next attempt")
 	}
-	a.ctx, a.cancel = context.WithCancel(ctx)
+	if c.Stream {
+		a.ctx, a.cancel = context.WithCancel(ctx)
+	} else {
+		// An answer that is not streamed begins when it is whole, so the deadline holds for all of it.
+		a.ctx, a.cancel = context.WithDeadline(ctx, a.deadline.Add(-turnaround))
+	}
 	a.finish = d.requests.begin()
 	a.waiter = d.cfg.Reporter.Wait(c.Target, c.Identity.Class, a.deadline, d.policy.replicas(c.Target.Model) == 0)
 	if r := a.checkPoison(now); r != nil {
@@ -248,8 +253,12 @@
 
 // timedOut is the refusal of a request whose time is over.
 func (a *answer) timedOut() *fleet.Refusal {
-	if a.ctx.Err() != nil {
+	switch {
+	case errors.Is(a.ctx.Err(), context.Canceled):
 		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "the caller went away")
+	case a.received > 0:
+		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry,
+			"the answer of model %s was not whole before the deadline; ask for a stream or allow more time", a.call.Target)
 	}
 	return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "no slot of model %s came free before the deadline; send the request again", a.call.Target)
 }
@@ -315,7 +324,11 @@
 func (a *answer) finishAttempt(now time.Time, at *attempt) {
 	a.d.running.remove(a.call.ID, at)
 	a.d.inflight.remove(at.life(), a.call.ID)
-	a.d.policy.end(now, at, a.call.Identity.Tenant, a.traffic(at.tokens))
+	traffic := a.traffic(at.tokens)
+	a.d.policy.end(now, at, a.call.Identity.Tenant, traffic)
+	if at.choice.CrossRegion {
+		a.d.metrics.crossRegion.With(string(a.call.Identity.Tenant)).Inc(int64(traffic))
+	}
 }
 
 // Close ends the work behind the answer, wherever it is.
--- a/io/dispatch/metrics.go
+++ b/io/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	crashes     metrics.Counters
 	releaseLost metrics.Counters
 	ledgerLost  metrics.Counters
+	crossRegion metrics.Counters
 }
 
 func newDispatchMetrics(r *metrics.Registry) dispatchMetrics {
@@ -31,6 +32,7 @@
 		hedges:      r.Counter("hedges", "Second attempts of requests whose first token was late.", "tenant"),
 		crashes:     r.Counter("backend-crashes", "Backend servers whose process ended under a request of this host."),
 		releaseLost: r.Counter("releases-lost", "Releases that did not reach the owner; its next inventory frees the grant."),
+		crossRegion: r.Counter("cross-region-bytes", "Estimated traffic of answers between regions.", "tenant"),
 		ledgerLost:  r.Counter("ledger-commits-lost", "Commits after a call ended that did not reach the ledger."),
 	}
 }
