--- a/cmd/toucanway-lab/internal/commands/backends.go
+++ b/cmd/toucanway-lab/internal/commands/backends.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"os"
 	"slices"
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/engine"
 	"toucanway/cmd/toucanway-lab/internal/service"
 	"toucanway/cmd/toucanway-lab/internal/store"
+	"toucanway/core/config"
 	"toucanway/core/fleet"
 	"toucanway/io/network"
 )
@@ -54,6 +56,7 @@
 	StoreRate    float64       `long:"store-rate" default:"3" description:"loads a second that the weight store lets start"`
 	StoreFull    int           `long:"store-full-speed" default:"4" description:"loads at once at full speed"`
 	AdaptersFull int           `long:"store-adapters" default:"30" description:"adapter loads at once at full speed"`
+	Document     string        `long:"document" description:"configuration document whose models the engine knows; others have the stand-in's own sizes"`
 	Seed         uint64        `long:"seed" default:"1" description:"seed of load times and lost events"`
 }
 
@@ -63,13 +66,17 @@
 	if err != nil {
 		return err
 	}
+	models, err := c.models()
+	if err != nil {
+		return err
+	}
 	weights := store.New(store.Settings{Rate: c.StoreRate, FullSpeed: c.StoreFull, AdapterFullSpeed: c.AdaptersFull})
 	var engines []*engine.Engine
 	for i := range c.Count {
 		s := engine.Settings{
 			ID: fleet.BackendID(c.ID), Network: n, Address: c.Listen, Place: c.place(), Entries: c.Entries,
 			Incarnation: newIncarnation(), Memory: fleet.Bytes(c.MemoryGiB) * fleet.GiB, Slots: c.Slots,
-			ChecksFence: c.ChecksFence, TokenInterval: c.Interval, Store: weights, Seed: c.Seed + uint64(i),
+			ChecksFence: c.ChecksFence, TokenInterval: c.Interval, Store: weights, Models: models, Seed: c.Seed + uint64(i),
 		}
 		if i > 0 {
 			s.ID = fleet.BackendID(fmt.Sprintf("%s-%d", c.ID, i+1))
@@ -90,6 +97,22 @@
 	return errors.Join(append(errs, closeAll(engines))...)
 }
 
+// models returns the models of the document, none without one.
+func (c *engineCommand) models() (map[fleet.ModelID]engine.Model, error) {
+	if c.Document == "" {
+		return map[fleet.ModelID]engine.Model{}, nil
+	}
+	text, err := os.ReadFile(c.Document)
+	if err != nil {
+		return nil, err
+	}
+	d, problems := config.Parse(c.Document, string(text))
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return engine.ModelsOf(d), nil
+}
+
 func closeAll(engines []*engine.Engine) error {
 	var errs []error
 	for _, e := range engines {
--- a/cmd/toucanway-lab/internal/live/live.go
+++ b/cmd/toucanway-lab/internal/live/live.go
@@ -146,7 +146,7 @@
 		entries = append(entries, deployment.CallerAddress(one))
 	}
 	l.Store = store.New(store.Settings{Rate: float64(o.LoadsPerSecond), FullSpeed: 4, AdapterFullSpeed: 30})
-	models := modelsOf(declared)
+	models := engine.ModelsOf(declared)
 	random := rand.New(rand.NewPCG(s.Seed, 3))
 	for region, r := range o.Regions {
 		for n := range EnginesPerRegion {
@@ -175,23 +175,6 @@
 	return out
 }
 
-// modelsOf returns the engines' table as the document declares it.
-func modelsOf(d *config.Document) map[fleet.ModelID]engine.Model {
-	out := make(map[fleet.ModelID]engine.Model, len(d.Models))
-	for i := range d.Models {
-		m := &d.Models[i]
-		one := engine.Model{Weights: m.Memory, KVPerToken: m.KVBytesPerToken, Adapters: map[fleet.AdapterID]fleet.Bytes{}}
-		for _, t := range []fleet.Tier{fleet.TierMemory, fleet.TierDisk, fleet.TierRemote} {
-			one.Load[t] = m.LoadTimes.Of(t)
-		}
-		for _, a := range m.Adapters {
-			one.Adapters[a.Name] = a.Memory
-		}
-		out[m.Name] = one
-	}
-	return out
-}
-
 // cached draws the checkpoints near an engine at first: few in memory, more on disk, most of them remote.
 func cached(random *rand.Rand, d *config.Document) map[fleet.ModelID]fleet.Tier {
 	const inMemory, onDisk = 1, 8
--- a/cmd/toucanway-lab/internal/organisation/collector.go
+++ b/cmd/toucanway-lab/internal/organisation/collector.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
+	"toucanway/cmd/toucanway-lab/internal/history"
 	"toucanway/cmd/toucanway-lab/internal/load"
+	"toucanway/core/fleet"
 )
 
 // sample is one request as its caller saw it; at is its intended time in the run.
@@ -24,8 +27,13 @@
 
 	mu      sync.Mutex
 	samples []sample
+	// models are the models of first requests.
+	models map[history.Key]fleet.ModelID
 }
 
+// burstLabel is the label of first requests for sleeping models.
+const burstLabel = "burst"
+
 // sender passes requests on to a caller.
 type sender struct {
 	to        load.Sender
@@ -38,6 +46,9 @@
 	c := s.collector
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if strings.HasPrefix(r.Label, burstLabel) {
+		c.models[r.Key] = r.Target.Model
+	}
 	c.samples = append(c.samples, sample{
 		label: r.Label, at: intended.Sub(c.begin), answered: o.Answered && o.Wrong == "", first: o.FirstToken,
 	})
--- a/cmd/toucanway-lab/internal/organisation/runner.go
+++ b/cmd/toucanway-lab/internal/organisation/runner.go
@@ -106,9 +106,10 @@
 		return report.Side{}, errors.Join(err, l.Close())
 	}
 	side := r.play(ctx, l, org, seed)
+	violations := 0
 	for _, violation := range checker.Check(checker.Settings{CallerDelay: live.CallerDelay}, h.Records()) {
 		side.Values["violations "+string(violation.Invariant)]++
-		if len(side.Notes) < maxNotes {
+		if violations++; violations <= maxNotes {
 			side.Notes = append(side.Notes, violation.String())
 		}
 	}
@@ -180,7 +181,7 @@
 
 func (r *Runner) play(ctx context.Context, l *live.Live, org workload.Organisation, seed uint64) report.Side {
 	var s load.Settings
-	c := &collector{begin: time.Now()}
+	c := &collector{begin: time.Now(), models: map[history.Key]fleet.ModelID{}}
 	for i := range clients {
 		one := l.Caller(i%len(org.Example.Regions), "", seed+uint64(i))
 		defer one.Close()
@@ -203,13 +204,23 @@
 		Seed: seed, Duration: duration, Rate: r.Rate, BurstEvery: burstEvery, BurstSize: burstSize, MaxOutput: maxOutput,
 	}))
 	_ = g.Wait()
-	return report.Side{Summaries: results.Summaries(), Values: r.measures(c.samples, windows, idle)}
+	side := report.Side{Summaries: results.Summaries(), Values: r.measures(c.samples, windows, idle)}
+	var ready []sample
+	for _, one := range bursts(l.History().Records(), c.models) {
+		side.Notes = append(side.Notes, one.String())
+		if len(one.ready) > 0 {
+			ready = append(ready, sample{answered: true, first: one.ready[0] - one.began})
+		}
+	}
+	side.Values["1 model ready p50 ms"] = quantile(ready, 0.5)
+	side.Values["1 model ready max ms"] = quantile(ready, 1)
+	return side
 }
 
 // measures returns the five measures.
 func (r *Runner) measures(samples []sample, windows []window, idle float64) map[string]float64 {
-	cold := filter(samples, func(s sample) bool { return strings.HasPrefix(s.label, "burst") })
-	rest := filter(samples, func(s sample) bool { return !strings.HasPrefix(s.label, "burst") })
+	cold := filter(samples, func(s sample) bool { return strings.HasPrefix(s.label, burstLabel) })
+	rest := filter(samples, func(s sample) bool { return !strings.HasPrefix(s.label, burstLabel) })
 	peak := filter(rest, peaks(rest))
 	short := filter(rest, func(s sample) bool {
 		for _, label := range r.Short {
