--- a/cmd/toucanway-lab/internal/commands/runs.go
+++ b/cmd/toucanway-lab/internal/commands/runs.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
@@ -29,10 +30,9 @@
 
 	Hosts        []string      `long:"host" required:"true" description:"IP:PORT of an entry host; may be repeated"`
 	Local        string        `long:"from" default:"127.0.0.1" description:"IP address to send from"`
-	Organisation string        `long:"organisation" choice:"kopi" choice:"audit" default:"kopi" description:"whose calls to send"`
+	Organisation string        `long:"organisation" choice:"kopi" choice:"asociacion" default:"kopi" description:"whose calls to send"`
 	Rate         float64       `long:"rate" default:"20" description:"mean calls a second, without bursts and resends"`
 	Duration     time.Duration `long:"duration" default:"30s" description:"time of the last call"`
-	Models       int           `long:"models" description:"number of models; 0 means the organisation's own"`
 	Seed         uint64        `long:"seed" default:"1" description:"seed of the calls"`
 	Steady       bool          `long:"steady" description:"keep the rate constant"`
 	NoAdvice     bool          `long:"no-advice" description:"send to the given hosts without asking for better ones"`
@@ -46,8 +46,8 @@
 		return fmt.Errorf("--from %q is no IP address: %w", c.Local, err)
 	}
 	org := workload.KopiLintasData()
-	if c.Organisation == "audit" {
-		org = workload.Auditoria()
+	if c.Organisation == "asociacion" {
+		org = workload.Asociacion()
 	}
 	s := load.Settings{}
 	for i := range clients {
@@ -58,7 +58,7 @@
 		s.Callers = append(s.Callers, client)
 	}
 	plan := org.Plan(workload.Settings{
-		Seed: c.Seed, Duration: c.Duration, Rate: c.Rate, Models: c.Models, Steady: c.Steady,
+		Seed: c.Seed, Duration: c.Duration, Rate: c.Rate, Steady: c.Steady,
 	})
 	summaries := load.Run(c.run.ctx, s, plan).Summaries()
 	if c.JSON {
@@ -78,13 +78,17 @@
 type capacityCommand struct {
 	run *runtime
 
-	JSON bool `long:"json" description:"print the result as JSON"`
+	JSON bool   `long:"json" description:"print the result as JSON"`
+	Only string `long:"only" description:"run the measurements whose name contains this text"`
 }
 
 // Execute runs all measurements and prints their lines.
 func (c *capacityCommand) Execute([]string) error {
 	var slopes []capacity.Slope
-	for _, m := range capacity.Measurements() {
+	for _, m := range append(capacity.Measurements(), c.run.Measurements...) {
+		if !strings.Contains(m.Name, c.Only) {
+			continue
+		}
 		if err := c.run.ctx.Err(); err != nil {
 			return err
 		}
@@ -115,6 +119,11 @@
 	if len(c.run.Experiments) == 0 {
 		return errNotLinked
 	}
+	for _, s := range c.run.Simulations {
+		if s.Name == c.Args.Name {
+			return c.simulate(s)
+		}
+	}
 	e, err := experiment.Find(c.run.Experiments, c.Args.Name)
 	if err != nil {
 		return err
@@ -124,6 +133,20 @@
 	return errors.Join(err, e.Write(c.run.Out, c.Out, results))
 }
 
+// simulate runs a simulation for each seed.
+func (c *experimentCommand) simulate(s experiment.Simulation) error {
+	var results []fmt.Stringer
+	for _, seed := range c.Seeds {
+		t, err := s.Run(seed)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.run.Out, t)
+		results = append(results, t)
+	}
+	return experiment.WriteResults(c.Out, s.Name, results)
+}
+
 type demoCommand struct {
 	run *runtime
 
--- a/cmd/toucanway-lab/internal/relayload/cluster_test.go
+++ b/cmd/toucanway-lab/internal/relayload/cluster_test.go
@@ -265,12 +265,13 @@
 		c := newCluster(t, 4, true)
 		defer c.close()
 		h := c.hosts[2]
-		old := h.follower.Incarnation()
+		last := c.leader.Status().Applied
 		h.stop()
 		c.start(h)
 		c.watch(5 * time.Second)
 		require.Empty(t, c.without())
-		require.Equal(t, old+1, h.follower.Incarnation())
+		// Incarnations are log indexes: exactly one session was opened.
+		require.EqualValues(t, last+1, h.follower.Incarnation())
 		c.watch(10 * time.Second)
 		require.Empty(t, c.without())
 	})
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -51,6 +51,8 @@
 	TieShare float64
 	// RegionBudget returns the bytes a second that a tenant may move between regions; nil means no bound.
 	RegionBudget func(fleet.TenantID) fleet.Bytes
+	// LeastOutstanding chooses by the number of own requests under way alone; it is a baseline for measurements.
+	LeastOutstanding bool
 }
 
 // Prefix is the hash of a prompt's beginning and its length.
@@ -284,6 +286,9 @@
 		if over && b.remote {
 			fixed += overBudgetCost.Seconds()
 		}
+		if r.cfg.LeastOutstanding {
+			fixed, load = float64(b.load.own), 0
+		}
 		r.cost[k], r.loads[k] = fixed+load, load
 		mean += load
 		others += b.load.others
@@ -295,6 +300,7 @@
 	mean, others = mean/float64(n), others/float64(n)
 	least := math.Inf(1)
 	for k := range m.replicas {
+		r.believed[k] = math.Inf(1)
 		if r.cost[k] >= 0 {
 			// Hosts that see the same late reports would all send to the server that was the least loaded one, so that the
 			// load is drawn to the mean of all as far as it is not known.
@@ -303,8 +309,10 @@
 			least = min(least, r.believed[k])
 		}
 	}
-	k, probe := r.probe(m, n)
-	if !probe {
+	k, probe := 0, false
+	if r.cfg.LeastOutstanding {
+		k = slices.Index(r.believed[:len(m.replicas)], least)
+	} else if k, probe = r.probe(m, n); !probe {
 		k = r.nearTie(m, least)
 	}
 	i := m.replicas[k].backend
