--- /dev/null
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"toucanway/io/settings"
+)
+
+// logNote explains a log message to operators.
+type logNote struct {
+	subsystem       settings.Subsystem
+	meaning, remedy string
+}
+
+const nothing = "Nothing."
+
+// metricRemedies tells what to do about each metric; the help of its declaration gives the meaning.
+func metricRemedies() map[string]string {
+	return map[string]string{
+		"grants":                 "Compare over the hosts: they own about the same number of backend servers of a region.",
+		"grant-refusals":         "Look up the code in [refusals](refusals.md); a steady `queue-full` or `no-capacity` asks for more backend servers or replicas.",
+		"grant-wait":             "High for one class only: look at its share and at long work in `toucanway runners`. High for all: add capacity.",
+		"grants-waiting":         "Near `limits.waiting-per-backend-server`: see the runbook of refusals at the peak.",
+		"loads":                  "With `failed`: look at `toucanway models NAME`. Many from `remote`: raise keep-warm times or `min-replicas`.",
+		"load-time":              "Far above usual for `remote`: see the runbook of a slow weight store.",
+		"adapter-orders":         "`failed` or `in-doubt` that go on: look at the backend servers' logs and the weight store.",
+		"inventories-unanswered": "See the runbook of a slow or mute backend server.",
+		"backend-servers-owned":  nothing,
+		"session-lease":          "0 for more than a few seconds: the host does not reach the leader; see the runbooks of a lost voter and a cut region.",
+		"config-version":         "Hosts that differ for more than 4 s: the one behind has no lease or cannot decode the document; see its log.",
+		"applied-index":          "A host that stands still while others go on has lost the leader.",
+		"sessions-open":          "Fewer than there are hosts: see the runbook of a lost host.",
+		"sessions-opened":        "More than 1: the host was without lease for more than 3 s; check its connection to the voters.",
+		"polls-failed":           "A few are normal at an election. A steady rise: check the connection to the voters.",
+		"raft-term":              "A rise is an election; frequent ones ask for a look at the network and disks of the voters.",
+		"raft-commit":            "One voter behind the others for long: its disk or network is slow.",
+		"raft-applied":           "Behind `raft-commit` for long: the host has too little CPU.",
+		"raft-leads":             "The sum over the voters is 1 for each group; 0 for more than 2 s means that no majority is reachable.",
+		"raft-out-of-service":    "1: see the runbook of a lost voter.",
+		"raft-send-errors":       "A steady rise on one voter: it does not reach another one; compare the voters.",
+		"ledger-verdicts":        "`full`: raise `limits.ledger-records`. `no-answer`: check the voters. `mismatch`: a caller uses a key twice.",
+		"cross-region-bytes":     "Compare with `regions.cross-region-bytes-per-hour`; add replicas in the region that asks.",
+		"requests":               "Compare with `refusals`: the share of refused requests shows missing capacity.",
+		"time-to-first-token":    "Above the target: look at the code and class of refusals, loads under way in `toucanway models` and busy servers in `toucanway runners`.",
+		"token-gap":              "Above the target on all hosts: add backend servers. From single servers: see the runbook of a slow backend server.",
+		"refusals":               "Look up the code in [refusals](refusals.md).",
+		"retries":                "A rise shows failing backend servers; look at `backend-crashes` and `toucanway runners`.",
+		"hedges":                 "A rise shows slow backend servers; see the runbook of a slow backend server.",
+		"backend-crashes":        "Look at the logs of the backend server; repeated ones under the same request are the case of the runbook of a poison request.",
+		"releases-lost":          "A few are normal when an owner changes. A steady rise: check the connections between hosts.",
+		"ledger-commits-lost":    "The records become `unknown` later. Check that a majority of the voters is reachable.",
+		"operators-requests":     "Many `unauthorized`: some tool has an old token.",
+		"tls-reloads":            "With the result `failed`: write matching PEM files; the earlier ones stay in use until they expire.",
+	}
+}
+
+func logNotes() map[string]logNote {
+	return map[string]logNote{
+		"host started":         {settings.LogDefault, "The host serves its addresses.", nothing},
+		"host stopped":         {settings.LogDefault, "The process ends; `error` tells why if it was not asked to.", "With an error: follow its remedy."},
+		"drain started":        {settings.LogDefault, "The host shuts down and waits for its requests.", nothing},
+		"drain bound reached":  {settings.LogDefault, "Requests were still running at the end of the drain bound and were cut off.", "Raise `limits.drain-bound` and the host's `drain-bound` if requests may run that long."},
+		"TLS files read again": {settings.LogDefault, "New connections use the new files.", nothing},
+		"TLS files cannot be loaded; the earlier ones stay in use": {settings.LogDefault, "A changed file is missing, broken or does not match the others.", "Write matching PEM files; they are looked at again when they change."},
+		"configuration in force":                                   {settings.LogControl, "The host serves by this document.", nothing},
+		"configuration cannot be decoded; upgrade this host":       {settings.LogControl, "The accepted document is newer than this host's program; the host takes no new work.", "Upgrade the host."},
+		"session opened":         {settings.LogControl, "The host joined the deployment under a new incarnation.", "Repeated without a restart: the host loses its connection to the voters for more than 3 s."},
+		"session closed":         {settings.LogControl, "The leader closed the session of a host that was not heard of; what it owned moves.", "See the runbook of a lost host."},
+		"backend server removed": {settings.LogControl, "A backend server did not renew its announcement for 5 s. `dead` tells whether its process ended.", "See the runbook of a slow or mute backend server."},
+		"ownership taken":        {settings.LogCapacity, "The host now grants the capacity of this backend server.", nothing},
+		"decision rejected":      {settings.LogPlacement, "The control group refused a planned load or unload, which is planned again.", nothing},
+		"document accepted":      {settings.LogOperators, "A submission is in force on all hosts but `expired-hosts`.", nothing},
+		"drain requested":        {settings.LogOperators, "An operator drains a host or a backend server.", nothing},
+		"raft role changed":      {settings.LogRaft, "The voter became follower, candidate or leader of a group.", "Frequent changes: check the network and disks of the voters."},
+		"raft leader changed":    {settings.LogRaft, "The group follows another leader, or none.", "Empty `leader` for long: a majority of voters is lost; see the runbooks."},
+		"host state changed":     {settings.LogMembership, "The probes between hosts found another state of `peer`, such as suspected or dead.", "See the runbook of a lost host when it stays so."},
+		"raft message rejected":  {settings.LogRaft, "A message from another voter could not be used and was dropped.", "Check that all voters run the same version and have the same `voters`."},
+		"path to host changed":   {settings.LogMembership, "The probes reach `peer` directly, through other hosts only, or not at all.", "Check the network between the two hosts."},
+		"voter replaced":         {settings.LogRaft, "A voter whose disk was lost has its vote in this group again.", nothing},
+		"raft snapshot taken":    {settings.LogRaft, "The log was cut to a snapshot.", nothing},
+		"raft group knows this host under another data folder; remove it and add it again as a learner": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote until it is replaced, which it asks for by itself.", "See the runbook of a lost voter."},
+		"raft storage or state machine failed; this host no longer votes":                               {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
+	}
+}
+
+// observePage returns the page of metrics and log lines that the packages of a folder declare. Each must be explained.
+func observePage(folder string) (string, error) {
+	s, err := readSource(folder)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	b.WriteString("# Metrics and log lines\n\n" + generatedNote + `
+Every host serves its own metrics at its operators' address: ` + "`GET /v1/metrics`" + ` as JSON with the short names, ` + "`GET /metrics`" + ` as
+text with the long names. They count from the start of the process. Each metric has at most 512 sets of label values; further
+ones are counted together under ` + "`other`" + `.
+
+## Metrics
+
+| name | name in text | kind | labels | meaning | what to do |
+|---|---|---|---|---|---|
+`)
+	remedies := metricRemedies()
+	for _, m := range s.metrics.Declared() {
+		remedy, ok := remedies[m.Name]
+		if !ok {
+			return "", fmt.Errorf("metric %s is not explained; add it to metricRemedies", m.Name)
+		}
+		delete(remedies, m.Name)
+		kind := strings.TrimSpace(m.Kind + " " + m.Unit)
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s | %s | %s |\n", m.Name, m.TextName, kind, codeList(m.Labels), m.Help, remedy)
+	}
+	b.WriteString(`
+## Log lines
+
+Lines are JSON with ` + "`time`, `level`, `subsystem`, `host`, `message`" + ` and the fields below. Levels are set in the
+[settings](settings.md); debug lines are off unless asked for.
+
+| subsystem | level | message | fields | meaning | what to do |
+|---|---|---|---|---|---|
+`)
+	notes := logNotes()
+	slices.SortStableFunc(s.lines, func(a, b logLine) int {
+		return cmp.Compare(notes[a.message].subsystem, notes[b.message].subsystem)
+	})
+	used := map[string]bool{}
+	for _, l := range s.lines {
+		n, ok := notes[l.message]
+		if !ok {
+			return "", fmt.Errorf("log message %q of package %s is not explained; add it to logNotes", l.message, l.pkg)
+		}
+		used[l.message] = true
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", n.subsystem, l.level, l.message, codeList(l.fields), n.meaning, n.remedy)
+	}
+	maps.DeleteFunc(notes, func(m string, _ logNote) bool { return used[m] })
+	if len(remedies)+len(notes) > 0 {
+		return "", fmt.Errorf("explained but not in the source: %v", slices.Concat(slices.Sorted(maps.Keys(remedies)), slices.Sorted(maps.Keys(notes))))
+	}
+	return b.String(), nil
+}
+
+func codeList(names []string) string {
+	if len(names) == 0 {
+		return "-"
+	}
+	return "`" + strings.Join(names, "`, `") + "`"
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -73,6 +74,8 @@
 	callers  *callers.Server
 	loads    capacity.LoadShare
 	adviser  adviser
+	// operatorsTLS is nil for plain TCP.
+	operatorsTLS *settings.Reloader
 	// voter is nil on a host that is no voter.
 	voter    *voter
 	draining atomic.Bool
@@ -89,17 +92,18 @@
 // New assembles a host; nothing runs before Run.
 func New(cfg Settings) (*Host, error) {
 	h := &Host{cfg: cfg, log: cfg.Loggers.Of(settings.LogDefault), metrics: metrics.New(metrics.Options{})}
-	serverTLS, clientTLS, err := hostTLS(cfg.TLS.Hosts)
+	hostsTLS, err := h.reloader("hosts", cfg.TLS.Hosts)
 	if err != nil {
 		return nil, err
 	}
 	members := membersOf(cfg.Settings)
-	h.client = hosts.NewClient(cfg.ID, cfg.Network, clientTLS)
+	h.client = hosts.NewClient(cfg.ID, cfg.Network, hostsTLS.Client())
 	h.control = hosts.NewGroupClient(h.client, members)
 	h.registry = &registry{seen: map[fleet.BackendID]fleet.Incarnation{}}
 	h.follower = follow.New(follow.Settings{
 		Host: cfg.ID, Address: string(cfg.Listen.Hosts), CallerAddress: string(cfg.Listen.Callers), Place: cfg.Place(),
 		Control: h.control, Seen: h.registry.takeSeen, Seed: cfg.Seed, Log: cfg.Loggers.Of(settings.LogControl),
+		Metrics: h.metrics,
 	})
 	h.registry.follower = h.follower
 	h.pool = backend.NewPool(cfg.Network)
@@ -109,7 +113,7 @@
 	h.owner = owner.New(owner.Settings{
 		Host: cfg.ID, Follower: h.follower, Engines: engines.NewClient(h.pool),
 		Preempt: h.preempt, Measured: h.reporter.Load, Inventory: h.reporter.Inventory, Table: h.tableSettings,
-		Log: cfg.Loggers.Of(settings.LogCapacity),
+		Log: cfg.Loggers.Of(settings.LogCapacity), Metrics: h.metrics,
 	})
 	h.dispatch = dispatch.New(dispatch.Settings{
 		Host: cfg.ID, Place: cfg.Place(), Follower: h.follower, Owner: h.owner, Client: h.client, Network: cfg.Network,
@@ -128,7 +132,11 @@
 	}
 	h.owner.Register(&h.server)
 	h.dispatch.Register(&h.server)
-	h.server.TLS = serverTLS
+	h.server.TLS = hostsTLS.Server()
+	h.operatorsTLS, err = h.reloader("operators", cfg.TLS.Operators)
+	if err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -151,13 +159,11 @@
 
 func (h *Host) newCallers() error {
 	cfg := callers.Settings{Handler: handler{h}, Extra: engines.Intake{Registry: h.registry}.Serve}
-	if h.cfg.TLS.Callers.IsSet() {
-		tlsConfig, err := h.cfg.TLS.Callers.Server()
-		if err != nil {
-			return err
-		}
-		cfg.TLS = tlsConfig
+	callersTLS, err := h.reloader("callers", h.cfg.TLS.Callers)
+	if err != nil {
+		return err
 	}
+	cfg.TLS = callersTLS.Server()
 	h.callers = callers.NewServer(cfg)
 	return nil
 }
@@ -165,7 +171,7 @@
 func (h *Host) newVoter(members []hosts.Member) error {
 	set, err := groups.Open(groups.Settings{
 		Self: h.cfg.ID, Members: members, LedgerGroups: h.cfg.LedgerGroups,
-		Storage: h.cfg.Storage, Client: h.client, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogRaft),
+		Storage: h.cfg.Storage, Client: h.client, Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogRaft), Metrics: h.metrics,
 	})
 	if err != nil {
 		return err
@@ -316,11 +322,11 @@
 		cancel()
 		return nil
 	})
-	h.log.Info("host started", zap.String("host", string(h.cfg.ID)))
+	h.log.Info(logStarted)
 	err = g.Wait()
 	h.pool.Close()
 	h.client.Close()
-	h.log.Info("host stopped", zap.String("host", string(h.cfg.ID)), zap.Error(err))
+	h.log.Info(logStopped, zap.Error(err))
 	return err
 }
 
@@ -334,6 +340,9 @@
 	g.Go(func() error { return h.owner.Run(ctx) })
 	g.Go(func() error { return h.reporter.Run(ctx) })
 	g.Go(func() error { return h.dispatch.Run(ctx) })
+	if cfg := h.operatorsTLS.Server(); cfg != nil {
+		l.Operators = tls.NewListener(l.Operators, cfg)
+	}
 	g.Go(func() error { return h.operators().Serve(ctx, l.Operators) })
 	if h.voter == nil {
 		return
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -13,6 +13,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/io/hosts"
+	"toucanway/io/metrics"
 )
 
 // Errors is the namespace of this package's errors.
@@ -21,6 +22,13 @@
 // ErrSuperseded means that another process opened a session under this host's id.
 var ErrSuperseded = Errors.NewType("superseded")
 
+// Log messages of changes of the session and the document.
+const (
+	logUndecodable   = "configuration cannot be decoded; upgrade this host"
+	logInForce       = "configuration in force"
+	logSessionOpened = "session opened"
+)
+
 const (
 	// Hold is how long the leader may keep a poll waiting for news.
 	Hold = 500 * time.Millisecond
@@ -53,11 +61,14 @@
 	Applied func(res *hosts.FollowResponse)
 	// Log receives changes of the session's state; nil means no log.
 	Log *zap.Logger
+	// Metrics holds the follower's metrics; nil means that nothing is counted.
+	Metrics *metrics.Registry
 }
 
 // Follower is a host's copy of the control state. It is safe for concurrent use. Lock order: mu alone.
 type Follower struct {
 	cfg Settings
+	met followMetrics
 	seq sequence
 
 	mu          sync.RWMutex
@@ -89,6 +100,9 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(metrics.Options{})
+	}
 	if cfg.Poll == nil {
 		cfg.Poll = func(ctx context.Context, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
 			return PollLeader(ctx, cfg.Control, req)
@@ -99,6 +113,7 @@
 		cfg.Seed = rand.Uint64()
 	}
 	f.seq.n = rand.New(rand.NewPCG(cfg.Seed, 0)).Uint64() >> 1
+	f.met = f.newMetrics(cfg.Metrics)
 	return f
 }
 
@@ -153,6 +168,7 @@
 			return err
 		}
 		if err != nil {
+			f.met.failed.With().Inc(1)
 			sleep(ctx, pollPause)
 		}
 	}
@@ -270,13 +286,13 @@
 	}
 	doc, problems := config.Parse("document", d.Text)
 	if len(problems) > 0 {
-		f.cfg.Log.Error("configuration cannot be decoded; upgrade this host",
+		f.cfg.Log.Error(logUndecodable,
 			zap.Uint64("version", uint64(d.Version)), zap.Error(problems))
 		return
 	}
 	f.doc = doc
 	f.docVersion = d.Version
-	f.cfg.Log.Info("configuration in force", zap.Uint64("version", uint64(d.Version)))
+	f.cfg.Log.Info(logInForce, zap.Uint64("version", uint64(d.Version)))
 }
 
 // open registers a new life of the host under the next incarnation.
@@ -302,7 +318,8 @@
 	f.mu.Lock()
 	f.incarnation = next
 	f.mu.Unlock()
-	f.cfg.Log.Info("session opened", zap.Uint64("incarnation", uint64(next)))
+	f.met.opened.With().Inc(1)
+	f.cfg.Log.Info(logSessionOpened, zap.Uint64("incarnation", uint64(next)))
 	return nil
 }
 
--- a/io/groups/rejoin.go
+++ b/io/groups/rejoin.go
@@ -18,6 +18,8 @@
 	replaceTimeout = time.Minute
 )
 
+const logReplaced = "voter replaced"
+
 // rejoin asks the leader of a group to replace this voter while the group refuses it because its disk was lost.
 func (s *Set) rejoin(ctx context.Context, id raft.GroupID, g *voters.Group) {
 	client := hosts.NewGroupClient(s.cfg.Client, s.cfg.Members)
@@ -37,7 +39,7 @@
 			&hosts.RejoinRequest{Group: id})
 		cancel()
 		if err == nil {
-			s.cfg.Log.Info("voter replaced", zap.Uint32("group", uint32(id)))
+			s.cfg.Log.Info(logReplaced, zap.Uint32("group", uint32(id)))
 		}
 	}
 }
--- a/io/hosts/brief.go
+++ b/io/hosts/brief.go
@@ -9,7 +9,7 @@
 
 // NewBriefClient returns a client that closes each connection after one call. It serves calls that go to another host
 // each time: kept connections would be idle, and their heartbeats would cost more than the calls.
-func NewBriefClient(self fleet.HostID, n network.Network, tlsConfig *tls.Config) *Client {
+func NewBriefClient(self fleet.HostID, n network.Network, tlsConfig func() *tls.Config) *Client {
 	c := NewClient(self, n, tlsConfig)
 	c.transport.DisableKeepAlives = true
 	return c
--- a/io/members/service.go
+++ b/io/members/service.go
@@ -195,10 +195,10 @@
 				answer <- e.Message
 			}
 		case membership.Changed:
-			s.cfg.Log.Info(logState, zap.String("host", string(e.Member.Host)), zap.Stringer("state", e.Member.State),
+			s.cfg.Log.Info(logState, zap.String("peer", string(e.Member.Host)), zap.Stringer("state", e.Member.State),
 				zap.Uint64("life", uint64(e.Member.Version.Life)), zap.Stringer("was", e.Was))
 		case membership.PathChanged:
-			s.cfg.Log.Info(logPath, zap.String("host", string(e.Host)), zap.Stringer("path", e.Path))
+			s.cfg.Log.Info(logPath, zap.String("peer", string(e.Host)), zap.Stringer("path", e.Path))
 		default:
 			panic("members: unknown effect")
 		}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -18,6 +18,7 @@
 	"toucanway/io/follow"
 	"toucanway/io/hosts"
 	"toucanway/io/jobs"
+	"toucanway/io/metrics"
 )
 
 // Errors is the namespace of this package's errors.
@@ -26,6 +27,8 @@
 // ErrStopped means that the host shuts down.
 var ErrStopped = Errors.NewType("stopped")
 
+const logOwned = "ownership taken"
+
 // stepInterval is the longest time between two steps of an owned backend server's orders.
 const stepInterval = time.Second
 
@@ -43,12 +46,15 @@
 	Table func() capacity.Settings
 	// Log receives changes of state; nil means no log.
 	Log *zap.Logger
+	// Metrics holds the owner's metrics; nil means that nothing is counted.
+	Metrics *metrics.Registry
 }
 
 // Owner runs the tables of the owned backend servers. It is safe for concurrent use. Lock order: mu, the mu of one entry,
 // then either the follower's lock or that of jobs.
 type Owner struct {
 	cfg  Settings
+	met  ownerMetrics
 	wake chan struct{}
 	jobs jobs.Group
 
@@ -64,7 +70,16 @@
 	if cfg.Table == nil {
 		cfg.Table = func() capacity.Settings { return capacity.Settings{} }
 	}
-	return &Owner{cfg: cfg, wake: make(chan struct{}, 1), entries: map[fleet.BackendID]*entry{}}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New(metrics.Options{})
+	}
+	o := &Owner{
+		cfg: cfg, met: newOwnerMetrics(cfg.Metrics), wake: make(chan struct{}, 1), entries: map[fleet.BackendID]*entry{},
+	}
+	cfg.Metrics.GaugeFunc("backend-servers-owned", "Backend servers whose capacity this host grants.", func() int64 {
+		return int64(len(o.Owned()))
+	})
+	return o
 }
 
 // Register adds the capacity procedures to a server.
@@ -190,15 +205,22 @@
 	if e == nil || !o.cfg.Follower.HasLease(time.Now()) {
 		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 	}
-	ch := e.acquire(time.Now(), *a)
+	asked := time.Now()
+	ch := e.acquire(asked, *a)
 	if ch == nil {
 		return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 	}
+	o.met.waiting.add(a.Class, 1)
+	defer o.met.waiting.add(a.Class, -1)
 	select {
 	case answer, ok := <-ch:
 		if !ok {
 			return &hosts.AcquireResponse{Status: hosts.StatusNotLeader}, nil
 		}
+		o.met.answered(a.Class.String(), answer)
+		if answer.Grant != nil {
+			o.met.waits.With(a.Class.String()).Update(int64(time.Since(asked)))
+		}
 		return &hosts.AcquireResponse{Answer: answer}, nil
 	case <-ctx.Done():
 		e.cancel(time.Now(), capacity.Cancel{Backend: a.Backend, Host: a.Host, Request: a.Request})
@@ -258,7 +280,7 @@
 	cfg.Backend, cfg.Incarnation, cfg.Fence = a.ID, a.Incarnation, m.backend.Fence
 	cfg.Memory, cfg.Slots, cfg.Taken = a.Memory, a.Slots, now
 	cfg.ChecksFence = doc.ChecksFence(a)
-	o.cfg.Log.Info("ownership taken", zap.String("backend-server", string(a.ID)), zap.Uint64("fence", uint64(m.backend.Fence)))
+	o.cfg.Log.Info(logOwned, zap.String("backend-server", string(a.ID)), zap.Uint64("fence", uint64(m.backend.Fence)))
 	return &entry{
 		owner: o, id: a.ID, address: a.Address, fence: m.backend.Fence, incarnation: a.Incarnation,
 		table:    capacity.New(cfg),
