entry: failure detector between hosts

Cause: a host that stopped answering was named to callers until its session ended. Change: io/members runs on every host; suspected hosts are not named in GET /v1/hosts; a graceful shutdown leaves.

--- a/io/entry/advise.go
+++ b/io/entry/advise.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"toucanway/core/advice"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/membership"
 	"toucanway/io/callers"
 )
 
@@ -17,17 +19,19 @@
 	applied fleet.Index
 	life    time.Duration
 	known   map[string]control.Session
+	dead    map[fleet.HostID]bool
 }
 
 // advise answers for a model or a service; without either it spreads callers over all hosts.
 func (h *Host) advise(model string, service fleet.ServiceID) (callers.Hosts, *fleet.Refusal) {
 	a := &h.adviser
+	dead := h.deadHosts()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	target := advice.Target{Name: model + "/" + string(service)}
 	life := h.addressLifetime()
 	h.follower.Read(func(s *control.State) {
-		a.sync(s, life)
+		a.sync(s, life, dead)
 		if model != "" {
 			target.Backends = modelBackends(s, fleet.ParseTarget(model).Model)
 		} else if service != "" {
@@ -45,11 +49,24 @@
 	return out, nil
 }
 
+// deadHosts returns the hosts that the failure detector suspects or holds for dead. Suspicion begins with a failed probe,
+// before the session of a dead host ends.
+func (h *Host) deadHosts() map[fleet.HostID]bool {
+	dead := map[fleet.HostID]bool{}
+	for _, m := range h.members.Members() {
+		if m.State != membership.Alive {
+			dead[m.Host] = true
+		}
+	}
+	return dead
+}
+
 // sync takes over the sessions of a changed control state.
-func (a *adviser) sync(s *control.State, life time.Duration) {
-	if a.adviser != nil && a.applied == s.Applied() && a.life == life {
+func (a *adviser) sync(s *control.State, life time.Duration, dead map[fleet.HostID]bool) {
+	if a.adviser != nil && a.applied == s.Applied() && a.life == life && maps.Equal(a.dead, dead) {
 		return
 	}
+	a.dead = dead
 	if a.adviser == nil || a.life != life {
 		a.adviser = advice.New(advice.Settings{Lifetime: life})
 		a.life = life
@@ -59,7 +76,7 @@
 	var hosts []advice.Host
 	for _, v := range s.Sessions() {
 		a.known[v.CallerAddress] = v
-		hosts = append(hosts, advice.Host{ID: v.Host, Address: v.CallerAddress, Place: v.Place, Draining: v.Draining})
+		hosts = append(hosts, advice.Host{ID: v.Host, Address: v.CallerAddress, Place: v.Place, Draining: v.Draining, Dead: dead[v.Host]})
 	}
 	a.adviser.SetHosts(hosts)
 }
--- a/io/entry/drain.go
+++ b/io/entry/drain.go
@@ -49,6 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	_, _ = h.follower.Propose(ctx, &control.CloseSession{Host: h.cfg.ID, Incarnation: h.follower.Incarnation()})
+	h.members.Leave(ctx)
 	if h.voter == nil {
 		return
 	}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -25,6 +25,7 @@
 	"toucanway/io/groups"
 	"toucanway/io/hosts"
 	"toucanway/io/ledgers"
+	"toucanway/io/members"
 	"toucanway/io/metrics"
 	"toucanway/io/network"
 	"toucanway/io/operators"
@@ -72,6 +73,7 @@
 	reporter *planning.Reporter
 	dispatch *dispatch.Dispatcher
 	callers  *callers.Server
+	members  *members.Service
 	loads    capacity.LoadShare
 	adviser  adviser
 	// operatorsTLS is nil for plain TCP.
@@ -96,9 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
-	members := membersOf(cfg.Settings)
+	voterList := membersOf(cfg.Settings)
 	h.client = hosts.NewClient(cfg.ID, cfg.Network, hostsTLS.Client())
-	h.control = hosts.NewGroupClient(h.client, members)
+	h.control = hosts.NewGroupClient(h.client, voterList)
 	h.registry = &registry{seen: map[fleet.BackendID]fleet.Incarnation{}}
 	h.follower = follow.New(follow.Settings{
 		Host: cfg.ID, Address: string(cfg.Listen.Hosts), CallerAddress: string(cfg.Listen.Callers), Place: cfg.Place(),
@@ -118,7 +120,7 @@
 	h.dispatch = dispatch.New(dispatch.Settings{
 		Host: cfg.ID, Place: cfg.Place(), Follower: h.follower, Owner: h.owner, Client: h.client, Network: cfg.Network,
 		Engines: engines.NewClient(h.pool), Services: services.NewClient(h.pool),
-		Ledger:   ledgers.NewClient(h.client, members, cfg.LedgerGroups),
+		Ledger:   ledgers.NewClient(h.client, voterList, cfg.LedgerGroups),
 		Reporter: h.reporter, Metrics: h.metrics, Policies: cfg.Policies.Dispatch, Seed: cfg.Seed,
 	})
 	h.registry.reports = h.dispatch
@@ -126,10 +128,12 @@
 		return nil, err
 	}
 	if cfg.IsVoter() {
-		if err := h.newVoter(members); err != nil {
+		if err := h.newVoter(voterList); err != nil {
 			return nil, err
 		}
 	}
+	h.members = h.newMembers(voterList, hostsTLS)
+	h.members.Register(&h.server)
 	h.owner.Register(&h.server)
 	h.dispatch.Register(&h.server)
 	h.server.TLS = hostsTLS.Server()
@@ -168,6 +172,21 @@
 	return nil
 }
 
+// newMembers returns the failure detector, which joins through the voters.
+func (h *Host) newMembers(voters []hosts.Member, tls *settings.Reloader) *members.Service {
+	var seeds []string
+	for _, v := range voters {
+		if v.Address != string(h.cfg.Listen.Hosts) {
+			seeds = append(seeds, v.Address)
+		}
+	}
+	return members.New(members.Settings{
+		Host: h.cfg.ID, Address: string(h.cfg.Listen.Hosts), Place: h.cfg.Place(), Seeds: seeds,
+		Incarnation: h.follower.Incarnation, Client: hosts.NewBriefClient(h.cfg.ID, h.cfg.Network, tls.Client()),
+		Seed: h.cfg.Seed, Log: h.cfg.Loggers.Of(settings.LogMembership),
+	})
+}
+
 func (h *Host) newVoter(members []hosts.Member) error {
 	set, err := groups.Open(groups.Settings{
 		Self: h.cfg.ID, Members: members, LedgerGroups: h.cfg.LedgerGroups,
@@ -339,6 +358,7 @@
 	g.Go(func() error { return h.follower.Run(ctx) })
 	g.Go(func() error { return h.owner.Run(ctx) })
 	g.Go(func() error { return h.reporter.Run(ctx) })
+	g.Go(func() error { return h.members.Run(ctx) })
 	g.Go(func() error { return h.dispatch.Run(ctx) })
 	if cfg := h.operatorsTLS.Server(); cfg != nil {
 		l.Operators = tls.NewListener(l.Operators, cfg)
