--- a/cmd/toucanway-lab/internal/cost/world.go
+++ b/cmd/toucanway-lab/internal/cost/world.go
@@ -73,7 +73,7 @@
 		cfg.Engines = []engine.Settings{{
 			ID: "e1", Network: w.net.Host("127.71.2.1"), Address: engineAddress, Place: place, Entries: entries[:1],
 			Slots: s.slots, TokenInterval: s.interval, BatchGrowth: noGrowth, PrefillPerToken: time.Nanosecond, MaxQueue: 4 * s.slots,
-			Memory: 4096 * fleet.GiB,
+			Memory: 4096 * fleet.GiB, Tiers: map[fleet.ModelID]fleet.Tier{model: fleet.TierMemory},
 		}}
 	}
 	if s.service {
@@ -168,7 +168,8 @@
 func (w *world) close() error {
 	var errs []error
 	if w.d != nil {
-		errs = append(errs, w.d.Close())
+		// Servers wait for open connections when they end, the hosts' connections to themselves included.
+		errs = append(errs, w.net.Close(), w.d.Close())
 	}
 	return errors.Join(append(errs, w.net.Close(), os.RemoveAll(w.folder))...)
 }
