--- a/cmd/toucanway-lab/internal/cost/world.go
+++ b/cmd/toucanway-lab/internal/cost/world.go
@@ -130,13 +130,13 @@
 
 func (w *world) await(ctx context.Context, ok func(*control.State) bool) error {
 	for {
-		done := false
-		w.d.Read("h1", func(s *control.State) { done = ok(s) })
+		done, sessions, servers := false, 0, 0
+		w.d.Read("h1", func(s *control.State) { done, sessions, servers = ok(s), len(s.Sessions()), len(s.Backends()) })
 		if done {
 			return nil
 		}
 		if err := pause.For(ctx, pollInterval); err != nil {
-			return fmt.Errorf("the deployment did not get ready: %w", err)
+			return fmt.Errorf("the deployment did not get ready; %d sessions, %d backend servers: %w", sessions, servers, err)
 		}
 	}
 }
@@ -169,7 +169,8 @@
 	var errs []error
 	if w.d != nil {
 		// Servers wait for open connections when they end, the hosts' connections to themselves included.
-		errs = append(errs, w.net.Close(), w.d.Close())
+		w.net.Down()
+		errs = append(errs, w.d.Close())
 	}
 	return errors.Join(append(errs, w.net.Close(), os.RemoveAll(w.folder))...)
 }
--- a/cmd/toucanway-lab/internal/live/live.go
+++ b/cmd/toucanway-lab/internal/live/live.go
@@ -224,6 +224,10 @@
 
 // Close ends everything.
 func (l *Live) Close() error {
+	if l.Network != nil {
+		// Hosts wait for open connections when they end, those to themselves included.
+		l.Network.Down()
+	}
 	err := l.Deployment.Close()
 	if l.Network != nil {
 		if nerr := l.Network.Close(); err == nil {
--- a/cmd/toucanway-lab/internal/live/network.go
+++ b/cmd/toucanway-lab/internal/live/network.go
@@ -24,6 +24,7 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	down  bool
 	bytes map[Route]*atomic.Int64
 }
 
@@ -58,11 +59,19 @@
 	}
 }
 
-// Close ends all connections and waits for their senders.
-func (n *Network) Close() error {
+// Down ends all connections and opens no more.
+func (n *Network) Down() {
+	n.mu.Lock()
+	n.down = true
+	n.mu.Unlock()
 	for _, c := range n.open() {
 		c.abort()
 	}
+}
+
+// Close is Down, and waits for the senders of the connections. Nothing may dial or listen any more.
+func (n *Network) Close() error {
+	n.Down()
 	return n.group.Wait()
 }
 
@@ -88,6 +97,9 @@
 	}
 	c := newConn(inner, r, n.delay(r.From, r.To), sent)
 	n.conns[c] = struct{}{}
+	if n.down {
+		c.abort()
+	}
 	n.group.Go(func() error {
 		c.send()
 		n.mu.Lock()
