--- a/cmd/toucanway-lab/internal/cost/world.go
+++ b/cmd/toucanway-lab/internal/cost/world.go
@@ -73,7 +73,7 @@
 		cfg.Engines = []engine.Settings{{
 			ID: "e1", Network: w.net.Host("127.71.2.1"), Address: engineAddress, Place: place, Entries: entries[:1],
 			Slots: s.slots, TokenInterval: s.interval, BatchGrowth: noGrowth, PrefillPerToken: time.Nanosecond, MaxQueue: 4 * s.slots,
-			Memory: 4096 * fleet.GiB,
+			Memory: 4096 * fleet.GiB, Tiers: map[fleet.ModelID]fleet.Tier{model: fleet.TierMemory},
 		}}
 	}
 	if s.service {
@@ -130,13 +130,13 @@
 
 func (w *world) await(ctx context.Context, ok func(*control.State) bool) error {
 	for {
-		done := false
-		w.d.Read("h1", func(s *control.State) { done = ok(s) })
+		done, sessions, servers := false, 0, 0
+		w.d.Read("h1", func(s *control.State) { done, sessions, servers = ok(s), len(s.Sessions()), len(s.Backends()) })
 		if done {
 			return nil
 		}
 		if err := pause.For(ctx, pollInterval); err != nil {
-			return fmt.Errorf("the deployment did not get ready: %w", err)
+			return fmt.Errorf("the deployment did not get ready; %d sessions, %d backend servers: %w", sessions, servers, err)
 		}
 	}
 }
@@ -168,6 +168,8 @@
 func (w *world) close() error {
 	var errs []error
 	if w.d != nil {
+		// Servers wait for open connections when they end, the hosts' connections to themselves included.
+		w.net.Down()
 		errs = append(errs, w.d.Close())
 	}
 	return errors.Join(append(errs, w.net.Close(), os.RemoveAll(w.folder))...)
