toucanway-lab/policy: requests of the experiments name their model

Cause: a table refuses requests of models that it has no ready replica of, and the experiments named none, so that three of them compared zeros and failed. Change: the experiments acquire for their target. Result: TestPolicyBeatsBaseline failed in cold-start, peak and prefix before, passes after.

--- a/cmd/toucanway-lab/internal/policy/server.go
+++ b/cmd/toucanway-lab/internal/policy/server.go
@@ -123,7 +123,8 @@
 	}
 	v.waiting[a.id] = a
 	v.handle(capacity.AcquireEvent{Acquire: capacity.Acquire{
-		Host: "h", Request: a.id, Class: a.r.class, Tenant: a.r.tenant, Deadline: a.r.deadline.Sub(v.s.now),
+		Target: target,
+		Host:   "h", Request: a.id, Class: a.r.class, Tenant: a.r.tenant, Deadline: a.r.deadline.Sub(v.s.now),
 		Tokens: a.r.predicted.Mean + fleet.Tokens(a.r.prompt), Long: v.s.p.long(a.r) || a.r.done > 0,
 		Alone: a.alone, Resumed: a.r.done > 0, Preemptible: a.r.preempted < v.s.p.preempt,
 	}})
