planning, voters, docs: one loop for reports and rounds; log fields once

Cause: the reporter and the planner repeated the same loop; raft log lines named host and group twice; a warning asked operators to do what the voter now does by itself.

--- a/cmd/toucanway-lab/internal/docs/observe.go
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -82,7 +82,7 @@
 		"path to host changed":   {settings.LogMembership, "The probes reach `peer` directly, through other hosts only, or not at all.", "Check the network between the two hosts."},
 		"voter replaced":         {settings.LogRaft, "A voter whose disk was lost has its vote in this group again.", nothing},
 		"raft snapshot taken":    {settings.LogRaft, "The log was cut to a snapshot.", nothing},
-		"raft group knows this host under another data folder; remove it and add it again as a learner": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote until it is replaced, which it asks for by itself.", "See the runbook of a lost voter."},
+		"raft group knows this host under another data folder; it asks the leader to be replaced": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote until it is replaced, which it asks for by itself.", "See the runbook of a lost voter."},
 		"raft storage or state machine failed; this host no longer votes":                               {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
 	}
 }
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -88,7 +88,7 @@
 		Storage:   storage,
 		Transport: transport{client: s.cfg.Client, members: s.cfg.Members},
 		Machine:   m,
-		Log:       s.cfg.Log.With(zap.Uint32("group", uint32(id))),
+		Log:       s.cfg.Log,
 	})
 	if err != nil {
 		return err
--- a/io/planning/reporter.go
+++ b/io/planning/reporter.go
@@ -188,24 +188,8 @@
 
 // Run sends reports until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	t := time.NewTicker(reportInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		case <-r.wake:
-			d := time.NewTimer(firstWaitDelay)
-			select {
-			case <-ctx.Done():
-				d.Stop()
-				return nil
-			case <-d.C:
-			}
-		}
-		r.send(ctx)
-	}
+	repeat(ctx, reportInterval, firstWaitDelay, r.wake, r.send)
+	return nil
 }
 
 func (r *Reporter) send(ctx context.Context) {
--- a/io/planning/service.go
+++ b/io/planning/service.go
@@ -141,24 +141,8 @@
 
 // Run plans in intervals, and soon after a report of waiting requests, until the context ends.
 func (s *Service) Run(ctx context.Context) error {
-	t := time.NewTicker(roundInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		case <-s.wake:
-			gather := time.NewTimer(gatherTime)
-			select {
-			case <-ctx.Done():
-				gather.Stop()
-				return nil
-			case <-gather.C:
-			}
-		}
-		s.round(ctx)
-	}
+	repeat(ctx, roundInterval, gatherTime, s.wake, s.round)
+	return nil
 }
 
 func (s *Service) round(ctx context.Context) {
--- a/io/voters/group.go
+++ b/io/voters/group.go
@@ -86,7 +86,7 @@
 	}
 	set.Raft.Storage = saved.Storage
 	def(&set.Raft.Seed, xxhash.Sum64String(string(set.Raft.Self)))
-	set.Log = set.Log.With(zap.String("host", string(set.Raft.Self)), zap.Uint32("group", uint32(set.Group)))
+	set.Log = set.Log.With(zap.Uint32("group", uint32(set.Group)))
 	node, err := raft.New(set.Raft, saved, time.Now())
 	if err != nil {
 		return nil, err
--- a/io/voters/run.go
+++ b/io/voters/run.go
@@ -15,7 +15,7 @@
 const (
 	logRole     = "raft role changed"
 	logLeader   = "raft leader changed"
-	logRefused  = "raft group knows this host under another data folder; remove it and add it again as a learner"
+	logRefused  = "raft group knows this host under another data folder; it asks the leader to be replaced"
 	logFailed   = "raft storage or state machine failed; this host no longer votes"
 	logRejected = "raft message rejected"
 	logSnapshot = "raft snapshot taken"
