--- a/cmd/toucanway-lab/internal/docs/observe.go
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -83,7 +83,7 @@
 		"voter replaced":         {settings.LogRaft, "A voter whose disk was lost has its vote in this group again.", nothing},
 		"raft snapshot taken":    {settings.LogRaft, "The log was cut to a snapshot.", nothing},
 		"raft group knows this host under another data folder; it asks the leader to be replaced": {settings.LogRaft, "The voter lost its disk or has another data folder, and has no vote until it is replaced, which it asks for by itself.", "See the runbook of a lost voter."},
-		"raft storage or state machine failed; this host no longer votes":                               {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
+		"raft storage or state machine failed; this host no longer votes":                         {settings.LogRaft, "Writing the log failed; the voter neither votes nor acknowledges.", "See the runbook of a full disk, then restart the host."},
 	}
 }
 
--- a/cmd/toucanway-lab/internal/scenario/commands.go
+++ b/cmd/toucanway-lab/internal/scenario/commands.go
@@ -41,6 +41,7 @@
 		"lose-disk":     loseDisk,
 		"crash-backend": crash,
 		"fault":         fault,
+		"store":         weightStore,
 		"cut":           cut,
 		"isolate":       isolate,
 		"rejoin":        rejoin,
--- a/cmd/toucanway-lab/internal/scenario/faults.go
+++ b/cmd/toucanway-lab/internal/scenario/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
@@ -16,6 +17,16 @@
 	}
 }
 
+// weightStore makes every transfer from the weight store take a multiple of its time: slow=FACTOR, 1 for full speed.
+func weightStore(r *run, _ []string, opt options) error {
+	factor, err := strconv.ParseFloat(opt.text("slow", "1"), 64)
+	if err != nil {
+		return err
+	}
+	r.world.weights.SetSlowdown(factor)
+	return nil
+}
+
 // cut silently cuts two members of the deployment off from each other; one-way=true cuts only the first direction.
 func cut(r *run, args []string, opt options) error {
 	if len(args) != 2 {
--- a/cmd/toucanway-lab/internal/scenario/world.go
+++ b/cmd/toucanway-lab/internal/scenario/world.go
@@ -59,6 +59,7 @@
 	history *history.History
 	log     lockedBuffer
 	shape   shape
+	weights *store.Store
 	ctx     context.Context
 	cancel  context.CancelFunc
 	calls   errgroup.Group
@@ -143,14 +144,14 @@
 		s.Hosts = append(s.Hosts, h)
 		entries = append(entries, deployment.CallerAddress(h))
 	}
-	weights := store.New(store.Settings{})
+	w.weights = store.New(store.Settings{})
 	for i := 1; i <= w.shape.engines; i++ {
 		r := w.shape.region(i)
 		ip := address(r, kindEngine, i)
 		s.Engines = append(s.Engines, engine.Settings{
 			ID: fleet.BackendID(fmt.Sprintf("e%d", i)), Network: w.net.Host(ip), Address: ip + ":8000", Place: place(r),
 			Entries: entries, ChecksFence: w.shape.fence, RefuseOvercommit: w.shape.refuse, Slots: w.shape.slots,
-			Memory: w.shape.memory, Store: weights, Seed: w.shape.seed + uint64(i), History: w.history,
+			Memory: w.shape.memory, Store: w.weights, Seed: w.shape.seed + uint64(i), History: w.history,
 		})
 	}
 	for i := 1; i <= w.shape.services; i++ {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -95,7 +95,7 @@
 // or that are far from the callers. ahead is the number of loads queued before this one.
 func (p *Planner) choose(now time.Time, m *model, ahead int) (choice, bool) {
 	sp := p.spreadOf(m)
-	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown()) +
+	remote := time.Duration(float64(m.loadTime(fleet.TierRemote))*p.budget.Slowdown(now)) +
 		p.budget.Wait(now, ahead, m.loadTime(fleet.TierRemote))
 	called := len(m.demand.Regions) > 0
 	var best choice
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -51,7 +51,7 @@
 		}
 		expected := m.loadTime(fleet.TierRemote)
 		if o.remote {
-			expected = time.Duration(float64(expected) * p.budget.Slowdown())
+			expected = time.Duration(float64(expected) * p.budget.Slowdown(p.now))
 		} else if sv := p.view.server(r.Backend); sv != nil {
 			expected = m.loadTime(tierOf(sv, id))
 		}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -111,7 +111,7 @@
 	took := r.Took
 	if r.Tier == fleet.TierRemote && p.budget != nil {
 		p.budget.Observe(now, took, m.loadTime(r.Tier))
-		took = time.Duration(float64(took) / p.budget.Slowdown())
+		took = time.Duration(float64(took) / p.budget.Slowdown(now))
 	}
 	m.observeLoad(r.Tier, took)
 }
--- a/core/store/budget.go
+++ b/core/store/budget.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"math"
 	"time"
 
 	"toucanway/core/fleet"
@@ -41,6 +42,8 @@
 	// slowSince is when the limit was last lowered.
 	slowSince time.Time
 	slow      float64
+	// observed is when slow was last measured.
+	observed time.Time
 }
 
 // rateWindow is the span in which at most Rate loads start.
@@ -74,8 +77,15 @@
 // Limit returns the number of loads that may be under way at the store's measured speed.
 func (b *Budget) Limit() int { return max(1, int(b.limit)) }
 
-// Slowdown returns the measured load time relative to the expected one, at least 1.
-func (b *Budget) Slowdown() float64 { return b.slow }
+// slowHalfLife is the age at which a measured slowdown counts half. Without it a store that recovered while nothing was
+// loaded would go on to be taken for slow, and requests be refused for it.
+const slowHalfLife = 20 * time.Second
+
+// Slowdown returns the measured load time relative to the expected one, at least 1, less as the measurement ages.
+func (b *Budget) Slowdown(now time.Time) float64 {
+	age := max(0, now.Sub(b.observed))
+	return 1 + (b.slow-1)*math.Exp2(-float64(age)/float64(slowHalfLife))
+}
 
 // Admit starts one load if the budget allows. Background loads leave one place free for a waiting request.
 func (b *Budget) Admit(now time.Time, background bool) bool {
@@ -105,7 +115,7 @@
 	queued := ahead + b.active - b.Limit() + 1
 	var busy time.Duration
 	if queued > 0 {
-		busy = time.Duration(float64(queued) * float64(load) * b.slow / float64(b.Limit()))
+		busy = time.Duration(float64(queued) * float64(load) * b.Slowdown(now) / float64(b.Limit()))
 	}
 	rate := time.Duration(ahead+b.recent(now)-b.cfg.Rate+1) * rateWindow / time.Duration(b.cfg.Rate)
 	return max(0, busy, rate)
@@ -119,7 +129,8 @@
 	}
 	ratio := float64(took) / float64(expected)
 	const weight = 0.25
-	b.slow = max(1, b.slow*(1-weight)+ratio*weight)
+	b.slow = max(1, b.Slowdown(now)*(1-weight)+ratio*weight)
+	b.observed = now
 	if ratio <= b.cfg.SlowFactor {
 		b.limit = min(float64(b.cfg.Concurrency), b.limit+1/max(1, b.limit))
 		return
--- a/core/store/budget_test.go
+++ b/core/store/budget_test.go
@@ -43,7 +43,8 @@
 		b.Observe(now, 30*time.Second, 10*time.Second)
 	}
 	require.Equal(t, 1, b.Limit())
-	require.Greater(t, b.Slowdown(), 1.5)
+	require.Greater(t, b.Slowdown(now), 1.5)
+	require.Less(t, b.Slowdown(now.Add(2*time.Minute)), 1.05, "a store that nothing was loaded from since counts as slow")
 	for range 20 {
 		now = now.Add(time.Minute)
 		b.Observe(now, 10*time.Second, 10*time.Second)
