--- a/io/entry/drain.go
+++ b/io/entry/drain.go
@@ -23,6 +23,28 @@
 	logDrainBound   = "drain bound reached"
 )
 
+// waitDrain returns true when ctx ends or an operator drains this host, and false when parts ends before.
+func (h *Host) waitDrain(parts, ctx context.Context) bool {
+	for {
+		changed := h.follower.Changed()
+		own, drained := h.follower.Incarnation(), false
+		h.follower.Read(func(s *control.State) {
+			v, ok := s.Session(h.cfg.ID)
+			drained = ok && v.Draining && v.Incarnation == own
+		})
+		if drained {
+			return true
+		}
+		select {
+		case <-parts.Done():
+			return false
+		case <-ctx.Done():
+			return true
+		case <-changed:
+		}
+	}
+}
+
 // drain stops naming the host to callers, waits until earlier answers that name it have ended, and lets every request
 // finish within the drain bound.
 func (h *Host) drain(ctx context.Context) {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -330,10 +330,8 @@
 	h.start(g, gctx, l)
 	g.Go(func() error { return h.callers.Run(serving, l.Callers, gctx) })
 	g.Go(func() error {
-		select {
-		case <-gctx.Done():
+		if !h.waitDrain(gctx, ctx) {
 			return nil
-		case <-ctx.Done():
 		}
 		h.drain(gctx)
 		stopServing()
