follow, entry: error types are declared once

Cause: three errors made their type anew at each use, and an operator's drain of an unknown host counted as internal. Change: package variables, and the operators' own error for an unknown host; an unused accessor is gone. Result: behaviour otherwise unchanged.

--- a/io/entry/drain.go
+++ b/io/entry/drain.go
@@ -8,6 +8,7 @@
 
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/io/operators"
 )
 
 const (
@@ -99,13 +100,13 @@
 	return defaultAddressLifetime
 }
 
-// Drain marks another host as shutting down, for operators.
+// drainOther marks another host as shutting down, for operators.
 func (h *Host) drainOther(ctx context.Context, id fleet.HostID) error {
 	var v control.Session
 	ok := false
 	h.follower.Read(func(s *control.State) { v, ok = s.Session(id) })
 	if !ok {
-		return Errors.NewType("unknown-host").New("no host %s has a session; list them with status", id)
+		return &operators.Unknown{Message: "no host " + string(id) + " has a session; list them with status"}
 	}
 	res, err := h.follower.Propose(ctx, &control.DrainSession{Host: id, Incarnation: v.Incarnation})
 	if err != nil {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -297,7 +297,7 @@
 		opened, err := h.cfg.Network.Listen(string(one.address))
 		if err != nil {
 			l.Close()
-			return Listeners{}, Errors.NewType("listen").Wrap(err, "cannot listen on %s; check that no other process uses it", one.address)
+			return Listeners{}, ErrListen.Wrap(err, "cannot listen on %s; check that no other process uses it", one.address)
 		}
 		*one.to = opened
 	}
--- a/io/entry/registry.go
+++ b/io/entry/registry.go
@@ -16,8 +16,12 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("entry")
 
-// ErrUnavailable means that the control group cannot be reached now.
-var ErrUnavailable = Errors.NewType("unavailable")
+var (
+	// ErrUnavailable means that the control group cannot be reached now.
+	ErrUnavailable = Errors.NewType("unavailable")
+	// ErrListen means that an address of the settings cannot be listened on.
+	ErrListen = Errors.NewType("listen")
+)
 
 // announceTimeout is shorter than the interval between two announcements.
 const announceTimeout = 900 * time.Millisecond
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -19,8 +19,12 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("follow")
 
-// ErrSuperseded means that another process opened a session under this host's id.
-var ErrSuperseded = Errors.NewType("superseded")
+var (
+	// ErrSuperseded means that another process opened a session under this host's id.
+	ErrSuperseded = Errors.NewType("superseded")
+	// ErrGap means that an answer of the leader leaves out log entries; the next poll asks again.
+	ErrGap = Errors.NewType("gap")
+)
 
 // Log messages of changes of the session and the document.
 const (
@@ -235,7 +239,7 @@
 			continue
 		}
 		if e.Index != f.state.Applied()+1 {
-			return Errors.NewType("gap").New("control log jumps from %d to %d", f.state.Applied(), e.Index)
+			return ErrGap.New("control log jumps from %d to %d", f.state.Applied(), e.Index)
 		}
 		f.remember(e)
 		if len(e.Data) == 0 {
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -127,9 +127,6 @@
 	return s.groups[LedgerID(n)], s.ledgers[n]
 }
 
-// Groups returns the raft group of an id, or nil.
-func (s *Set) Group(id raft.GroupID) *voters.Group { return s.groups[id] }
-
 // Register adds the procedures of the groups to a server.
 func (s *Set) Register(srv *hosts.Server) {
 	hosts.Handle(srv, hosts.ProcedureStep, s.step)
