dispatch: a broken stream is continued within 8 s or ended with a refusal

Change: the search for a continuation ends 8 s after the last token with backend-failed in the stream, which callers may send again; before, it could last longer than they listen.

--- a/io/dispatch/attempt.go
+++ b/io/dispatch/attempt.go
@@ -110,7 +110,7 @@
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return routing.Choice{}, control.Backend{}, a.timedOut()
+			return routing.Choice{}, control.Backend{}, a.timedOut(s.resume > 0)
 		case <-changed:
 		case <-t.C:
 		}
@@ -129,7 +129,7 @@
 	}
 	s.avoid = slices.Clone(s.avoid[:s.fixed])
 	if !sleep(ctx, choosePause) {
-		return s.a.timedOut()
+		return s.a.timedOut(s.resume > 0)
 	}
 	return nil
 }
@@ -188,7 +188,7 @@
 // pause waits before another choice, and refuses when the time of the request is over.
 func (s *search) pause(ctx context.Context) *fleet.Refusal {
 	if !sleep(ctx, choosePause) {
-		return s.a.timedOut()
+		return s.a.timedOut(s.resume > 0)
 	}
 	return nil
 }
--- a/io/dispatch/complete.go
+++ b/io/dispatch/complete.go
@@ -21,6 +21,9 @@
 const (
 	// tokenSilence is the longest time between two tokens before an engine counts as mute.
 	tokenSilence = 10 * time.Second
+	// resumeLimit is the longest silence in a streamed answer while its continuation is searched, less than the usual
+	// idle time-out of callers.
+	resumeLimit = 8 * time.Second
 	// busyRetry is when a request refused for lack of capacity may be tried again.
 	busyRetry = time.Second
 	// turnaround is kept of the deadline for the answer's way back to the caller.
@@ -135,8 +138,10 @@
 	current *attempt
 	// received counts the tokens passed on or held in ready.
 	received int
-	ready    *callers.Chunk
-	ended    bool
+	// lastToken is when the last of them came.
+	lastToken time.Time
+	ready     *callers.Chunk
+	ended     bool
 }
 
 // traffic estimates the bytes between this host and an engine for a number of output tokens.
@@ -180,7 +185,7 @@
 func (a *answer) advance(ctx context.Context) (*callers.Chunk, *fleet.Refusal) {
 	for {
 		if a.current == nil {
-			t, at, err := a.race(ctx)
+			t, at, err := a.raceInTime(ctx)
 			var r *fleet.Refusal
 			switch {
 			case err == nil:
@@ -223,9 +228,21 @@
 	}
 }
 
+// raceInTime bounds the search for a continuation, so that a caller with the beginning of its answer is told of the end
+// before it takes the silence for a lost connection.
+func (a *answer) raceInTime(ctx context.Context) (engines.Token, *attempt, error) {
+	if a.received == 0 {
+		return a.race(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.lastToken.Add(resumeLimit))
+	defer cancel()
+	return a.race(ctx)
+}
+
 // chunk turns a token of the present attempt into a chunk for the caller.
 func (a *answer) chunk(t engines.Token) *callers.Chunk {
 	a.received = a.current.stream.Received()
+	a.lastToken = a.current.last
 	c := &callers.Chunk{Text: t.Text, Finish: t.Finish}
 	if t.Usage != nil {
 		c.Usage = &callers.Usage{
@@ -251,16 +268,21 @@
 	return r
 }
 
-// timedOut is the refusal of a request whose time is over.
-func (a *answer) timedOut() *fleet.Refusal {
+// timedOut is the refusal of a request whose time is over; resumed says that the caller has the beginning of its answer.
+func (a *answer) timedOut(resumed bool) *fleet.Refusal {
 	switch {
 	case errors.Is(a.ctx.Err(), context.Canceled):
 		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "the caller went away")
-	case a.received > 0:
+	case a.ctx.Err() != nil:
 		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry,
 			"the answer of model %s was not whole before the deadline; ask for a stream or allow more time", a.call.Target)
+	case resumed:
+		return fleet.Refuse(fleet.CodeBackendFailed, busyRetry,
+			"the answer of model %s broke off and could not be continued in %s; send the request again", a.call.Target, resumeLimit)
+	default:
+		return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry,
+			"no slot of model %s came free before the deadline; send the request again", a.call.Target)
 	}
-	return fleet.Refuse(fleet.CodeDeadlineExceeded, busyRetry, "no slot of model %s came free before the deadline; send the request again", a.call.Target)
 }
 
 // checkPoison refuses a request that crashed backend servers before, and has a suspect run alone.
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -189,11 +189,11 @@
 		return r
 	}
 	if a.ctx.Err() != nil || ctx.Err() != nil {
-		return a.truthful(a.timedOut())
+		return a.truthful(a.timedOut(a.received > 0))
 	}
 	left := a.deadline.Sub(now)
 	if a.received > 0 {
-		left = tokenSilence
+		left = a.lastToken.Add(resumeLimit).Sub(now)
 	}
 	free := errorx.IsOfType(cause, backend.ErrNotSent) || a.crashed
 	wait, ok := a.d.policy.retry(now, a.call.Identity.Tenant, a.attempts, a.doc.Limits.MaxAttempts, left, free)
@@ -202,7 +202,7 @@
 	}
 	a.d.metrics.retries.With(string(a.call.Identity.Tenant)).Inc(1)
 	if !sleep(ctx, wait) {
-		return a.truthful(a.timedOut())
+		return a.truthful(a.timedOut(a.received > 0))
 	}
 	return nil
 }
