fleet: one bound of the clocks' rate error

Cause: the 1% that every lease and dispatch window rests on was declared in core/fleet, core/raft, core/capacity and core/orders, so that a change of one would have broken the rule between a host's lease and its leader's. Change: core/raft, core/capacity and core/orders use fleet.MaxClockSkewRate.

--- a/core/capacity/message.go
+++ b/core/capacity/message.go
@@ -9,9 +9,6 @@
 // DispatchWindow is how long after its issue a grant may be dispatched.
 const DispatchWindow = time.Second
 
-// MaxClockSkewRate bounds the rate error between the clocks of two hosts.
-const MaxClockSkewRate = 0.01
-
 // Acquire asks the owner of a backend server for memory and a slot.
 type Acquire struct {
 	Backend fleet.BackendID `cbor:"1,keyasint"`
@@ -54,7 +51,7 @@
 
 // DispatchBefore returns the last moment for dispatch, on the clock of the host that sent the Acquire at sent.
 func (g *Grant) DispatchBefore(sent time.Time) time.Time {
-	return sent.Add(time.Duration(float64(g.Waited+g.Window) * (1 - MaxClockSkewRate)))
+	return sent.Add(time.Duration(float64(g.Waited+g.Window) * (1 - fleet.MaxClockSkewRate)))
 }
 
 // QueueState is the load of a backend server as its owner sees it, sent with every answer.
--- a/core/capacity/table.go
+++ b/core/capacity/table.go
@@ -254,7 +254,7 @@
 
 // settling returns how long a dispatch or order sent by another host may still have an effect.
 func (t *Table) settling() time.Duration {
-	return time.Duration(float64(t.cfg.Window)*(1+MaxClockSkewRate)) + t.cfg.Transit
+	return time.Duration(float64(t.cfg.Window)*(1+fleet.MaxClockSkewRate)) + t.cfg.Transit
 }
 
 func (t *Table) setReplicas(list []Replica) {
--- a/core/orders/settings.go
+++ b/core/orders/settings.go
@@ -17,9 +17,6 @@
 	DefaultRetryInterval     = time.Second
 )
 
-// maxClockSkewPercent is the rate error between the clocks of two hosts that every wait for another host adds.
-const maxClockSkewPercent = 1
-
 // Settings configures an Owner; zero fields mean the defaults.
 type Settings struct {
 	Host fleet.HostID
@@ -56,4 +53,7 @@
 // takeoverWait is how long a new owner waits until an earlier one can have sent its last order.
 func (s *Settings) takeoverWait() time.Duration { return withSkew(s.SessionLease + s.DispatchWindow) }
 
-func withSkew(d time.Duration) time.Duration { return d + d*maxClockSkewPercent/100 }
+// withSkew lengthens a wait for another host by the rate error between the clocks.
+func withSkew(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*fleet.MaxClockSkewRate)
+}
--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -7,12 +7,9 @@
 	"toucanway/core/fleet"
 )
 
-// MaxClockSkewRate is the greatest rate error between the clocks of two hosts.
-const MaxClockSkewRate = 0.01
-
 // leaseFor is how long a quorum's answer to a heartbeat keeps other leaders away, on the leader's clock.
 func (n *Node) leaseFor() time.Duration {
-	return time.Duration(float64(n.set.ElectionMin) * (1 - MaxClockSkewRate))
+	return time.Duration(float64(n.set.ElectionMin) * (1 - fleet.MaxClockSkewRate))
 }
 
 // LeaseValid says whether no other host can be leader at the given time. It holds only once an entry of the
--- a/core/raft/model_test.go
+++ b/core/raft/model_test.go
@@ -19,7 +19,7 @@
 	id   fleet.HostID
 	node *Node // nil while crashed
 	disk Saved
-	// rate is the clock's error, at most half of MaxClockSkewRate either way.
+	// rate is the clock's error, at most half of fleet.MaxClockSkewRate either way.
 	rate  float64
 	given fleet.Index
 	hash  uint64
@@ -68,7 +68,7 @@
 		m.members = m.members.with(Member{Host: h})
 	}
 	for _, id := range ids {
-		h := &modelHost{id: id, rate: (m.rng.Float64() - 0.5) * MaxClockSkewRate}
+		h := &modelHost{id: id, rate: (m.rng.Float64() - 0.5) * fleet.MaxClockSkewRate}
 		m.hosts = append(m.hosts, h)
 		m.wipe(h)
 		m.boot(h)
