--- a/cmd/toucanway/routed.go
+++ b/cmd/toucanway/routed.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -130,6 +132,9 @@
 func (p *part) watchSettings(ctx context.Context) error {
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	last, err := os.ReadFile(p.file)
 	if err != nil {
 		p.log.Warn(logUnread, zap.Error(err))
@@ -139,6 +144,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case <-changed:
 		}
 		text, err := os.ReadFile(p.file)
 		if err != nil || string(text) == string(last) {
