--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -234,16 +234,19 @@
 	Active int
 	Prompt fleet.Tokens
 	Models map[fleet.ModelID]int
+	// Unreachable says that connections or answers failed a moment ago.
+	Unreachable bool
 }
 
 // Loads returns what this host has under way, by server.
-func (b *Balancer) Loads() map[fleet.BackendID]Load {
+func (b *Balancer) Loads(now time.Time) map[fleet.BackendID]Load {
 	out := map[fleet.BackendID]Load{}
 	for id, s := range b.servers {
-		if s.active == 0 {
+		unreachable := s.misses >= unreachableMisses && now.Sub(s.avoid) < avoidMost
+		if s.active == 0 && !unreachable {
 			continue
 		}
-		l := Load{Active: s.active, Prompt: s.prompt, Models: make(map[fleet.ModelID]int, len(s.models))}
+		l := Load{Active: s.active, Prompt: s.prompt, Models: make(map[fleet.ModelID]int, len(s.models)), Unreachable: unreachable}
 		for m, n := range s.models {
 			l.Models[m] = n
 		}
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -38,6 +38,8 @@
 	// avoidFirst and avoidMost bound the time for which a server without a connection or answer is avoided.
 	avoidFirst = 250 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// unreachableMisses is the number of failures in a row from which a server counts as unreachable.
+	unreachableMisses = 2
 	// refusedPause is how long a server that refused a request is avoided.
 	refusedPause = 60 * time.Millisecond
 	// paceWeight is the weight of a new observation of a server's pace.
--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -30,7 +30,9 @@
 }
 
 type demand struct {
-	rate    float64
+	// count is the number of requests, each of which loses its weight with the time constant rateWindow.
+	count   float64
+	since   time.Time
 	at      time.Time
 	last    time.Time
 	waiting map[fleet.HostID]int
@@ -39,11 +41,21 @@
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
-		d.rate *= math.Exp(-float64(dt) / float64(rateWindow))
+		d.count *= math.Exp(-float64(dt) / float64(rateWindow))
 		d.at = now
 	}
 }
 
+// rate returns the requests a second of late; a target that was asked for only just now isn't taken for a rare one.
+func (d *demand) rate(now time.Time) float64 {
+	d.decay(now)
+	known := max(now.Sub(d.since), leastWindow)
+	return d.count / rateWindow.Seconds() / (1 - math.Exp(-float64(known)/float64(rateWindow)))
+}
+
+// leastWindow is the shortest time over which a rate is taken.
+const leastWindow = 2 * time.Second
+
 func (d *demand) wanted() int {
 	n := 0
 	for _, k := range d.waiting {
@@ -64,11 +76,11 @@
 			if len(p.demands) >= maxTargets {
 				continue
 			}
-			d = &demand{at: now, waiting: map[fleet.HostID]int{}}
+			d = &demand{since: now, at: now, waiting: map[fleet.HostID]int{}}
 			p.demands[k] = d
 		}
 		d.decay(now)
-		d.rate += float64(in.Arrivals) / rateWindow.Seconds()
+		d.count += float64(in.Arrivals)
 		d.last = now
 		if in.Waiting > 0 {
 			d.waiting[host] = in.Waiting
@@ -96,21 +108,21 @@
 func (p *Planner) modelRates(now time.Time) (rates map[demandKey]float64, waiting map[demandKey]int) {
 	rates, waiting = map[demandKey]float64{}, map[demandKey]int{}
 	for k, d := range p.demands {
-		d.decay(now)
+		rate := d.rate(now)
 		if now.Sub(d.last) > 10*rateWindow && d.wanted() == 0 {
 			delete(p.demands, k)
 			continue
 		}
 		m := demandKey{k.service, fleet.Target{Model: k.target.Model}}
-		rates[m] += d.rate
+		rates[m] += rate
 		waiting[m] += d.wanted()
 	}
 	return rates, waiting
 }
 
-// Loads takes in how many requests of each model all hosts have under way at an engine.
-func (p *Planner) Loads(id fleet.BackendID, load map[fleet.ModelID]int) {
+// Loads takes in how many requests of each model all hosts have under way at an engine, and whether one can't reach it.
+func (p *Planner) Loads(id fleet.BackendID, load map[fleet.ModelID]int, suspect bool) {
 	if e := p.engines[id]; e != nil {
-		e.load = load
+		e.load, e.suspect = load, suspect
 	}
 }
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -57,7 +57,10 @@
 	differing int
 	// goal is a model to be loaded once its victims are gone.
 	goal   fleet.ModelID
+	goalAt time.Time
 	reason string
+	// suspect says that a host can't reach the engine at present.
+	suspect bool
 	// load is the number of requests that hosts have under way there, by model.
 	load map[fleet.ModelID]int
 }
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -18,7 +18,11 @@
 	var out []Action
 	ids := p.Engines()
 	for _, id := range ids {
-		if e := p.engines[id]; e.probeDue(now) {
+		e := p.engines[id]
+		if e.goal != "" && e.pending == nil && now.Sub(e.goalAt) > goalLife {
+			e.goal = ""
+		}
+		if e.probeDue(now) {
 			e.calling = true
 			out = append(out, Probe{e.ID, e.Incarnation, e.Address})
 		}
@@ -129,7 +133,8 @@
 	return t, ok
 }
 
-// planModels sets goals for engines: models that requests wait for, and more replicas of busy ones.
+// planModels sets goals for engines: models that requests wait for first, then more replicas of busy ones, then models without
+// any replica where there is room.
 func (p *Planner) planModels(now time.Time) {
 	rates, waiting := p.modelRates(now)
 	var keys []demandKey
@@ -146,18 +151,47 @@
 		}
 		copies, load := p.copies(k)
 		switch {
-		case copies == 0 && (waiting[k] > 0 || rates[k] > 0):
-			p.setGoal(now, k, m, rates, "no replica")
+		case copies == 0 && waiting[k] > 0:
+			p.setGoal(now, wish{k, m, float64(waiting[k]) + rates[k]*waitWorth, true, "requests wait for it"}, rates)
 		case copies > 0 && load > p.cfg.CopyLoad*copies:
-			p.setGoal(now, k, m, rates, "replicas are busy")
+			p.setGoal(now, wish{k, m, float64(load-p.cfg.CopyLoad*copies) / float64(p.cfg.CopyLoad), true, "replicas are busy"}, rates)
+		}
+	}
+	p.fill(now, rates)
+}
+
+// fill gives engines with free memory and a copy at hand the models that no engine holds, before anybody asks for them.
+func (p *Planner) fill(now time.Time, rates map[demandKey]float64) {
+	for i := range p.table.Configuration.Services {
+		s := &p.table.Configuration.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		for j := range s.Engine.Models {
+			m := &s.Engine.Models[j]
+			k := demandKey{s.Name, fleet.Target{Model: m.Name}}
+			if n, _ := p.copies(k); n == 0 {
+				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room"}, rates)
+			}
 		}
 	}
 }
 
+// wish is a load that would serve requests better.
+type wish struct {
+	key   demandKey
+	model *routes.Model
+	// worth is what the load may cost at most, in the unit of costs of eviction.
+	worth float64
+	// push says that other models may be evicted for it, or the weight store be used.
+	push   bool
+	reason string
+}
+
 // copies returns the replicas of a model, those on their way included, and the requests under way at them.
 func (p *Planner) copies(k demandKey) (n, load int) {
 	for _, e := range p.engines {
-		if e.Service != k.service || !e.usable() {
+		if e.Service != k.service || !e.usable() || e.suspect {
 			continue
 		}
 		if h := e.models[k.target.Model]; h != nil && h.phase != unloading {
@@ -170,42 +204,56 @@
 	return n, load
 }
 
-// setGoal chooses the engine that loads a model.
-func (p *Planner) setGoal(now time.Time, k demandKey, m *routes.Model, rates map[demandKey]float64, reason string) {
+// setGoal chooses the engine that loads a model, if one can at a cost below the wish's worth.
+func (p *Planner) setGoal(now time.Time, w wish, rates map[demandKey]float64) {
 	var best *engine
 	var bestCost float64
 	for _, id := range p.Engines() {
 		e := p.engines[id]
-		if e.Service != k.service || !e.free(now) || e.goal != "" || e.models[m.Name] != nil {
+		if e.Service != w.key.service || !e.free(now) || e.suspect || e.goal != "" || e.models[w.model.Name] != nil {
 			continue
 		}
-		_, cost, ok := p.victims(now, e, m, rates)
-		if !ok {
+		d, store := e.loadTime(w.model)
+		if store && (!w.push || !p.storeAllows(now)) {
 			continue
 		}
-		d, store := e.loadTime(m)
-		if store && !p.storeAllows(now) {
+		victims, cost, ok := p.victims(now, e, w.model, rates)
+		if !ok || len(victims) > 0 && (!w.push || cost > w.worth*worthCost) {
 			continue
 		}
-		cost += d.Seconds()
+		cost += d.Seconds() * max(w.worth, 1)
+		if store {
+			cost += storeCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	if best != nil {
-		best.goal, best.reason = m.Name, reason
+		best.goal, best.goalAt, best.reason = w.model.Name, now, w.reason
 	}
 }
 
-// Weights of the cost of an eviction, in seconds of load time.
+// Weights of costs. The unit is a request that has to wait a second.
 const (
-	// lastCopyCost is added where no other engine holds the model.
-	lastCopyCost = 2.0
-	// rateCost is added for each request a second for each replica of the model.
-	rateCost = 10.0
-	// recentCost is added for a model that was loaded a moment ago, so that two models don't push each other out.
-	recentCost = 10.0
-	recentLoad = 4 * time.Second
+	// waitWorth is the number of seconds of a model's further requests that a load serves.
+	waitWorth = 3.0
+	// worthCost is how much eviction may cost for each unit of a wish's worth.
+	worthCost = 2.0
+	// storeCost is the cost of a load from the weight store, of which few run at once.
+	storeCost = 4.0
+	// lastCopyCost is the cost of evicting the only replica, and lastCopyRate that for each request a second for it.
+	lastCopyCost = 0.5
+	lastCopyRate = 6.0
+	// spareCopyRate is the cost of evicting one replica of several for each request a second that it would serve.
+	spareCopyRate = 0.7
+	// runningCost is the cost of each request under way, for which the eviction waits.
+	runningCost = 0.15
+	// recentCost is the cost of evicting a model that was loaded a moment ago, so that two don't push each other out.
+	recentCost = 3.0
+	recentLoad = 3 * time.Second
+	// goalLife is how long an engine is kept free for a goal that can't be pursued.
+	goalLife = 1500 * time.Millisecond
 )
 
 // victims returns the models that have to go for a load to fit, with their cost.
@@ -224,38 +272,49 @@
 		if h.phase != held {
 			continue
 		}
-		k := demandKey{e.Service, fleet.Target{Model: name}}
-		n, _ := p.copies(k)
-		cost := rateCost * rates[k] / float64(max(n, 1))
-		if n <= 1 {
-			cost += lastCopyCost
-		}
-		if now.Sub(h.since) < recentLoad {
-			cost += recentCost
-		}
-		cost += float64(e.load[name])
-		options = append(options, option{name, h.weights + fleet.Bytes(len(h.adapters))*h.adapter, cost})
+		options = append(options, option{name, h.weights + fleet.Bytes(len(h.adapters))*h.adapter, p.evictionCost(now, e, name, h, rates)})
 	}
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.model, b.model))
 	})
+	// One model that is large enough may be cheaper than several small ones.
+	single := slices.IndexFunc(options, func(o option) bool { return o.size >= need })
 	var out []fleet.ModelID
-	total := 0.0
+	total, left := 0.0, need
 	for _, o := range options {
-		if need <= 0 {
+		if left <= 0 {
 			break
 		}
 		out = append(out, o.model)
-		need -= o.size
+		left -= o.size
 		total += o.cost
 	}
-	return out, total, need <= 0
+	if single >= 0 && (left > 0 || options[single].cost <= total) {
+		return []fleet.ModelID{options[single].model}, options[single].cost, true
+	}
+	return out, total, left <= 0
+}
+
+// evictionCost returns what evicting a model costs its own requests.
+func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, rates map[demandKey]float64) float64 {
+	k := demandKey{e.Service, fleet.Target{Model: name}}
+	n, _ := p.copies(k)
+	cost := runningCost * float64(e.load[name])
+	if n <= 1 {
+		cost += lastCopyCost + lastCopyRate*rates[k]
+	} else {
+		cost += spareCopyRate * rates[k] / float64(n-1)
+	}
+	if now.Sub(h.since) < recentLoad {
+		cost += recentCost
+	}
+	return cost
 }
 
 // pursue issues the next order towards an engine's goal.
 func (p *Planner) pursue(now time.Time, e *engine, out []Action) []Action {
 	m := p.table.Model(e.Service, e.goal)
-	if m == nil || e.models[e.goal] != nil {
+	if m == nil || e.models[e.goal] != nil || now.Sub(e.goalAt) > goalLife {
 		e.goal = ""
 		return out
 	}
@@ -268,6 +327,7 @@
 	if len(victims) > 0 {
 		v := victims[0]
 		e.models[v].phase = unloading
+		e.goalAt = now
 		return append(out, p.issue(e, fleet.OrderUnload, fleet.Target{Model: v}, "room for model "+string(e.goal), false))
 	}
 	_, store := e.loadTime(m)
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -81,6 +81,8 @@
 	// Prompt is the number of prompt tokens of requests that have not had their first event.
 	Prompt fleet.Tokens          `cbor:"3,keyasint,omitempty"`
 	Models map[fleet.ModelID]int `cbor:"4,keyasint,omitempty"`
+	// Unreachable says that the host can't reach the backend server at present.
+	Unreachable bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ReportRequest tells the leader about an entry host.
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -137,17 +137,26 @@
 	return out
 }
 
-// modelLoads sums the requests under way at each engine by model; c.mu is held.
-func (c *Controller) modelLoads() map[fleet.BackendID]map[fleet.ModelID]int {
-	sums := map[fleet.BackendID]map[fleet.ModelID]int{}
+// engineLoad is what all entry hosts told of one engine.
+type engineLoad struct {
+	models  map[fleet.ModelID]int
+	suspect bool
+}
+
+// engineLoads sums the requests under way at each engine by model; c.mu is held.
+func (c *Controller) engineLoads() map[fleet.BackendID]engineLoad {
+	sums := map[fleet.BackendID]engineLoad{}
 	for _, e := range c.entries {
 		for _, l := range e.loads {
-			if sums[l.Instance] == nil {
-				sums[l.Instance] = map[fleet.ModelID]int{}
+			sum := sums[l.Instance]
+			if sum.models == nil {
+				sum.models = map[fleet.ModelID]int{}
 			}
 			for m, n := range l.Models {
-				sums[l.Instance][m] += n
+				sum.models[m] += n
 			}
+			sum.suspect = sum.suspect || l.Unreachable
+			sums[l.Instance] = sum
 		}
 	}
 	return sums
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -59,9 +59,9 @@
 		c.claim(ctx, r)
 		return nil
 	}
-	loads := c.modelLoads()
+	loads := c.engineLoads()
 	for _, id := range c.planner.Engines() {
-		c.planner.Loads(id, loads[id])
+		c.planner.Loads(id, loads[id].models, loads[id].suspect)
 	}
 	actions := c.planner.Next(now)
 	c.publish()
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -223,12 +223,12 @@
 		Ready: v.ready && v.table != nil,
 		Entry: controlapi.Entry{Host: v.cfg.Self, Address: v.cfg.Address, Region: v.cfg.Place.Region, DataCentre: v.cfg.Place.DataCentre},
 	}
-	for id, l := range v.balancer.Loads() {
+	for id, l := range v.balancer.Loads(time.Now()) {
 		models := l.Models
 		if v.instances[id] == nil || len(v.instances[id].Models) == 0 {
 			models = nil
 		}
-		req.Loads = append(req.Loads, controlapi.Load{Instance: id, Active: l.Active, Prompt: l.Prompt, Models: models})
+		req.Loads = append(req.Loads, controlapi.Load{Instance: id, Active: l.Active, Prompt: l.Prompt, Models: models, Unreachable: l.Unreachable})
 	}
 	for k, n := range v.arrivals {
 		d := residency.Demand{Service: k.service, Target: k.target, Arrivals: n}
