--- /dev/null
+++ b/core/catalog/machine_test.go
@@ -0,0 +1,52 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/routes"
+)
+
+func apply(t require.TestingT, m *Machine, c Command) {
+	data, err := Encode(c)
+	require.NoError(t, err)
+	m.Apply(1, data)
+}
+
+// Guards against a configuration that is replaced by an older one, or by other content under its own version.
+func TestHighestVersionStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Machine{}
+		best := Replace{}
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "versions") {
+			r := Replace{Version: routes.Version(v), Data: rapid.SliceOfN(rapid.Byte(), 1, 4).Draw(t, "data")}
+			apply(t, m, Command{Replace: &r})
+			if r.Version > best.Version {
+				best = r
+			}
+			require.Equal(t, best, Replace{m.State.Version, m.State.Data})
+		}
+	})
+}
+
+// Guards against a state that changes when it is restored from a snapshot.
+func TestSnapshot(t *testing.T) {
+	m := &Machine{}
+	apply(t, m, Command{Replace: &Replace{Version: 7, Data: []byte("seven")}})
+	apply(t, m, Command{Order: &Order{Host: "10.0.0.1"}})
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := &Machine{}
+	require.NoError(t, restored.Restore(2, data))
+	require.Equal(t, m.State, restored.State)
+	require.Error(t, restored.Restore(2, []byte{0xff}))
+}
+
+// Guards against an entry of another version that stops the group or changes its state.
+func TestUndecodableEntry(t *testing.T) {
+	m := &Machine{State: State{Version: 3}}
+	m.Apply(1, []byte{0xff, 0x00})
+	require.Equal(t, State{Version: 3}, m.State)
+}
--- /dev/null
+++ b/core/registry/registry_test.go
@@ -0,0 +1,171 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanway/core/fleet"
+)
+
+func beat(id fleet.BackendID, inc fleet.Incarnation, seq uint64, change ...func(*Heartbeat)) Heartbeat {
+	h := Heartbeat{Instance: Instance{ID: id, Incarnation: inc, Service: "s", Address: "10.0.0.1:80"}, Seq: seq}
+	for _, f := range change {
+		f(&h)
+	}
+	return h
+}
+
+func at(address string) func(*Heartbeat) {
+	return func(h *Heartbeat) { h.Instance.Address = address }
+}
+
+func draining(h *Heartbeat) { h.Instance.State = Draining }
+
+// Guards against late, doubled and reordered heartbeats that bring back what has ended.
+func TestObserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		before []Heartbeat
+		leave  bool
+		last   Heartbeat
+		want   Verdict
+		state  State
+	}{
+		"first":                    {nil, false, beat("a", 5, 1), Changed, Ready},
+		"renewal":                  {[]Heartbeat{beat("a", 5, 1)}, false, beat("a", 5, 2), Unchanged, Ready},
+		"sent twice":               {[]Heartbeat{beat("a", 5, 2)}, false, beat("a", 5, 2), Outdated, Ready},
+		"out of order":             {[]Heartbeat{beat("a", 5, 3, draining)}, false, beat("a", 5, 2), Outdated, Draining},
+		"draining taken back":      {[]Heartbeat{beat("a", 5, 3, draining)}, false, beat("a", 5, 4), Unchanged, Draining},
+		"earlier life":             {[]Heartbeat{beat("a", 5, 1)}, false, beat("a", 4, 9), Outdated, Ready},
+		"later life, lower number": {[]Heartbeat{beat("a", 5, 9, draining)}, false, beat("a", 6, 1), Changed, Ready},
+		"after leaving":            {[]Heartbeat{beat("a", 5, 1)}, true, beat("a", 5, 2), Outdated, Gone},
+		"new life after leaving":   {[]Heartbeat{beat("a", 5, 1)}, true, beat("a", 6, 1), Changed, Ready},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			for _, h := range tt.before {
+				r.Observe(now, h)
+			}
+			if tt.leave {
+				require.True(t, r.Leave(now, "a", 0))
+			}
+			require.Equal(t, tt.want, r.Observe(now, tt.last))
+			in, _, ok := r.Get("a")
+			require.True(t, ok)
+			require.Equal(t, tt.state, in.State)
+		})
+	}
+}
+
+// Guards against a heartbeat of a crashed server that displaces the one that was started at its address since.
+func TestAddressTakenOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{})
+	r.Observe(now, beat("old", 5, 1))
+	require.Equal(t, Changed, r.Observe(now, beat("new", 8, 1)))
+	in, _, _ := r.Get("old")
+	require.Equal(t, Gone, in.State)
+	require.Equal(t, Outdated, r.Observe(now, beat("old", 5, 2)), "the old one returned")
+	require.Equal(t, Outdated, r.Observe(now, beat("older", 7, 1)), "an unknown older one took the address")
+	in, _, _ = r.Get("new")
+	require.Equal(t, Ready, in.State)
+}
+
+// Guards against a heartbeat that takes back the effect of an order that was carried out after it was sent.
+func TestHeartbeatKeepsModels(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{})
+	with := func(m fleet.ModelID) func(*Heartbeat) {
+		return func(h *Heartbeat) { h.Engine, h.Instance.Models = true, []Model{{Name: m}} }
+	}
+	r.Observe(now, beat("a", 5, 1, with("x")))
+	require.True(t, r.SetModels("a", 5, []Model{{Name: "y"}}))
+	require.Equal(t, Unchanged, r.Observe(now, beat("a", 5, 2, with("x"))))
+	in, _, _ := r.Get("a")
+	require.Equal(t, []Model{{Name: "y"}}, in.Models)
+	require.False(t, r.SetModels("a", 4, nil), "models of an earlier life were changed")
+}
+
+// Guards against a silent server that is forgotten at once, and against a tombstone that is kept for ever.
+func TestTick(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{Silence: time.Second, Forget: time.Minute})
+	r.Observe(now, beat("a", 5, 1))
+	require.Empty(t, r.Tick(now.Add(time.Second)))
+	require.Equal(t, []fleet.BackendID{"a"}, r.Tick(now.Add(2*time.Second)))
+	require.Empty(t, r.Tick(now.Add(3*time.Second)), "reported twice")
+	require.Equal(t, Changed, r.Observe(now.Add(4*time.Second), beat("a", 5, 2)))
+	in, _, _ := r.Get("a")
+	require.False(t, in.Silent)
+	r.Tick(now.Add(5 * time.Minute))
+	_, _, ok := r.Get("a")
+	require.False(t, ok)
+}
+
+// Guards against heartbeats without end that exhaust the memory.
+func TestFull(t *testing.T) {
+	r := New(Settings{Instances: 2})
+	now := time.Unix(1000, 0)
+	for i, want := range []Verdict{Changed, Changed, Full} {
+		require.Equal(t, want, r.Observe(now, beat(fleet.BackendID(fmt.Sprint(i)), 1, 1, at(fmt.Sprintf("10.0.0.%d:80", i)))))
+	}
+}
+
+// Guards against a follower that ends up with another state than the leader, whatever part of the changes it asks for.
+func TestFollowersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now := time.Unix(1000, 0)
+		leader := New(Settings{})
+		follower := map[fleet.BackendID]Instance{}
+		var seen uint64
+		for range 200 {
+			id := fleet.BackendID(fmt.Sprint(rnd.IntN(5)))
+			inc := fleet.Incarnation(1 + rnd.IntN(4))
+			switch rnd.IntN(8) {
+			case 0:
+				leader.Leave(now, id, inc)
+			case 1:
+				leader.SetModels(id, inc, []Model{{Name: fleet.ModelID(fmt.Sprint(rnd.IntN(3)))}})
+			case 2:
+				for _, in := range leader.After(seen) {
+					follower[in.ID] = in
+				}
+				seen = leader.Revision()
+			default:
+				h := beat(id, inc, uint64(rnd.IntN(50)), at(fmt.Sprintf("10.0.0.%d:80", rnd.IntN(4))))
+				h.Instance.State = State(rnd.IntN(2))
+				leader.Observe(now, h)
+			}
+		}
+		for _, in := range leader.After(seen) {
+			follower[in.ID] = in
+		}
+		for _, in := range leader.After(0) {
+			require.Equal(t, in, follower[in.ID])
+		}
+	})
+}
+
+// Guards against a new leader that takes for ready what the one before it knew to be draining.
+func TestAdopt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{})
+	r.Observe(now, beat("a", 5, 1))
+	in, _, _ := r.Get("a")
+	in.State = Draining
+	r.Adopt(now, []Instance{in, {ID: "b", Incarnation: 2, Address: "10.0.0.2:80"}})
+	got, _, _ := r.Get("a")
+	require.Equal(t, Draining, got.State)
+	r.Adopt(now, []Instance{{ID: "a", Incarnation: 4, Address: "10.0.0.1:80"}})
+	got, _, _ = r.Get("a")
+	require.Equal(t, fleet.Incarnation(5), got.Incarnation)
+	_, _, ok := r.Get("b")
+	require.True(t, ok)
+}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -94,7 +94,10 @@
 			continue
 		}
 		score := e.requests()
-		if e.adapters() >= e.spec.AdapterSlots {
+		if !e.roomFor(h) {
+			if _, ok := e.idleAdapter(); !ok {
+				continue
+			}
 			score += adapterEviction
 		}
 		if best == nil || score < bestScore {
@@ -110,15 +113,19 @@
 // orderAdapter loads an adapter, or makes room for it first.
 func (p *Planner) orderAdapter(now time.Time, e *engine, t fleet.Target) Action {
 	h := e.models[t.Model]
-	if e.adapters() >= e.spec.AdapterSlots || e.taken()+h.adapter > e.spec.Weights {
-		if victim, ok := e.idleAdapter(); ok {
-			return p.issue(e, fleet.OrderUnloadAdapter, victim, "room for adapter "+string(t.Adapter), false)
-		}
+	if !e.roomFor(h) {
+		victim, _ := e.idleAdapter()
+		return p.issue(e, fleet.OrderUnloadAdapter, victim, "room for adapter "+string(t.Adapter), false)
 	}
 	h.adapters[t.Adapter] = &adapter{ready: now.Add(time.Hour), used: now}
 	return p.issue(e, fleet.OrderLoadAdapter, t, "requests wait for it", false)
 }
 
+// roomFor says whether another adapter of a model fits.
+func (e *engine) roomFor(h *holding) bool {
+	return e.adapters() < e.spec.AdapterSlots && e.taken()+h.adapter <= e.spec.Weights
+}
+
 // idleAdapter returns the adapter that was not used for the longest time.
 func (e *engine) idleAdapter() (t fleet.Target, ok bool) {
 	var oldest time.Time
@@ -258,7 +265,7 @@
 
 // victims returns the models that have to go for a load to fit, with their cost.
 func (p *Planner) victims(now time.Time, e *engine, m *routes.Model, rates map[demandKey]float64) ([]fleet.ModelID, float64, bool) {
-	need := e.taken() + m.Weights - e.spec.Weights
+	need := e.taken() + m.Weights + e.adapterReserve(m) - e.spec.Weights
 	if need <= 0 {
 		return nil, 0, true
 	}
@@ -295,6 +302,11 @@
 	return out, total, left <= 0
 }
 
+// adapterReserve is the memory that is kept for adapters of a model that is to be loaded.
+func (e *engine) adapterReserve(m *routes.Model) fleet.Bytes {
+	return min(fleet.Bytes(min(e.spec.AdapterSlots, m.Adapters))*m.Adapter, max(e.spec.Weights-m.Weights, 0))
+}
+
 // evictionCost returns what evicting a model costs its own requests.
 func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, rates map[demandKey]float64) float64 {
 	k := demandKey{e.Service, fleet.Target{Model: name}}
--- /dev/null
+++ b/core/residency/planner_test.go
@@ -0,0 +1,355 @@
+package residency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+	"toucanway/core/registry"
+	"toucanway/core/routes"
+)
+
+const gigabyte fleet.Bytes = 1e9
+
+// deployment is a set of engines that carry out orders, some of them late or without an answer.
+type deployment struct {
+	t       testing.TB
+	rand    *rand.Rand
+	now     time.Time
+	spec    routes.Engine
+	planner *Planner
+	engines map[fleet.BackendID]*fakeEngine
+	ids     []fleet.BackendID
+	pending []late
+	store   []time.Time
+	orders  []Order
+	// unanswered is the share of orders without an answer, of which half are carried out late.
+	unanswered float64
+}
+
+type fakeEngine struct {
+	registry.Instance
+	accepted int64
+	models   map[fleet.ModelID]map[fleet.AdapterID]bool
+	disk     map[fleet.ModelID]bool
+	// busy is until when an order for a model is carried out, and done what happens then.
+	busy time.Time
+	done func()
+}
+
+// late is an order that is carried out some time after it was sent.
+type late struct {
+	at time.Time
+	o  Order
+}
+
+func newDeployment(t testing.TB, seed uint64, engines int, models ...routes.Model) *deployment {
+	d := &deployment{
+		t: t, rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), engines: map[fleet.BackendID]*fakeEngine{},
+		spec:    routes.Engine{Weights: 100 * gigabyte, AdapterSlots: 3, StoreRate: 4, Models: models},
+		planner: New(Settings{}),
+	}
+	d.planner.Configure(routes.NewTable(&routes.Configuration{Services: []routes.Service{{Name: "llm", Engine: &d.spec}}}))
+	for i := range engines {
+		id := fleet.BackendID(fmt.Sprintf("e%d", i))
+		d.ids = append(d.ids, id)
+		d.engines[id] = &fakeEngine{
+			Instance: registry.Instance{ID: id, Incarnation: 1, Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i)},
+			models:   map[fleet.ModelID]map[fleet.AdapterID]bool{}, disk: map[fleet.ModelID]bool{},
+		}
+	}
+	return d
+}
+
+func model(name string, gb fleet.Bytes) routes.Model {
+	return routes.Model{
+		Name: fleet.ModelID(name), Weights: gb * gigabyte, StoreLoad: 6 * time.Second, DiskLoad: 800 * time.Millisecond,
+		MemoryLoad: 400 * time.Millisecond, Adapters: 8, Adapter: gigabyte / 10,
+	}
+}
+
+// hold puts a model into an engine's memory before the planner hears of it.
+func (d *deployment) hold(e int, names ...fleet.ModelID) {
+	for _, n := range names {
+		f := d.engines[d.ids[e]]
+		f.models[n], f.disk[n] = map[fleet.AdapterID]bool{}, true
+	}
+}
+
+func (f *fakeEngine) beat(now time.Time) registry.Heartbeat {
+	in := f.Instance
+	in.Models = nil
+	for name, as := range f.models {
+		m := registry.Model{Name: name}
+		for a := range as {
+			m.Adapters = append(m.Adapters, a)
+		}
+		in.Models = append(in.Models, m)
+	}
+	h := registry.Heartbeat{Instance: in, Engine: true, Seq: uint64(now.UnixMilli())}
+	for m := range f.disk {
+		h.OnDisk = append(h.OnDisk, m)
+	}
+	return h
+}
+
+func (f *fakeEngine) report(now time.Time) Report {
+	h := f.beat(now)
+	return Report{Accepted: f.accepted, Busy: now.Before(f.busy), Models: h.Instance.Models, OnDisk: h.OnDisk}
+}
+
+// size returns the memory that an engine's models and adapters take.
+func (d *deployment) size(f *fakeEngine) fleet.Bytes {
+	var sum fleet.Bytes
+	for name, as := range f.models {
+		m := d.planner.table.Model("llm", name)
+		sum += m.Weights + fleet.Bytes(len(as))*m.Adapter
+	}
+	return sum
+}
+
+// accept carries out an order as an engine does, and fails the test when it exceeds the engine's memory.
+func (d *deployment) accept(o Order) Outcome {
+	f := d.engines[o.Engine]
+	switch {
+	case f.Incarnation != o.Incarnation:
+		return Rejected
+	case d.now.Before(f.busy) || o.Expected != f.accepted:
+		return Conflicting
+	}
+	as, held := f.models[o.Target.Model]
+	switch o.Kind {
+	case fleet.OrderLoad:
+		if held {
+			return Holding
+		}
+		took := 800 * time.Millisecond
+		if !f.disk[o.Target.Model] {
+			took = 6 * time.Second
+			d.store = append(d.store, d.now)
+		}
+		f.models[o.Target.Model] = map[fleet.AdapterID]bool{}
+		f.disk[o.Target.Model] = true
+		f.busy = d.now.Add(took)
+	case fleet.OrderUnload:
+		if !held {
+			return Holding
+		}
+		delete(f.models, o.Target.Model)
+		f.busy = d.now.Add(200 * time.Millisecond)
+	case fleet.OrderLoadAdapter:
+		if !held {
+			return Rejected
+		}
+		as[o.Target.Adapter] = true
+	case fleet.OrderUnloadAdapter:
+		if held {
+			delete(as, o.Target.Adapter)
+		}
+		f.accepted++
+		return Holding
+	case fleet.OrderRole:
+	}
+	f.accepted++
+	require.LessOrEqual(d.t, d.size(f), d.spec.Weights, "%s was overcommitted by %+v", f.ID, o)
+	n := 0
+	for _, as := range f.models {
+		n += len(as)
+	}
+	require.LessOrEqual(d.t, n, d.spec.AdapterSlots, "%s has too many adapters after %+v", f.ID, o)
+	return Accepted
+}
+
+// step lets time pass and carries out what the planner decides.
+func (d *deployment) step(dt time.Duration) {
+	d.now = d.now.Add(dt)
+	d.pending = slices.DeleteFunc(d.pending, func(l late) bool {
+		if d.now.Before(l.at) {
+			return false
+		}
+		d.accept(l.o)
+		return true
+	})
+	if d.now.UnixMilli()%1000 < dt.Milliseconds() {
+		for _, id := range d.ids {
+			f := d.engines[id]
+			h := f.beat(d.now)
+			d.planner.Observe(d.now, h.Instance, h)
+		}
+	}
+	for _, a := range d.planner.Next(d.now) {
+		switch a := a.(type) {
+		case Probe:
+			d.planner.Reported(d.now, a, d.engines[a.Engine].report(d.now))
+		case Order:
+			d.orders = append(d.orders, a)
+			if d.rand.Float64() < d.unanswered {
+				if d.rand.IntN(2) == 0 {
+					d.pending = append(d.pending, late{d.now.Add(2*time.Second + time.Duration(d.rand.IntN(10000))*time.Millisecond), a})
+				}
+				d.planner.Ordered(d.now, a, Unanswered)
+				continue
+			}
+			d.planner.Ordered(d.now, a, d.accept(a))
+		}
+	}
+}
+
+func (d *deployment) run(dt time.Duration) {
+	for end := d.now.Add(dt); d.now.Before(end); {
+		d.step(50 * time.Millisecond)
+	}
+}
+
+func (d *deployment) want(n int, targets ...fleet.Target) {
+	var list []Demand
+	for _, t := range targets {
+		list = append(list, Demand{Service: "llm", Target: t, Arrivals: n, Waiting: n})
+	}
+	d.planner.Demands(d.now, "host", list)
+}
+
+func (d *deployment) holders(m fleet.ModelID) (n int) {
+	for _, f := range d.engines {
+		if _, ok := f.models[m]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+func target(m fleet.ModelID) fleet.Target { return fleet.Target{Model: m} }
+
+// Guards against orders that are carried out late, or twice, and overcommit an engine, and against more loads from the weight
+// store than it allows.
+func TestOrdersNeverOvercommit(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			models := []routes.Model{model("a", 40), model("b", 60), model("c", 70), model("d", 30), model("e", 35), model("f", 55)}
+			d := newDeployment(t, seed, 4, models...)
+			d.unanswered = 0.3
+			for i := range 4 {
+				d.hold(i, models[i].Name)
+			}
+			for range 120 {
+				m := models[d.rand.IntN(len(models))].Name
+				tg := target(m)
+				if d.rand.IntN(3) == 0 {
+					tg.Adapter = fleet.AdapterID(fmt.Sprint("a", d.rand.IntN(8)))
+				}
+				d.want(1+d.rand.IntN(3), tg)
+				if d.rand.IntN(40) == 0 {
+					f := d.engines[d.ids[d.rand.IntN(len(d.ids))]]
+					f.Incarnation++
+					f.accepted, f.busy, f.models = 0, time.Time{}, map[fleet.ModelID]map[fleet.AdapterID]bool{}
+				}
+				d.run(500 * time.Millisecond)
+			}
+			for i, at := range d.store {
+				n := 0
+				for _, other := range d.store[i:] {
+					if other.Sub(at) < 5*time.Second {
+						n++
+					}
+				}
+				require.LessOrEqual(t, float64(n), d.spec.StoreRate*5*1.1+3)
+			}
+		})
+	}
+}
+
+// Guards against a model that nobody waits for pushing out one that is in use: such loads and unloads chased each other.
+func TestIdleModelEvictsNothing(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("hot", 90), model("idle", 90), model("other", 90))
+	d.hold(0, "hot")
+	d.hold(1, "other")
+	d.run(3 * time.Second)
+	for range 20 {
+		d.planner.Demands(d.now, "host", []Demand{
+			{Service: "llm", Target: target("hot"), Arrivals: 2}, {Service: "llm", Target: target("idle"), Arrivals: 1},
+		})
+		d.run(250 * time.Millisecond)
+	}
+	require.Empty(t, d.orders)
+}
+
+// Guards against a request for a model without replicas that waits for ever, and against the eviction of a busy model where an
+// idle one would do.
+func TestWaitingModelEvictsIdleOne(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("hot", 90), model("idle", 90), model("wanted", 90))
+	d.hold(0, "hot")
+	d.hold(1, "idle")
+	d.run(2 * time.Second)
+	for range 40 {
+		d.planner.Demands(d.now, "host", []Demand{
+			{Service: "llm", Target: target("hot"), Arrivals: 2}, {Service: "llm", Target: target("wanted"), Waiting: 1},
+		})
+		d.run(250 * time.Millisecond)
+	}
+	require.Equal(t, 1, d.holders("hot"))
+	require.Equal(t, 1, d.holders("wanted"))
+}
+
+// Guards against an engine that can't be given orders and keeps a model from being loaded elsewhere.
+func TestGoalOfUnreachableEngineIsGivenUp(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("wanted", 50))
+	d.engines["e0"].disk["wanted"] = true
+	d.run(1500 * time.Millisecond)
+	d.want(1, target("wanted"))
+	d.planner.engines["e0"].goal, d.planner.engines["e0"].goalAt = "wanted", d.now
+	d.planner.engines["e0"].calling = true
+	d.run(9 * time.Second)
+	require.Equal(t, 1, d.holders("wanted"))
+}
+
+// Guards against replicas at an engine that can't be reached which count as if they served.
+func TestSuspectEngineDoesNotCount(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("m", 50))
+	d.hold(0, "m")
+	d.run(2 * time.Second)
+	d.planner.Loads("e0", nil, true)
+	d.want(1, target("m"))
+	d.run(10 * time.Second)
+	require.Equal(t, 2, d.holders("m"))
+}
+
+// Guards against an adapter that is loaded at several engines for one request, and against one that finds no room.
+func TestAdapters(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("m", 50))
+	d.hold(0, "m")
+	d.hold(1, "m")
+	d.run(2 * time.Second)
+	for i := range 9 {
+		d.want(1, fleet.Target{Model: "m", Adapter: fleet.AdapterID(fmt.Sprint("a", i))})
+		d.run(500 * time.Millisecond)
+	}
+	loads := 0
+	for _, o := range d.orders {
+		if o.Kind == fleet.OrderLoadAdapter {
+			loads++
+		}
+	}
+	require.Equal(t, 9, loads)
+}
+
+// Guards against an engine that is ordered again without a report after an order had no answer.
+func TestDoubtAsksFirst(t *testing.T) {
+	d := newDeployment(t, 1, 1, model("m", 50), model("n", 40))
+	d.run(2 * time.Second)
+	d.want(1, target("m"))
+	d.now = d.now.Add(50 * time.Millisecond)
+	as := d.planner.Next(d.now)
+	require.Len(t, as, 1)
+	o := as[0].(Order)
+	d.planner.Ordered(d.now, o, Unanswered)
+	d.want(1, target("m"), target("n"))
+	require.Empty(t, d.planner.Next(d.now.Add(100*time.Millisecond)))
+	as = d.planner.Next(d.now.Add(time.Second))
+	require.Len(t, as, 1)
+	require.IsType(t, Probe{}, as[0])
+}
--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -49,7 +49,7 @@
 
 // write writes a whole answer. A failed write ends the connection.
 func (c *conn) write(h *fasthttp.ResponseHeader, body []byte) {
-	if c.last {
+	if c.ending() {
 		h.SetConnectionClose()
 	}
 	err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -32,26 +32,26 @@
 func (v *View) pick(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) (*registry.Instance, *balance.Ticket, balance.Choice, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var options []*registry.Instance
-	for _, in := range v.instances {
-		if in.Service == service && in.State == registry.Ready && !not[in.ID] && (r.Plain || in.Holds(r.Target)) {
-			options = append(options, in)
-		}
-	}
-	in, t, c := v.balancer.Pick(time.Now(), r, options)
+	in, t, c := v.balancer.Pick(time.Now(), r, v.options(service, r, not))
 	return in, t, c, v.changed
 }
 
-// holders says whether any server of a service holds a target.
-func (v *View) holders(service fleet.ServiceID, t fleet.Target) bool {
+// another says whether a server other than those in not could take a request.
+func (v *View) another(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return len(v.options(service, r, not)) > 0
+}
+
+// options returns the servers that can take a request; v.mu is held.
+func (v *View) options(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) []*registry.Instance {
+	var out []*registry.Instance
 	for _, in := range v.instances {
-		if in.Service == service && in.State == registry.Ready && in.Holds(t) {
-			return true
+		if in.Service == service && in.State == registry.Ready && !not[in.ID] && (r.Plain || in.Holds(r.Target)) {
+			out = append(out, in)
 		}
 	}
-	return false
+	return out
 }
 
 // await registers a request that no server can take now, until the returned function is called.
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -269,7 +269,7 @@
 	out := balance.Answered
 	if status >= 500 {
 		out = balance.Failed
-		if x.route.Idempotent() && x.again(errFailed) && x.p.view.holders(x.service, x.ask.Target) {
+		if x.again(errFailed) && x.p.view.another(x.service, &x.ask, x.tried) {
 			return status, out, errFailed
 		}
 	}
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -46,6 +46,14 @@
 	busy bool
 	// last says that the connection ends after the present answer.
 	last bool
+	// draining says whether the host stops.
+	draining func() bool
+}
+
+// ending says whether the connection ends after the present answer, as the caller is told in its head.
+func (c *conn) ending() bool {
+	c.last = c.last || c.draining()
+	return c.last
 }
 
 func newServer(limits func() routes.Limits, handle func(context.Context, *conn, *fasthttp.Request)) *server {
@@ -63,14 +71,14 @@
 	}()
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || err != nil && stop.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			pause(stop, 10*time.Millisecond)
 			continue
 		}
-		c := &conn{Conn: nc, w: bufio.NewWriterSize(nc, 4<<10)}
+		c := &conn{Conn: nc, w: bufio.NewWriterSize(nc, 4<<10), draining: s.isDraining}
 		if !s.add(c) {
 			nc.Close()
 			continue
@@ -202,15 +210,16 @@
 		return false
 	}
 	done := make(chan struct{})
-	c.last = req.ConnectionClose() || s.isDraining()
+	c.last = req.ConnectionClose()
 	go func() {
 		defer close(done)
 		s.handle(ctx, c, req)
 		// An error shows up in the reader, which owns the connection.
-		_ = c.SetReadDeadline(time.Now().Add(idle))
-		if c.last {
-			_ = c.SetReadDeadline(time.Unix(1, 0))
+		deadline := time.Now().Add(idle)
+		if c.ending() {
+			deadline = time.Unix(1, 0)
 		}
+		_ = c.SetReadDeadline(deadline)
 	}()
 	_, err := c.r.Peek(1)
 	select {
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -111,7 +111,7 @@
 		var h fasthttp.ResponseHeader
 		passHeader(&h, &up.Response.Header)
 		h.SetContentLength(-1)
-		if c.last {
+		if c.ending() {
 			h.SetConnectionClose()
 		}
 		x.stream.begun = true
