--- a/cmd/toucanway-lab/internal/docs/pages.go
+++ b/cmd/toucanway-lab/internal/docs/pages.go
@@ -62,7 +62,17 @@
 		}
 		b.WriteString(string(s))
 	}
-	b.WriteString(".\n")
+	b.WriteString(".\n" + `
+## Settings of gateways and controllers
+
+A deployment that forwards requests by routes runs [gateways](commands/gateway.md) and [controllers](commands/controller.md). Each
+has one YAML file of the keys below. Changed seeds are taken over while the process runs; other changes need a restart.
+
+`)
+	b.WriteString(tableHead)
+	for _, e := range schema.Describe(schema.TypeOf[settings.Routed](), settings.Kinds()) {
+		writeEntry(&b, e)
+	}
 	return b.String()
 }
 
--- a/cmd/toucanway-lab/internal/docs/source.go
+++ b/cmd/toucanway-lab/internal/docs/source.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"go/ast"
 	"go/parser"
@@ -56,7 +57,10 @@
 			ast.Inspect(f, s.call)
 		}
 	}
-	slices.SortFunc(s.lines, func(a, b logLine) int { return strings.Compare(a.message, b.message) })
+	slices.SortFunc(s.lines, func(a, b logLine) int {
+		return cmp.Or(strings.Compare(a.message, b.message), strings.Compare(a.pkg, b.pkg), strings.Compare(a.level, b.level),
+			slices.Compare(a.fields, b.fields))
+	})
 	return s, s.err
 }
 
--- a/cmd/toucanway/main.go
+++ b/cmd/toucanway/main.go
@@ -7,6 +7,8 @@
 	"os/signal"
 	"syscall"
 
+	"toucanway/io/routed"
+	"toucanway/io/settings"
 	"toucanway/io/terminal"
 	"toucanway/platform"
 )
@@ -24,8 +26,13 @@
 		os.Exit(int(terminal.ExitFailed))
 	}()
 	env := terminal.Environment{
-		Stdout: os.Stdout, Stderr: os.Stderr, Serve: serve, Gateway: runGateway, Controller: runController,
-		SettingsFile: platform.SettingsFile(), Version: version,
+		Stdout: os.Stdout, Stderr: os.Stderr, Serve: serve, SettingsFile: platform.SettingsFile(), Version: version,
+		Gateway: func(ctx context.Context, s *settings.Routed, file string) error {
+			return routed.RunGateway(ctx, s, file, platform.Adapter(), os.Stdout)
+		},
+		Controller: func(ctx context.Context, s *settings.Routed, file string) error {
+			return routed.RunController(ctx, s, file, platform.Adapter(), os.Stdout)
+		},
 	}
 	os.Exit(int(terminal.Run(ctx, env, os.Args[1:])))
 }
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -20,9 +20,7 @@
 
 // holding is a model in an engine's memory, or on its way there or out.
 type holding struct {
-	phase phase
-	// due is when a load is expected to be done.
-	due      time.Time
+	phase    phase
 	version  int
 	weights  fleet.Bytes
 	adapter  fleet.Bytes
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -515,4 +515,3 @@
 	require.Len(t, f.requests("a"), 1)
 	require.Empty(t, f.g.view.waiting)
 }
-
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -35,11 +35,9 @@
 	Pool    *backend.Pool
 	Budget  Budget
 	// Grace is the time from a request to stop to the end of the process.
-	Grace time.Duration
-	// Lifetime is how long callers may keep the address of this host.
-	Lifetime time.Duration
-	Log      *zap.Logger
-	Metrics  *metrics.Registry
+	Grace   time.Duration
+	Log     *zap.Logger
+	Metrics *metrics.Registry
 }
 
 // Timing of a gateway.
@@ -51,8 +49,6 @@
 	callTimeout     = 2 * time.Second
 	// connectTimeout bounds a new connection to a backend server.
 	connectTimeout = 400 * time.Millisecond
-	// finalReserve is kept of a request's time for its final answer.
-	finalReserve = 20 * time.Millisecond
 	// againPause is the wait before a request goes to a server that has just refused it, as while an adapter is loaded.
 	againPause = 15 * time.Millisecond
 	// retryAfter is what a refused caller is told to wait.
--- /dev/null
+++ b/io/routed/controller.go
@@ -0,0 +1,60 @@
+package routed
+
+import (
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"toucanway/core/catalog"
+	"toucanway/core/raft"
+	"toucanway/io/backend"
+	"toucanway/io/controller"
+	"toucanway/io/disk"
+	"toucanway/io/formation"
+	"toucanway/io/hosts"
+	"toucanway/io/network"
+	"toucanway/io/settings"
+	"toucanway/io/voters"
+)
+
+// addressLifetime is how long callers may keep the addresses of gateways, so that they hear soon of one that has ended.
+const addressLifetime = 2 * time.Second
+
+// groupFolder is the folder of the control group below a host's data folder.
+const groupFolder = "control"
+
+// RunController runs a member of the control group until the context ends. Log lines go to out, file is where the settings were
+// read.
+func RunController(ctx context.Context, s *settings.Routed, file string, a Adapter, out io.Writer) error {
+	p := newProcess(s, file, out)
+	clock := network.NewClock()
+	group := formation.New(formation.Settings{
+		Self: s.IP, Port: uint16(s.HostsPort), Seeds: p.seedHosts, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
+		Open: func() (voters.Storage, error) {
+			return disk.Open(disk.Settings{Dir: filepath.Join(string(s.Data), groupFolder)})
+		},
+		Machine: func() raft.StateMachine { return &catalog.Machine{} },
+		Client:  p.client, Now: clock.Now, Log: p.log,
+	})
+	c := controller.New(controller.Settings{
+		Self: s.IP, Control: string(s.Listen.Control), Group: group, Client: p.control, Parser: a.Dialect,
+		Engines: a.Engines(backend.NewPool(p.network)), Log: p.log, Metrics: p.metrics, Now: clock.Now,
+		Handover: s.Bounds.Handover, Lifetime: min(s.Bounds.AddressLife, addressLifetime),
+	})
+	srv := &hosts.Server{}
+	group.Register(srv)
+	c.Register(srv)
+	l, err := p.network.Listen(net.JoinHostPort(string(s.IP), strconv.Itoa(s.HostsPort)))
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, "controller",
+		func(ctx context.Context) error { return srv.Run(ctx, l) },
+		group.Run, c.Run,
+		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Control, a.Control(c)) },
+		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Directory, a.Directory(c)) },
+	)
+}
--- /dev/null
+++ b/io/routed/gateway.go
@@ -0,0 +1,35 @@
+package routed
+
+import (
+	"context"
+	"io"
+
+	"toucanway/io/backend"
+	"toucanway/io/gateway"
+	"toucanway/io/settings"
+)
+
+// RunGateway runs an entry host that forwards requests by routes until the context ends and its drain is done. Log lines go to
+// out, file is where the settings were read.
+func RunGateway(ctx context.Context, s *settings.Routed, file string, a Adapter, out io.Writer) error {
+	p := newProcess(s, file, out)
+	g := gateway.New(gateway.Settings{
+		Self: s.IP, Address: string(s.Listen.Callers), Place: s.Place(), Regions: s.Regions(), Dialect: a.Dialect,
+		Client: p.control, Pool: backend.NewPool(p.network), Log: p.log, Metrics: p.metrics, Grace: s.Bounds.Grace,
+		Budget: gateway.Budget{Ratio: s.Bounds.RepeatRatio, Slack: s.Bounds.RepeatSlack, Window: s.Bounds.RepeatWindow},
+	})
+	l, err := p.network.Listen(string(s.Listen.Callers))
+	if err != nil {
+		return err
+	}
+	// The readiness address answers until the drain has ended.
+	live, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	return p.run(live, "gateway",
+		func(context.Context) error {
+			defer end()
+			return g.Run(ctx, l)
+		},
+		func(live context.Context) error { return p.serve(live, s.Listen.Ready, a.Ready(g.Ready)) },
+	)
+}
--- a/cmd/toucanway/routed.go
+++ b/io/routed/process.go
@@ -1,14 +1,12 @@
-package main
+package routed
 
 import (
 	"context"
 	"errors"
-	"net"
+	"io"
 	"net/netip"
 	"os"
 	"os/signal"
-	"path/filepath"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,22 +16,14 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
-	"toucanway/core/catalog"
 	"toucanway/core/fleet"
-	"toucanway/core/raft"
-	"toucanway/io/backend"
 	"toucanway/io/controlapi"
-	"toucanway/io/controller"
-	"toucanway/io/disk"
 	"toucanway/io/formation"
-	"toucanway/io/gateway"
 	"toucanway/io/hosts"
 	"toucanway/io/logs"
 	"toucanway/io/metrics"
 	"toucanway/io/network"
 	"toucanway/io/settings"
-	"toucanway/io/voters"
-	"toucanway/platform"
 )
 
 // Log messages of a process.
@@ -50,12 +40,10 @@
 	// controlBody bounds what operators and backend servers send.
 	controlBody = 16 << 20
 	controlRead = 5 * time.Second
-	// addressLifetime is how long callers may keep the addresses of gateways, so that they hear soon of one that has ended.
-	addressLifetime = 2 * time.Second
 )
 
-// part is what gateways and controllers have in common.
-type part struct {
+// process is what gateways and controllers have in common.
+type process struct {
 	settings *settings.Routed
 	file     string
 	network  network.TCP
@@ -67,8 +55,8 @@
 	metrics  *metrics.Registry
 }
 
-func newPart(s *settings.Routed, file string) *part {
-	p := &part{settings: s, file: file, lines: logs.NewWriter(os.Stdout), metrics: metrics.New(metrics.Options{})}
+func newProcess(s *settings.Routed, file string, out io.Writer) *process {
+	p := &process{settings: s, file: file, lines: logs.NewWriter(out), metrics: metrics.New(metrics.Options{})}
 	p.network = network.TCP{Local: localAddress(s.IP)}
 	p.log = logs.New(p.lines, zapcore.InfoLevel, s.Host)
 	p.client = hosts.NewClient(s.IP, p.network, nil)
@@ -87,7 +75,7 @@
 	return a
 }
 
-func (p *part) setSeeds(s *settings.Routed) {
+func (p *process) setSeeds(s *settings.Routed) {
 	ids := make([]fleet.HostID, 0, len(s.Seeds))
 	for _, a := range s.Seeds {
 		if h := formation.HostOf(string(a)); h != "" {
@@ -97,10 +85,10 @@
 	p.seeds.Store(&ids)
 }
 
-func (p *part) seedHosts() []fleet.HostID { return *p.seeds.Load() }
+func (p *process) seedHosts() []fleet.HostID { return *p.seeds.Load() }
 
 // run runs the functions, the log and the metrics until the context ends; the log ends last.
-func (p *part) run(ctx context.Context, role string, fs ...func(context.Context) error) error {
+func (p *process) run(ctx context.Context, role string, fs ...func(context.Context) error) error {
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
 	var writer errgroup.Group
 	writer.Go(func() error { return p.lines.Run(writing) })
@@ -121,7 +109,7 @@
 	return errors.Join(err, writer.Wait())
 }
 
-func (p *part) exposeMetrics(ctx *fasthttp.RequestCtx) {
+func (p *process) exposeMetrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; version=0.0.4")
 	if err := p.metrics.WriteText(ctx); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -129,7 +117,7 @@
 }
 
 // watchSettings takes over changed seeds; other settings need a restart.
-func (p *part) watchSettings(ctx context.Context) error {
+func (p *process) watchSettings(ctx context.Context) error {
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	changed := make(chan os.Signal, 1)
@@ -162,7 +150,7 @@
 }
 
 // serve answers HTTP on an address until the context ends.
-func (p *part) serve(ctx context.Context, a settings.Address, h fasthttp.RequestHandler) error {
+func (p *process) serve(ctx context.Context, a settings.Address, h fasthttp.RequestHandler) error {
 	l, err := p.network.Listen(string(a))
 	if err != nil {
 		return err
@@ -184,60 +172,3 @@
 	})
 	return eg.Wait()
 }
-
-// runGateway runs an entry host that forwards requests by routes.
-func runGateway(ctx context.Context, s *settings.Routed, file string) error {
-	p := newPart(s, file)
-	g := gateway.New(gateway.Settings{
-		Self: s.IP, Address: string(s.Listen.Callers), Place: s.Place(), Regions: s.Regions(), Dialect: platform.Dialect{},
-		Client: p.control, Pool: backend.NewPool(p.network), Log: p.log, Metrics: p.metrics, Grace: s.Bounds.Grace,
-		Lifetime: s.Bounds.AddressLife,
-		Budget: gateway.Budget{
-			Ratio: s.Bounds.RepeatRatio, Slack: s.Bounds.RepeatSlack, Window: s.Bounds.RepeatWindow,
-		},
-	})
-	l, err := p.network.Listen(string(s.Listen.Callers))
-	if err != nil {
-		return err
-	}
-	// The readiness address answers until the drain has ended.
-	live, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	return p.run(live, "gateway",
-		func(context.Context) error {
-			defer end()
-			return g.Run(ctx, l)
-		},
-		func(live context.Context) error { return p.serve(live, s.Listen.Ready, platform.Ready(g.Ready)) },
-	)
-}
-
-// runController runs a member of the control group.
-func runController(ctx context.Context, s *settings.Routed, file string) error {
-	p := newPart(s, file)
-	clock := network.NewClock()
-	group := formation.New(formation.Settings{
-		Self: s.IP, Port: uint16(s.HostsPort), Seeds: p.seedHosts, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
-		Open:    func() (voters.Storage, error) { return disk.Open(disk.Settings{Dir: filepath.Join(string(s.Data), "control")}) },
-		Machine: func() raft.StateMachine { return &catalog.Machine{} },
-		Client:  p.client, Now: clock.Now, Log: p.log,
-	})
-	c := controller.New(controller.Settings{
-		Self: s.IP, Control: string(s.Listen.Control), Group: group, Client: p.control, Parser: platform.Dialect{},
-		Engines: &platform.Engines{Pool: backend.NewPool(p.network)}, Log: p.log, Metrics: p.metrics, Now: clock.Now,
-		Handover: s.Bounds.Handover, Lifetime: min(s.Bounds.AddressLife, addressLifetime),
-	})
-	srv := &hosts.Server{}
-	group.Register(srv)
-	c.Register(srv)
-	l, err := p.network.Listen(net.JoinHostPort(string(s.IP), strconv.Itoa(s.HostsPort)))
-	if err != nil {
-		return err
-	}
-	return p.run(ctx, "controller",
-		func(ctx context.Context) error { return srv.Run(ctx, l) },
-		group.Run, c.Run,
-		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Control, platform.Control(c)) },
-		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Directory, platform.Directory(c)) },
-	)
-}
