--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -22,6 +22,8 @@
 	Waiting int `cbor:"4,keyasint,omitempty"`
 	// Urgent is the priority of the most urgent waiting request; 0 comes first.
 	Urgent int `cbor:"5,keyasint,omitempty"`
+	// Prompt is the number of prompt tokens of the arrivals.
+	Prompt fleet.Tokens `cbor:"6,keyasint,omitempty"`
 }
 
 type demandKey struct {
@@ -30,8 +32,10 @@
 }
 
 type demand struct {
-	// count is the number of requests, each of which loses its weight with the time constant rateWindow.
+	// count is the number of requests and prompt that of their prompt tokens, which lose their weight with the time constant
+	// rateWindow.
 	count   float64
+	prompt  float64
 	since   time.Time
 	at      time.Time
 	last    time.Time
@@ -41,16 +45,18 @@
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
-		d.count *= math.Exp(-float64(dt) / float64(rateWindow))
-		d.at = now
+		f := math.Exp(-float64(dt) / float64(rateWindow))
+		d.count, d.prompt, d.at = d.count*f, d.prompt*f, now
 	}
 }
 
-// rate returns the requests a second of late; a target that was asked for only just now isn't taken for a rare one.
-func (d *demand) rate(now time.Time) float64 {
+// rate returns the requests and prompt tokens a second of late; a target that was asked for only just now isn't taken for a
+// rare one.
+func (d *demand) rate(now time.Time) (requests, prompt float64) {
 	d.decay(now)
 	known := max(now.Sub(d.since), leastWindow)
-	return d.count / rateWindow.Seconds() / (1 - math.Exp(-float64(known)/float64(rateWindow)))
+	window := rateWindow.Seconds() * (1 - math.Exp(-float64(known)/float64(rateWindow)))
+	return d.count / window, d.prompt / window
 }
 
 // leastWindow is the shortest time over which a rate is taken.
@@ -81,6 +87,7 @@
 		}
 		d.decay(now)
 		d.count += float64(in.Arrivals)
+		d.prompt += float64(in.Prompt)
 		d.last = now
 		if in.Waiting > 0 {
 			d.waiting[host] = in.Waiting
@@ -104,20 +111,30 @@
 	}
 }
 
-// modelRate returns the rate of requests for a model, with and without adapters.
-func (p *Planner) modelRates(now time.Time) (rates map[demandKey]float64, waiting map[demandKey]int) {
-	rates, waiting = map[demandKey]float64{}, map[demandKey]int{}
+// modelDemand is what is asked of a model, with and without adapters.
+type modelDemand struct {
+	// rate is in requests a second, prompt in prompt tokens a second.
+	rate, prompt float64
+	waiting      int
+}
+
+// modelDemands returns the demand of each model.
+func (p *Planner) modelDemands(now time.Time) map[demandKey]modelDemand {
+	out := map[demandKey]modelDemand{}
 	for k, d := range p.demands {
-		rate := d.rate(now)
+		rate, prompt := d.rate(now)
 		if now.Sub(d.last) > 10*rateWindow && d.wanted() == 0 {
 			delete(p.demands, k)
 			continue
 		}
 		m := demandKey{k.service, fleet.Target{Model: k.target.Model}}
-		rates[m] += rate
-		waiting[m] += d.wanted()
+		sum := out[m]
+		sum.rate += rate
+		sum.prompt += prompt
+		sum.waiting += d.wanted()
+		out[m] = sum
 	}
-	return rates, waiting
+	return out
 }
 
 // Loads takes in how many requests of each model all hosts have under way at an engine, and whether one can't reach it.
--- a/core/residency/order.go
+++ b/core/residency/order.go
@@ -81,6 +81,8 @@
 	AdapterLoad = 12 * time.Millisecond
 	// pollInterval separates reports of an engine that carries out an order for a model.
 	pollInterval = 300 * time.Millisecond
+	// unloadPoll is when an engine that unloads a model is first asked for a report.
+	unloadPoll = 150 * time.Millisecond
 	// reportLag is how old what a report tells may be.
 	reportLag = 600 * time.Millisecond
 	// doubtPause is the wait after an unanswered or conflicting order, so that a report shows its effect.
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -143,13 +143,14 @@
 // planModels sets goals for engines: models that requests wait for first, then more replicas of busy ones, then models without
 // any replica where there is room.
 func (p *Planner) planModels(now time.Time) {
-	rates, waiting := p.modelRates(now)
+	demands := p.modelDemands(now)
 	var keys []demandKey
-	for k := range rates {
+	for k := range demands {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b demandKey) int {
-		return cmp.Or(waiting[b]-waiting[a], cmp.Compare(rates[b], rates[a]), cmp.Compare(a.target.Model, b.target.Model))
+		return cmp.Or(demands[b].waiting-demands[a].waiting, cmp.Compare(demands[b].rate, demands[a].rate),
+			cmp.Compare(a.target.Model, b.target.Model))
 	})
 	for _, k := range keys {
 		m := p.table.Model(k.service, k.target.Model)
@@ -157,18 +158,21 @@
 			continue
 		}
 		copies, load := p.copies(k)
+		d := demands[k]
+		// crowding is how many more replicas the demand would keep busy.
+		crowding := max(float64(load)/float64(p.cfg.CopyLoad), d.prompt/p.cfg.CopyPrompt) - float64(copies)
 		switch {
-		case copies == 0 && waiting[k] > 0:
-			p.setGoal(now, wish{k, m, float64(waiting[k]) + rates[k]*waitWorth, true, "requests wait for it"}, rates)
-		case copies > 0 && load > p.cfg.CopyLoad*copies:
-			p.setGoal(now, wish{k, m, float64(load-p.cfg.CopyLoad*copies) / float64(p.cfg.CopyLoad), true, "replicas are busy"}, rates)
+		case copies == 0 && d.waiting > 0:
+			p.setGoal(now, wish{k, m, float64(d.waiting) + d.rate*waitWorth, true, "requests wait for it"}, demands)
+		case copies > 0 && crowding > 0:
+			p.setGoal(now, wish{k, m, crowding, true, "replicas are busy"}, demands)
 		}
 	}
-	p.fill(now, rates)
+	p.fill(now, demands)
 }
 
 // fill gives engines with free memory and a copy at hand the models that no engine holds, before anybody asks for them.
-func (p *Planner) fill(now time.Time, rates map[demandKey]float64) {
+func (p *Planner) fill(now time.Time, demands map[demandKey]modelDemand) {
 	for i := range p.table.Configuration.Services {
 		s := &p.table.Configuration.Services[i]
 		if s.Engine == nil {
@@ -178,7 +182,7 @@
 			m := &s.Engine.Models[j]
 			k := demandKey{s.Name, fleet.Target{Model: m.Name}}
 			if n, _ := p.copies(k); n == 0 {
-				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room"}, rates)
+				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room"}, demands)
 			}
 		}
 	}
@@ -212,7 +216,7 @@
 }
 
 // setGoal chooses the engine that loads a model, if one can at a cost below the wish's worth.
-func (p *Planner) setGoal(now time.Time, w wish, rates map[demandKey]float64) {
+func (p *Planner) setGoal(now time.Time, w wish, demands map[demandKey]modelDemand) {
 	var best *engine
 	var bestCost float64
 	for _, id := range p.Engines() {
@@ -224,7 +228,7 @@
 		if store && (!w.push || !p.storeAllows(now)) {
 			continue
 		}
-		victims, cost, ok := p.victims(now, e, w.model, rates)
+		victims, cost, ok := p.victims(now, e, w.model, demands)
 		if !ok || len(victims) > 0 && (!w.push || cost > w.worth*worthCost) {
 			continue
 		}
@@ -250,8 +254,8 @@
 	// storeCost is the cost of a load from the weight store, of which few run at once.
 	storeCost = 4.0
 	// lastCopyCost is the cost of evicting the only replica, and lastCopyRate that for each request a second for it.
-	lastCopyCost = 0.5
-	lastCopyRate = 6.0
+	lastCopyCost = 0.4
+	lastCopyRate = 2.0
 	// spareCopyRate is the cost of evicting one replica of several for each request a second that it would serve.
 	spareCopyRate = 0.7
 	// runningCost is the cost of each request under way, for which the eviction waits.
@@ -264,7 +268,7 @@
 )
 
 // victims returns the models that have to go for a load to fit, with their cost.
-func (p *Planner) victims(now time.Time, e *engine, m *routes.Model, rates map[demandKey]float64) ([]fleet.ModelID, float64, bool) {
+func (p *Planner) victims(now time.Time, e *engine, m *routes.Model, demands map[demandKey]modelDemand) ([]fleet.ModelID, float64, bool) {
 	need := e.taken() + m.Weights + e.adapterReserve(m) - e.spec.Weights
 	if need <= 0 {
 		return nil, 0, true
@@ -279,7 +283,7 @@
 		if h.phase != held {
 			continue
 		}
-		options = append(options, option{name, h.weights + fleet.Bytes(len(h.adapters))*h.adapter, p.evictionCost(now, e, name, h, rates)})
+		options = append(options, option{name, h.weights + fleet.Bytes(len(h.adapters))*h.adapter, p.evictionCost(now, e, name, h, demands)})
 	}
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.model, b.model))
@@ -308,14 +312,14 @@
 }
 
 // evictionCost returns what evicting a model costs its own requests.
-func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, rates map[demandKey]float64) float64 {
+func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, demands map[demandKey]modelDemand) float64 {
 	k := demandKey{e.Service, fleet.Target{Model: name}}
 	n, _ := p.copies(k)
 	cost := runningCost * float64(e.load[name])
 	if n <= 1 {
-		cost += lastCopyCost + lastCopyRate*rates[k]
+		cost += lastCopyCost + lastCopyRate*demands[k].rate
 	} else {
-		cost += spareCopyRate * rates[k] / float64(n-1)
+		cost += spareCopyRate * demands[k].rate / float64(n-1)
 	}
 	if now.Sub(h.since) < recentLoad {
 		cost += recentCost
@@ -330,8 +334,7 @@
 		e.goal = ""
 		return out
 	}
-	rates, _ := p.modelRates(now)
-	victims, _, ok := p.victims(now, e, m, rates)
+	victims, _, ok := p.victims(now, e, m, p.modelDemands(now))
 	if !ok {
 		e.goal = ""
 		return out
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -16,8 +16,10 @@
 	DefaultStoreWindow     = 5 * time.Second
 	// DefaultStoreShare is the share of the weight store's rate that is used, so that loads that start late don't exceed it.
 	DefaultStoreShare = 0.7
-	// DefaultCopyLoad is the number of requests under way for each replica above which a model gets another one.
-	DefaultCopyLoad = 10
+	// DefaultCopyLoad is the number of requests under way for each replica above which a model gets another one, and
+	// DefaultCopyPrompt that of prompt tokens a second.
+	DefaultCopyLoad   = 10
+	DefaultCopyPrompt = 12000.0
 )
 
 // Settings configure a Planner; zero fields mean the defaults.
@@ -26,6 +28,7 @@
 	StoreWindow     time.Duration
 	StoreShare      float64
 	CopyLoad        int
+	CopyPrompt      float64
 }
 
 // Planner decides on orders. It is not safe for concurrent use.
@@ -52,6 +55,9 @@
 	if cfg.CopyLoad == 0 {
 		cfg.CopyLoad = DefaultCopyLoad
 	}
+	if cfg.CopyPrompt == 0 {
+		cfg.CopyPrompt = DefaultCopyPrompt
+	}
 	return &Planner{cfg: cfg, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{}}
 }
 
@@ -280,7 +286,7 @@
 			e.after = now.Add(d)
 		}
 	case fleet.OrderUnload:
-		e.pending, e.pendingAt, e.after = &o, now, now.Add(pollInterval)
+		e.pending, e.pendingAt, e.after = &o, now, now.Add(unloadPoll)
 	case fleet.OrderLoadAdapter:
 		if h != nil {
 			if a := h.adapters[o.Target.Adapter]; a != nil {
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -10,13 +10,15 @@
 )
 
 // arrive counts a request for the demand and for the budget of repeats.
-func (v *View) arrive(service fleet.ServiceID, t fleet.Target) {
+func (v *View) arrive(service fleet.ServiceID, r *balance.Request) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.budget.Request(now, fleet.TenantID(service))
-	if t.Model != "" {
-		v.arrivals[demandKey{service, t}]++
+	if r.Target.Model != "" {
+		k := demandKey{service, r.Target}
+		a := v.arrivals[k]
+		v.arrivals[k] = arrivals{a.count + 1, a.prompt + r.Prompt}
 	}
 }
 
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -104,7 +104,7 @@
 	if x.ask.Plain {
 		x.ask.Target = fleet.Target{}
 	}
-	x.p.view.arrive(x.service, x.ask.Target)
+	x.p.view.arrive(x.service, &x.ask)
 	cleanRequest(&x.in.Header)
 	return x.attempts()
 }
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -40,7 +40,7 @@
 	changed  chan struct{}
 	balancer *balance.Balancer
 	budget   *retry.Budget
-	arrivals map[demandKey]int
+	arrivals map[demandKey]arrivals
 	waiting  map[demandKey]*waiters
 	ready    bool
 }
@@ -52,6 +52,12 @@
 
 type waiters struct{ count, urgent int }
 
+// arrivals are the requests since the last report and their prompt tokens.
+type arrivals struct {
+	count  int
+	prompt fleet.Tokens
+}
+
 func newView(cfg Settings) *View {
 	return &View{
 		cfg: cfg, hurr: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
@@ -60,7 +66,7 @@
 			Share: cfg.Budget.Ratio * budgetShare, Floor: 1, Burst: 1, Attempts: 1 << 20,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
-		arrivals: map[demandKey]int{}, waiting: map[demandKey]*waiters{},
+		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waiters{},
 	}
 }
 
@@ -230,15 +236,15 @@
 		}
 		req.Loads = append(req.Loads, controlapi.Load{Instance: id, Active: l.Active, Prompt: l.Prompt, Models: models, Unreachable: l.Unreachable})
 	}
-	for k, n := range v.arrivals {
-		d := residency.Demand{Service: k.service, Target: k.target, Arrivals: n}
+	for k, a := range v.arrivals {
+		d := residency.Demand{Service: k.service, Target: k.target, Arrivals: a.count, Prompt: a.prompt}
 		if w := v.waiting[k]; w != nil {
 			d.Waiting, d.Urgent = w.count, w.urgent
 		}
 		req.Demands = append(req.Demands, d)
 	}
 	for k, w := range v.waiting {
-		if v.arrivals[k] == 0 {
+		if v.arrivals[k].count == 0 {
 			req.Demands = append(req.Demands, residency.Demand{Service: k.service, Target: k.target, Waiting: w.count, Urgent: w.urgent})
 		}
 	}
