--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -40,6 +40,10 @@
 	// zoneCost and regionCost are the costs of leaving the data centre or the region: two ways, and the traffic.
 	zoneCost   = 4 * time.Millisecond
 	regionCost = 30 * time.Millisecond
+	// longPrompt is the number of tokens from which a prompt makes running streams pause.
+	longPrompt fleet.Tokens = 3000
+	// mixCost is the cost of running short and long prompts together.
+	mixCost = 150 * time.Millisecond
 	// failureCost is the cost of a server that fails every request.
 	failureCost = 2 * time.Second
 	// avoidCost puts servers that are avoided behind all others.
@@ -108,10 +112,14 @@
 		return nil, nil, Choice{}
 	}
 	home := homeOf(r, options)
+	quiet := quietOf(r, options)
 	var best *registry.Instance
 	var bestChoice Choice
 	for _, in := range options {
 		c := b.cost(now, r, in, in == home)
+		if quiet != nil && (in == quiet) != r.short() {
+			c.Cost += mixCost
+		}
 		if best == nil || c.Cost < bestChoice.Cost || c.Cost == bestChoice.Cost && in.ID < best.ID {
 			best, bestChoice = in, c
 		}
@@ -186,6 +194,21 @@
 	return n
 }
 
+// short says whether a prompt is read in a moment.
+func (r *Request) short() bool { return r.Prompt < longPrompt }
+
+// quietOf returns the replica that is kept for short prompts, since each long one makes the streams there pause; nil where there
+// is only one replica.
+func quietOf(r *Request, options []*registry.Instance) *registry.Instance {
+	if r.Plain || len(options) < 2 {
+		return nil
+	}
+	key := string(r.Target.Model) + "/"
+	return slices.MaxFunc(options, func(a, b *registry.Instance) int {
+		return cmp.Compare(xxhash.Sum64String(key+string(a.ID)), xxhash.Sum64String(key+string(b.ID)))
+	})
+}
+
 // homeOf returns the instance that the common parts of a prompt hash to, so that hosts that don't hear of each other's
 // requests send them to the same one; nil if there are no common parts.
 func homeOf(r *Request, options []*registry.Instance) *registry.Instance {
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -258,8 +258,9 @@
 	lastCopyRate = 2.0
 	// spareCopyRate is the cost of evicting one replica of several for each request a second that it would serve.
 	spareCopyRate = 0.7
-	// runningCost is the cost of each request under way, for which the eviction waits.
-	runningCost = 0.15
+	// drainCost is the cost of an eviction that waits for requests under way, and runningCost that of each of them.
+	drainCost   = 2.5
+	runningCost = 0.2
 	// recentCost is the cost of evicting a model that was loaded a moment ago, so that two don't push each other out.
 	recentCost = 3.0
 	recentLoad = 3 * time.Second
@@ -315,7 +316,10 @@
 func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, demands map[demandKey]modelDemand) float64 {
 	k := demandKey{e.Service, fleet.Target{Model: name}}
 	n, _ := p.copies(k)
-	cost := runningCost * float64(e.load[name])
+	cost := 0.0
+	if running := e.load[name]; running > 0 {
+		cost = drainCost + runningCost*float64(running)
+	}
 	if n <= 1 {
 		cost += lastCopyCost + lastCopyRate*demands[k].rate
 	} else {
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -336,7 +336,8 @@
 	}
 	if x.ask.Target.Model != "" {
 		fields = append(fields, zap.String("model", string(x.ask.Target.Model)), zap.String("adapter", string(x.ask.Target.Adapter)),
-			zap.Int64("prompt", int64(x.meta.Prompt)), zap.Int("events", x.stream.events), zap.Duration("first-ms", x.stream.first))
+			zap.Int64("prompt", int64(x.meta.Prompt)), zap.Int("events", x.stream.events), zap.Duration("first-ms", x.stream.first),
+			zap.Duration("gap-ms", x.stream.gap))
 	}
 	if x.waited > 0 {
 		fields = append(fields, zap.Duration("waited-ms", x.waited))
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -23,8 +23,10 @@
 	number  int64
 	ordered bool
 	events  int
-	// first is the time to the first event.
+	// first is the time to the first event, gap the longest pause between two events that were passed on.
 	first time.Duration
+	gap   time.Duration
+	at    time.Time
 }
 
 // maxEvent bounds one event of a stream.
@@ -81,6 +83,11 @@
 		return pending, nil
 	}
 	x.p.view.first(ticket)
+	now := time.Now()
+	if !x.stream.at.IsZero() {
+		x.stream.gap = max(x.stream.gap, now.Sub(x.stream.at))
+	}
+	x.stream.at = now
 	return pending, x.writePiece(up, out)
 }
 
