gateway: waiting requests are refused before callers leave; a server's own failure stands

Cause: chats that waited for a model were abandoned after 3.2 s and counted as failed; refused in time they come again.

--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -294,6 +294,38 @@
 	}
 }
 
+// Guards against a server's own failure that is replaced by one of this host when no other server may be asked.
+func TestFailureStands(t *testing.T) {
+	f := newFixture(t)
+	f.g.view.budget.Limit(0, 0)
+	f.server("a", raw("HTTP/1.1 500 Oops\r\nId: 1\r\nSignature: x\r\nContent-Length: 4\r\n\r\noops"))
+	f.server("b", drop)
+	f.g.view.mu.Lock()
+	f.g.view.instances["b"].Silent = true
+	f.g.view.mu.Unlock()
+	res, err := f.call(get("/safe/"))
+	require.NoError(t, err)
+	require.Equal(t, 500, res.StatusCode())
+	require.Equal(t, "oops", string(res.Body()))
+}
+
+// Guards against a caller that leaves a stream that doesn't begin, where a refusal would have let it come again.
+func TestPatience(t *testing.T) {
+	tests := map[string]struct {
+		route routes.Route
+		want  time.Duration
+	}{
+		"objective": {routes.Route{Kind: routes.Streaming, Objective: 2 * time.Second, Timeout: time.Minute}, 8*time.Second - patienceMargin},
+		"pauses":    {routes.Route{Kind: routes.Streaming, GapObjective: 400 * time.Millisecond, Timeout: time.Minute}, 3200*time.Millisecond - patienceMargin},
+		"least":     {routes.Route{Kind: routes.Streaming, Timeout: time.Minute}, 2*time.Second - patienceMargin},
+		"timeout":   {routes.Route{Kind: routes.Streaming, Timeout: time.Second}, time.Second},
+		"no stream": {routes.Route{Kind: routes.Unsafe, Timeout: time.Minute}, time.Minute},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, patienceOf(&tt.route)) })
+	}
+}
+
 // Guards against bytes after a whole answer that are taken for the answer to the next request.
 func TestExtraBytesEndConnection(t *testing.T) {
 	f := newFixture(t)
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -49,11 +49,19 @@
 	// mayHaveRun says that a server may have run the request.
 	mayHaveRun bool
 	stream     relay
+	// failure is a backend server's own failure, which stands if no other server answers.
+	failure *answer
 	// waited is the time without a server that could take the request.
 	waited time.Duration
 	steps  []step
 }
 
+// answer is a whole answer of a backend server.
+type answer struct {
+	header fasthttp.ResponseHeader
+	body   []byte
+}
+
 // step is one server that the request was sent to, for the log.
 type step struct {
 	instance fleet.BackendID
@@ -172,6 +180,8 @@
 func (x *exchange) choose() (*registry.Instance, *balance.Ticket, balance.Choice, error) {
 	var done func()
 	began := time.Now()
+	patience := time.NewTimer(time.Until(x.began.Add(patienceOf(x.route))))
+	defer patience.Stop()
 	defer func() {
 		if done != nil {
 			done()
@@ -195,12 +205,24 @@
 		}
 		select {
 		case <-changed:
+		case <-patience.C:
+			return nil, nil, c, errNoServer
 		case <-x.ctx.Done():
 			return nil, nil, c, x.ctx.Err()
 		}
 	}
 }
 
+// patienceOf returns how long a request waits for a server: callers leave a stream that doesn't begin, and one that is refused
+// before they do can be sent again.
+func patienceOf(r *routes.Route) time.Duration {
+	if r.Kind != routes.Streaming {
+		return r.Timeout
+	}
+	p := max(leastPatience, objectivePatience*r.Objective, gapPatience*r.GapObjective)
+	return min(p-patienceMargin, r.Timeout)
+}
+
 // send sends the request to one server and passes its answer on. Without an error the answer is complete.
 func (x *exchange) send(in *registry.Instance, ticket *balance.Ticket) (int, balance.Outcome, error) {
 	req := fasthttp.AcquireRequest()
@@ -273,16 +295,17 @@
 	}
 	x.p.view.first(ticket)
 	out := balance.Answered
+	a := &answer{body: body}
+	passHeader(&a.header, &up.Response.Header)
+	a.header.SetContentLength(len(body))
 	if status >= 500 {
 		out = balance.Failed
 		if x.again(errFailed) && x.p.view.another(x.service, &x.ask, x.tried) {
+			x.failure = a
 			return status, out, errFailed
 		}
 	}
-	var h fasthttp.ResponseHeader
-	passHeader(&h, &up.Response.Header)
-	h.SetContentLength(len(body))
-	x.conn.write(&h, body)
+	x.conn.write(&a.header, body)
 	return status, out, nil
 }
 
@@ -296,6 +319,10 @@
 		x.conn.abort()
 		return 0, "caller left"
 	}
+	if x.failure != nil {
+		x.conn.write(&x.failure.header, x.failure.body)
+		return x.failure.header.StatusCode(), "answered before; " + err.Error()
+	}
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
 	case errors.Is(context.Cause(x.ctx), errStopping) && !x.mayHaveRun:
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -53,6 +53,13 @@
 	againPause = 15 * time.Millisecond
 	// retryAfter is what a refused caller is told to wait.
 	retryAfter = 500 * time.Millisecond
+	// leastPatience, objectivePatience times the objective and gapPatience times the objective of pauses: callers leave a stream
+	// without an event for the longest of these.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+	// patienceMargin is how long before that a request that still waits is refused.
+	patienceMargin = 250 * time.Millisecond
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 5 * time.Second
 	// drainAccept is how long a host that stops still takes requests, since callers hear of it late.
