--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -132,7 +133,7 @@
 	}
 	s.active++
 	s.prompt += t.prompt
-	s.models[r.Target.Model]++
+	s.targets[r.Target]++
 	s.waiting[t] = true
 	b.sent.add(now, r, best.ID, best.Incarnation)
 	return best, t, bestChoice
@@ -246,17 +247,17 @@
 		delete(s.waiting, t)
 	}
 	s.active--
-	if s.models[t.target.Model]--; s.models[t.target.Model] <= 0 {
-		delete(s.models, t.target.Model)
+	if s.targets[t.target]--; s.targets[t.target] <= 0 {
+		delete(s.targets, t.target)
 	}
 	s.observe(now, o)
 }
 
 // Load is what this host has under way at a server.
 type Load struct {
-	Active int
-	Prompt fleet.Tokens
-	Models map[fleet.ModelID]int
+	Active  int
+	Prompt  fleet.Tokens
+	Targets map[fleet.Target]int
 	// Unreachable says that connections or answers failed a moment ago.
 	Unreachable bool
 }
@@ -269,10 +270,7 @@
 		if s.active == 0 && !unreachable {
 			continue
 		}
-		l := Load{Active: s.active, Prompt: s.prompt, Models: make(map[fleet.ModelID]int, len(s.models)), Unreachable: unreachable}
-		for m, n := range s.models {
-			l.Models[m] = n
-		}
+		l := Load{Active: s.active, Prompt: s.prompt, Targets: maps.Clone(s.targets), Unreachable: unreachable}
 		out[id] = l
 	}
 	return out
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -53,7 +53,7 @@
 	incarnation fleet.Incarnation
 	active      int
 	prompt      fleet.Tokens
-	models      map[fleet.ModelID]int
+	targets     map[fleet.Target]int
 	// othersActive and othersPrompt are what other hosts have under way.
 	othersActive int
 	othersPrompt fleet.Tokens
@@ -70,7 +70,7 @@
 }
 
 func newServer(inc fleet.Incarnation) *server {
-	return &server{incarnation: inc, models: map[fleet.ModelID]int{}, waiting: map[*Ticket]bool{}, pace: 1}
+	return &server{incarnation: inc, targets: map[fleet.Target]int{}, waiting: map[*Ticket]bool{}, pace: 1}
 }
 
 func (s *server) decay(now time.Time) {
--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -137,9 +137,10 @@
 	return out
 }
 
-// Loads takes in how many requests of each model all hosts have under way at an engine, and whether one can't reach it.
-func (p *Planner) Loads(id fleet.BackendID, load map[fleet.ModelID]int, suspect bool) {
+// Loads takes in how many requests of each target all hosts have under way at an engine, and whether one can't reach it.
+func (p *Planner) Loads(id fleet.BackendID, running map[fleet.Target]int, suspect bool) {
 	if e := p.engines[id]; e != nil {
-		e.load, e.suspect = load, suspect
+		e.setRunning(running)
+		e.suspect = suspect
 	}
 }
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -57,13 +57,17 @@
 	goal   fleet.ModelID
 	goalAt time.Time
 	reason string
-	// suspect says that a host can't reach the engine at present.
-	suspect bool
-	// load is the number of requests that hosts have under way there, by model.
-	load map[fleet.ModelID]int
+	// suspect says that an entry host can't reach the engine at present, unreached that this one couldn't the last time.
+	suspect, unreached bool
+	// load is the number of requests that hosts have under way there, by model, and running that by model and adapter.
+	load    map[fleet.ModelID]int
+	running map[fleet.Target]int
 }
 
-func (e *engine) usable() bool { return e.State == registry.Ready && !e.Silent }
+// usable says whether the engine serves requests as far as known.
+func (e *engine) usable() bool {
+	return e.State == registry.Ready && !e.Silent && !e.suspect && !e.unreached
+}
 
 // taken returns the memory in use by models and adapters, also by those on their way.
 func (e *engine) taken() fleet.Bytes {
@@ -128,6 +132,14 @@
 	return n
 }
 
+// setRunning takes over the requests under way.
+func (e *engine) setRunning(running map[fleet.Target]int) {
+	e.running, e.load = running, map[fleet.ModelID]int{}
+	for t, n := range running {
+		e.load[t.Model] += n
+	}
+}
+
 // take replaces what the engine holds by its own account.
 func (e *engine) take(now time.Time, spec modelSpecs, models []registry.Model) {
 	was := e.models
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -95,7 +95,7 @@
 		}
 		score := e.requests()
 		if !e.roomFor(h) {
-			if _, ok := e.idleAdapter(); !ok {
+			if _, ok := e.idleAdapter(now); !ok {
 				continue
 			}
 			score += adapterEviction
@@ -114,7 +114,7 @@
 func (p *Planner) orderAdapter(now time.Time, e *engine, t fleet.Target) Action {
 	h := e.models[t.Model]
 	if !e.roomFor(h) {
-		victim, _ := e.idleAdapter()
+		victim, _ := e.idleAdapter(now)
 		return p.issue(e, fleet.OrderUnloadAdapter, victim, "room for adapter "+string(t.Adapter), false)
 	}
 	h.adapters[t.Adapter] = &adapter{ready: now.Add(time.Hour), used: now}
@@ -126,12 +126,16 @@
 	return e.adapters() < e.spec.AdapterSlots && e.taken()+h.adapter <= e.spec.Weights
 }
 
-// idleAdapter returns the adapter that was not used for the longest time.
-func (e *engine) idleAdapter() (t fleet.Target, ok bool) {
+// idleAdapter returns the adapter that was not used for the longest time. One that a request may still use is none: its unload
+// would keep the engine from other orders until the request has ended.
+func (e *engine) idleAdapter(now time.Time) (t fleet.Target, ok bool) {
 	var oldest time.Time
 	for name, h := range e.models {
 		for a, x := range h.adapters {
 			at := fleet.Target{Model: name, Adapter: a}
+			if e.running[at] > 0 || now.Sub(x.used) < adapterUse {
+				continue
+			}
 			if !ok || x.used.Before(oldest) || x.used.Equal(oldest) && a < t.Adapter {
 				t, oldest, ok = at, x.used, true
 			}
@@ -140,6 +144,9 @@
 	return t, ok
 }
 
+// adapterUse is how long after it was asked for an adapter may be in use without a host having told so.
+const adapterUse = 600 * time.Millisecond
+
 // planModels sets goals for engines: models that requests wait for first, then more replicas of busy ones, then models without
 // any replica where there is room.
 func (p *Planner) planModels(now time.Time) {
@@ -202,7 +209,7 @@
 // copies returns the replicas of a model, those on their way included, and the requests under way at them.
 func (p *Planner) copies(k demandKey) (n, load int) {
 	for _, e := range p.engines {
-		if e.Service != k.service || !e.usable() || e.suspect {
+		if e.Service != k.service || !e.usable() {
 			continue
 		}
 		if h := e.models[k.target.Model]; h != nil && h.phase != unloading {
@@ -221,7 +228,7 @@
 	var bestCost float64
 	for _, id := range p.Engines() {
 		e := p.engines[id]
-		if e.Service != w.key.service || !e.free(now) || e.suspect || e.goal != "" || e.models[w.model.Name] != nil {
+		if e.Service != w.key.service || !e.free(now) || e.goal != "" || e.models[w.model.Name] != nil {
 			continue
 		}
 		d, store := e.loadTime(w.model)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -206,7 +206,7 @@
 	if e == nil || e.Incarnation != pr.Incarnation {
 		return
 	}
-	e.calling = false
+	e.calling, e.unreached = false, false
 	if e.known && r.Accepted < e.accepted {
 		// The report is older than an order that was accepted since.
 		e.after = now.Add(pollInterval)
@@ -241,7 +241,7 @@
 // Unreported takes in that a probe got no usable answer.
 func (p *Planner) Unreported(now time.Time, pr Probe) {
 	if e := p.engines[pr.Engine]; e != nil && e.Incarnation == pr.Incarnation {
-		e.calling = false
+		e.calling, e.unreached = false, true
 		e.after = now.Add(retryPause)
 	}
 }
@@ -253,6 +253,7 @@
 		return
 	}
 	e.calling = false
+	e.unreached = out == Unreachable || out == Unanswered
 	switch out {
 	case Accepted:
 		e.accepted++
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -312,8 +312,11 @@
 	d.hold(0, "m")
 	d.run(2 * time.Second)
 	d.planner.Loads("e0", nil, true)
-	d.want(1, target("m"))
-	d.run(10 * time.Second)
+	for range 40 {
+		d.planner.Loads("e0", nil, true)
+		d.want(1, target("m"))
+		d.run(250 * time.Millisecond)
+	}
 	require.Equal(t, 2, d.holders("m"))
 }
 
@@ -336,6 +339,23 @@
 	require.Equal(t, 9, loads)
 }
 
+// Guards against the unload of an adapter that a request uses: it waits for the request and keeps the engine from all other
+// orders meanwhile (kld-rute trouble-1: three seconds of refusals).
+func TestUsedAdapterStays(t *testing.T) {
+	d := newDeployment(t, 1, 1, model("m", 50))
+	d.hold(0, "m")
+	d.run(2 * time.Second)
+	for i := range 3 {
+		d.want(1, fleet.Target{Model: "m", Adapter: fleet.AdapterID(fmt.Sprint("a", i))})
+		d.run(time.Second)
+	}
+	d.planner.Loads("e0", map[fleet.Target]int{{Model: "m", Adapter: "a0"}: 1, {Model: "m", Adapter: "a1"}: 2}, false)
+	d.want(1, fleet.Target{Model: "m", Adapter: "a7"})
+	d.run(time.Second)
+	as := d.engines["e0"].models["m"]
+	require.Equal(t, map[fleet.AdapterID]bool{"a0": true, "a1": true, "a7": true}, as)
+}
+
 // Guards against an engine that is ordered again without a report after an order had no answer.
 func TestDoubtAsksFirst(t *testing.T) {
 	d := newDeployment(t, 1, 1, model("m", 50), model("n", 40))
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -76,15 +76,21 @@
 // Load is what one host has under way at a backend server.
 type Load struct {
 	Instance fleet.BackendID `cbor:"1,keyasint"`
-	// Active counts requests, by model where there are models.
+	// Active counts the requests, Targets those for each model and adapter.
 	Active int `cbor:"2,keyasint,omitempty"`
 	// Prompt is the number of prompt tokens of requests that have not had their first event.
-	Prompt fleet.Tokens          `cbor:"3,keyasint,omitempty"`
-	Models map[fleet.ModelID]int `cbor:"4,keyasint,omitempty"`
+	Prompt  fleet.Tokens `cbor:"3,keyasint,omitempty"`
+	Targets []TargetLoad `cbor:"4,keyasint,omitempty"`
 	// Unreachable says that the host can't reach the backend server at present.
 	Unreachable bool `cbor:"5,keyasint,omitempty"`
 }
 
+// TargetLoad is the number of requests under way for one model and adapter.
+type TargetLoad struct {
+	Target fleet.Target `cbor:"1,keyasint"`
+	Active int          `cbor:"2,keyasint"`
+}
+
 // ReportRequest tells the leader about an entry host.
 type ReportRequest struct {
 	Entry Entry `cbor:"1,keyasint"`
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -58,11 +59,12 @@
 	if v == registry.Full {
 		return nil, ErrRejected.New("no room for another backend server; raise the bound of the registry")
 	}
-	if v != registry.Outdated {
+	if v == registry.Unchanged {
 		in, beat, _ := c.registry.Get(h.Instance.ID)
 		c.planner.Observe(now, in, beat)
 	}
 	if v == registry.Changed {
+		c.observe(now)
 		c.logInstance(before, h.Instance, h.Seq)
 		c.publish()
 		c.announce()
@@ -85,8 +87,8 @@
 	}
 	now := c.cfg.Now()
 	if c.registry.Leave(now, req.Instance, req.Incarnation) {
-		in, beat, _ := c.registry.Get(req.Instance)
-		c.planner.Observe(now, in, beat)
+		c.observe(now)
+		in, _, _ := c.registry.Get(req.Instance)
 		c.logInstance(in, in, 0)
 		c.announce()
 		c.hurry()
@@ -94,6 +96,15 @@
 	return &controlapi.HeartbeatResponse{Control: c.cfg.Control}, nil
 }
 
+// observe tells the planner of all instances that have changed, also those that another one has displaced; c.mu is held.
+func (c *Controller) observe(now time.Time) {
+	for _, in := range c.registry.After(c.observed) {
+		_, beat, _ := c.registry.Get(in.ID)
+		c.planner.Observe(now, in, beat)
+	}
+	c.observed = c.registry.Revision()
+}
+
 // publish puts the planner's view of what engines hold into the registry; c.mu is held.
 func (c *Controller) publish() {
 	now := c.cfg.Now()
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -44,6 +44,8 @@
 	kick     chan struct{}
 	registry *registry.Registry
 	planner  *residency.Planner
+	// observed is the revision of the registry up to which the planner knows the instances.
+	observed uint64
 	// reign is the present leadership, nil on other hosts.
 	reign *reign
 	// entries are the entry hosts as reported here, or as followed from the leader.
@@ -144,6 +146,7 @@
 			c.planner.Observe(now, in, registry.Heartbeat{Instance: in, Engine: c.isEngine(in.Service)})
 		}
 	}
+	c.observed = c.registry.Revision()
 	c.planner.Doubt()
 	c.cfg.Log.Info(logLeading, zap.Uint64("term", uint64(term)), zap.String("ordered-before", string(state.Orderer)),
 		zap.Duration("orders-in-ms", r.ordersFrom.Sub(now)), zap.Uint64("configuration", uint64(state.Version)))
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -139,21 +139,21 @@
 
 // engineLoad is what all entry hosts told of one engine.
 type engineLoad struct {
-	models  map[fleet.ModelID]int
+	running map[fleet.Target]int
 	suspect bool
 }
 
-// engineLoads sums the requests under way at each engine by model; c.mu is held.
+// engineLoads sums the requests under way at each engine; c.mu is held.
 func (c *Controller) engineLoads() map[fleet.BackendID]engineLoad {
 	sums := map[fleet.BackendID]engineLoad{}
 	for _, e := range c.entries {
 		for _, l := range e.loads {
 			sum := sums[l.Instance]
-			if sum.models == nil {
-				sum.models = map[fleet.ModelID]int{}
+			if sum.running == nil {
+				sum.running = map[fleet.Target]int{}
 			}
-			for m, n := range l.Models {
-				sum.models[m] += n
+			for _, t := range l.Targets {
+				sum.running[t.Target] += t.Active
 			}
 			sum.suspect = sum.suspect || l.Unreachable
 			sums[l.Instance] = sum
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -45,11 +45,10 @@
 	}
 	c.expireEntries(now)
 	for _, id := range c.registry.Tick(now) {
-		in, beat, _ := c.registry.Get(id)
-		c.planner.Observe(now, in, beat)
-		c.cfg.Log.Warn(logSilent, zap.String("instance", string(id)), zap.String("address", in.Address))
+		c.cfg.Log.Warn(logSilent, zap.String("instance", string(id)))
 		c.announce()
 	}
+	c.observe(now)
 	c.configure(c.state())
 	c.publish()
 	if now.Before(r.ordersFrom) {
@@ -61,7 +60,7 @@
 	}
 	loads := c.engineLoads()
 	for _, id := range c.planner.Engines() {
-		c.planner.Loads(id, loads[id].models, loads[id].suspect)
+		c.planner.Loads(id, loads[id].running, loads[id].suspect)
 	}
 	actions := c.planner.Next(now)
 	c.publish()
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -230,11 +230,13 @@
 		Entry: controlapi.Entry{Host: v.cfg.Self, Address: v.cfg.Address, Region: v.cfg.Place.Region, DataCentre: v.cfg.Place.DataCentre},
 	}
 	for id, l := range v.balancer.Loads(time.Now()) {
-		models := l.Models
-		if v.instances[id] == nil || len(v.instances[id].Models) == 0 {
-			models = nil
+		load := controlapi.Load{Instance: id, Active: l.Active, Prompt: l.Prompt, Unreachable: l.Unreachable}
+		for t, n := range l.Targets {
+			if t.Model != "" {
+				load.Targets = append(load.Targets, controlapi.TargetLoad{Target: t, Active: n})
+			}
 		}
-		req.Loads = append(req.Loads, controlapi.Load{Instance: id, Active: l.Active, Prompt: l.Prompt, Models: models, Unreachable: l.Unreachable})
+		req.Loads = append(req.Loads, load)
 	}
 	for k, a := range v.arrivals {
 		d := residency.Demand{Service: k.service, Target: k.target, Arrivals: a.count, Prompt: a.prompt}
