--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -10,22 +10,29 @@
 	"toucanway/core/routes"
 )
 
+// Probes returns the reports to ask for now, which is all that a host may do that doesn't order engines yet.
+func (p *Planner) Probes(now time.Time) []Action {
+	var out []Action
+	for _, id := range p.Engines() {
+		if e := p.engines[id]; e.probeDue(now) {
+			e.calling = true
+			out = append(out, Probe{e.ID, e.Incarnation, e.Address})
+		}
+	}
+	return out
+}
+
 // Next returns what to do now. At most one action for each engine is under way at a time.
 func (p *Planner) Next(now time.Time) []Action {
 	if p.table == nil {
 		return nil
 	}
-	var out []Action
+	out := p.Probes(now)
 	ids := p.Engines()
 	for _, id := range ids {
-		e := p.engines[id]
-		if e.goal != "" && e.pending == nil && now.Sub(e.goalAt) > goalLife {
+		if e := p.engines[id]; e.goal != "" && e.pending == nil && now.Sub(e.goalAt) > goalLife {
 			e.goal = ""
 		}
-		if e.probeDue(now) {
-			e.calling = true
-			out = append(out, Probe{e.ID, e.Incarnation, e.Address})
-		}
 	}
 	out = p.planAdapters(now, out)
 	p.planModels(now)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -112,6 +112,10 @@
 	if beat.Engine {
 		e.copies(beat.InMemory, beat.OnDisk)
 		p.settle(now, e, beat.Instance.Models)
+		if !e.known && e.pending == nil && !e.calling {
+			// What another host has ordered before is told by the engine only.
+			e.take(now, p.specs(e.Service), beat.Instance.Models)
+		}
 		e.compare(beat.Instance.Models)
 	}
 }
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -52,7 +52,7 @@
 	c.configure(c.state())
 	c.publish()
 	if now.Before(r.ordersFrom) {
-		return nil
+		return c.planner.Probes(now)
 	}
 	if !r.ordering {
 		c.claim(ctx, r)
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"toucanway/core/balance"
@@ -29,13 +31,54 @@
 	return v.budget.Spend(time.Now(), fleet.TenantID(service))
 }
 
-// pick chooses a server for a request, other than those in not; nil if none can serve it now. The channel is closed when that
-// may have changed.
-func (v *View) pick(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) (*registry.Instance, *balance.Ticket, balance.Choice, <-chan struct{}) {
+// chosen is the server of a request with the reasons for it; the instance is nil if none can serve the request now.
+type chosen struct {
+	instance *registry.Instance
+	ticket   *balance.Ticket
+	choice   balance.Choice
+	// changed is closed when another choice may be possible, and after is when one certainly may be; it is zero if unknown.
+	changed <-chan struct{}
+	after   time.Time
+}
+
+// pick chooses a server for a request, other than those in not.
+func (v *View) pick(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) chosen {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := chosen{changed: v.changed}
+	options := slices.DeleteFunc(v.options(service, r, not), func(in *registry.Instance) bool {
+		until, ok := v.lacks[lackKey{in.ID, in.Incarnation, r.Target}]
+		if !ok || !now.Before(until) {
+			return false
+		}
+		if c.after.IsZero() || until.Before(c.after) {
+			c.after = until
+		}
+		return true
+	})
+	c.instance, c.ticket, c.choice = v.balancer.Pick(now, r, options)
+	return c
+}
+
+// lackKey is a target that an incarnation of a server has rejected.
+type lackKey struct {
+	instance    fleet.BackendID
+	incarnation fleet.Incarnation
+	target      fleet.Target
+}
+
+// lack notes that a server rejected requests for a target, which is not sent there for a while.
+func (v *View) lack(in *registry.Instance, t fleet.Target, d time.Duration) {
+	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	in, t, c := v.balancer.Pick(time.Now(), r, v.options(service, r, not))
-	return in, t, c, v.changed
+	if len(v.lacks) >= maxLacks {
+		maps.DeleteFunc(v.lacks, func(_ lackKey, until time.Time) bool { return now.After(until) })
+	}
+	if len(v.lacks) < maxLacks {
+		v.lacks[lackKey{in.ID, in.Incarnation, t}] = now.Add(d)
+	}
 }
 
 // another says whether a server other than those in not could take a request.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -508,13 +508,38 @@
 	f.g.view.budget = nil
 }
 
-// Guards against a request that is answered before a configuration is known.
+// Guards against a request that is answered without a configuration, or refused by a host that is about to get one.
 func TestNoConfiguration(t *testing.T) {
 	f := newFixture(t)
+	f.server("a", answers("x"))
+	table := f.g.view.table
 	f.g.view.table = nil
 	res, err := f.call(get("/safe/"))
 	require.NoError(t, err)
 	require.Equal(t, 503, res.StatusCode())
+	c, err := f.callers.Dial()
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, get("/safe/"))
+	require.NoError(t, err)
+	f.g.view.mu.Lock()
+	f.g.view.table = table
+	close(f.g.view.changed)
+	f.g.view.changed = make(chan struct{})
+	f.g.view.mu.Unlock()
+	var late fasthttp.Response
+	require.NoError(t, late.Read(bufio.NewReader(c)))
+	require.Equal(t, 200, late.StatusCode())
+}
+
+// Guards against a request that is sent again and again to a server that lacks its model, while it could wait.
+func TestLackingServerIsLeftAlone(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", raw("HTTP/1.1 421 Misdirected\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	res, err := f.call(get("/brief/"))
+	require.NoError(t, err)
+	require.Equal(t, 503, res.StatusCode())
+	require.Len(t, f.requests("a"), 1)
 }
 
 // Guards against a request for a model that no server holds being sent to one that has to reject it, and against one that
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -84,7 +84,7 @@
 
 // serve carries the request out and returns the status of its answer, 0 if none was completed, and why.
 func (x *exchange) serve() (int, string) {
-	t := x.p.view.Table()
+	t := x.p.view.awaitTable(x.ctx, startPatience)
 	if t == nil {
 		return x.refuse(fasthttp.StatusServiceUnavailable, "configuration-unknown", "no configuration is in force yet; come back shortly")
 	}
@@ -120,18 +120,18 @@
 // attempts sends the request to one server after the other until an answer stands.
 func (x *exchange) attempts() (int, string) {
 	for {
-		in, ticket, choice, err := x.choose()
+		c, err := x.choose()
 		if err != nil {
 			return x.giveUp(err)
 		}
 		if x.sends > 0 && !x.p.view.spend(x.service) {
-			x.p.view.end(ticket, balance.Withdrawn)
+			x.p.view.end(c.ticket, balance.Withdrawn)
 			return x.giveUp(errBudget)
 		}
 		began := time.Now()
-		status, out, err := x.send(in, ticket)
-		x.p.view.end(ticket, out)
-		x.steps = append(x.steps, step{in.ID, out, status, choice, time.Since(began), err})
+		status, out, err := x.send(c.instance, c.ticket)
+		x.p.view.end(c.ticket, out)
+		x.steps = append(x.steps, step{c.instance.ID, out, status, c.choice, time.Since(began), err})
 		if err == nil {
 			return status, "answered"
 		}
@@ -142,7 +142,11 @@
 			return x.giveUp(err)
 		}
 		if errors.Is(err, errNotRun) {
-			pause(x.ctx, againPause)
+			d := busyPause
+			if status == fasthttp.StatusMisdirectedRequest {
+				d = lackingPause
+			}
+			x.p.view.lack(c.instance, x.ask.Target, d)
 		}
 	}
 }
@@ -177,7 +181,7 @@
 }
 
 // choose picks a server, waiting for one as long as that makes sense.
-func (x *exchange) choose() (*registry.Instance, *balance.Ticket, balance.Choice, error) {
+func (x *exchange) choose() (chosen, error) {
 	var done func()
 	began := time.Now()
 	patience := time.NewTimer(time.Until(x.began.Add(patienceOf(x.route))))
@@ -193,26 +197,41 @@
 		if !x.mayHaveRun {
 			not = nil
 		}
-		in, t, c, changed := x.p.view.pick(x.service, &x.ask, not)
-		if in != nil {
-			return in, t, c, nil
+		c := x.p.view.pick(x.service, &x.ask, not)
+		if c.instance != nil {
+			return c, nil
 		}
 		if x.mayHaveRun {
-			return nil, nil, c, errNoServer
+			return c, errNoServer
 		}
 		if done == nil {
 			done = x.p.view.await(x.service, x.route, x.ask.Target)
 		}
-		select {
-		case <-changed:
-		case <-patience.C:
-			return nil, nil, c, errNoServer
-		case <-x.ctx.Done():
-			return nil, nil, c, x.ctx.Err()
+		if err := x.wait(c, patience.C); err != nil {
+			return c, err
 		}
 	}
 }
 
+// wait returns once another choice may be possible, or with the reason why the request waits no longer.
+func (x *exchange) wait(c chosen, patience <-chan time.Time) error {
+	var again <-chan time.Time
+	if !c.after.IsZero() {
+		t := time.NewTimer(time.Until(c.after))
+		defer t.Stop()
+		again = t.C
+	}
+	select {
+	case <-c.changed:
+	case <-again:
+	case <-patience:
+		return errNoServer
+	case <-x.ctx.Done():
+		return x.ctx.Err()
+	}
+	return nil
+}
+
 // patienceOf returns how long a request waits for a server: callers leave a stream that doesn't begin, and one that is refused
 // before they do can be sent again.
 func patienceOf(r *routes.Route) time.Duration {
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -49,8 +49,14 @@
 	callTimeout     = 2 * time.Second
 	// connectTimeout bounds a new connection to a backend server.
 	connectTimeout = 400 * time.Millisecond
-	// againPause is the wait before a request goes to a server that has just refused it, as while an adapter is loaded.
-	againPause = 15 * time.Millisecond
+	// busyPause and lackingPause are how long a request's target isn't sent to a server that has rejected it because it was
+	// busy, as while an adapter is loaded, or because it doesn't hold the target.
+	busyPause    = 30 * time.Millisecond
+	lackingPause = time.Second
+	// maxLacks bounds the rejections that are remembered.
+	maxLacks = 4096
+	// startPatience is how long a request waits at a host that doesn't know a configuration yet.
+	startPatience = 1500 * time.Millisecond
 	// retryAfter is what a refused caller is told to wait.
 	retryAfter = 500 * time.Millisecond
 	// leastPatience, objectivePatience times the objective and gapPatience times the objective of pauses: callers leave a stream
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -42,7 +42,9 @@
 	budget   *retry.Budget
 	arrivals map[demandKey]arrivals
 	waiting  map[demandKey]*waiters
-	ready    bool
+	// lacks are the targets that servers have rejected a moment ago, until when.
+	lacks map[lackKey]time.Time
+	ready bool
 }
 
 type demandKey struct {
@@ -66,7 +68,7 @@
 			Share: cfg.Budget.Ratio * budgetShare, Floor: 1, Burst: 1, Attempts: 1 << 20,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
-		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waiters{},
+		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waiters{}, lacks: map[lackKey]time.Time{},
 	}
 }
 
@@ -174,6 +176,25 @@
 	return v.table
 }
 
+// awaitTable returns the configuration in force, for which a host that has just started waits a moment; nil if none came.
+func (v *View) awaitTable(ctx context.Context, most time.Duration) *routes.Table {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for {
+		v.mu.Lock()
+		t, changed := v.table, v.changed
+		v.mu.Unlock()
+		if t != nil {
+			return t
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // report tells the leader about this host until the context ends, and once more that it takes no callers.
 func (v *View) report(ctx context.Context) error {
 	t := time.NewTimer(0)
