--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -211,6 +211,20 @@
 	return silent
 }
 
+// Restart counts the silence of all instances from now on: a host that takes over has heard from none of them yet.
+func (r *Registry) Restart(now time.Time) {
+	for _, e := range r.entries {
+		if e.instance.State == Gone {
+			continue
+		}
+		e.heard = now
+		if e.instance.Silent {
+			e.instance.Silent = false
+			r.touch(e)
+		}
+	}
+}
+
 // Adopt takes over instances that another host knew, without their heartbeats; known ones stay as they are.
 func (r *Registry) Adopt(now time.Time, list []Instance) {
 	for _, in := range list {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -169,3 +169,17 @@
 	_, _, ok := r.Get("b")
 	require.True(t, ok)
 }
+
+// Guards against a new leader that takes all servers for silent because only the one before heard their heartbeats (incident
+// inc-bf1a of agam-muestreo).
+func TestRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{Silence: time.Second})
+	r.Adopt(now, []Instance{{ID: "a", Incarnation: 1, Address: "10.0.0.1:80"}, {ID: "b", Incarnation: 1, Address: "10.0.0.2:80", Silent: true}})
+	later := now.Add(time.Minute)
+	r.Restart(later)
+	require.Empty(t, r.Tick(later.Add(time.Second)))
+	in, _, _ := r.Get("b")
+	require.False(t, in.Silent)
+	require.ElementsMatch(t, []fleet.BackendID{"a", "b"}, r.Tick(later.Add(2*time.Second)))
+}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -229,6 +229,16 @@
 	return n, load
 }
 
+// ready returns the replicas of a model that take requests now.
+func (p *Planner) ready(k demandKey) (n int) {
+	for _, e := range p.engines {
+		if h := e.models[k.target.Model]; e.Service == k.service && e.usable() && h != nil && h.phase == held {
+			n++
+		}
+	}
+	return n
+}
+
 // setGoal chooses the engine that loads a model, if one can at a cost below the wish's worth.
 func (p *Planner) setGoal(now time.Time, w wish, demands map[demandKey]modelDemand) {
 	var best *engine
@@ -329,7 +339,7 @@
 // evictionCost returns what evicting a model costs its own requests.
 func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, demands map[demandKey]modelDemand) float64 {
 	k := demandKey{e.Service, fleet.Target{Model: name}}
-	n, _ := p.copies(k)
+	n := p.ready(k)
 	cost := 0.0
 	if running := e.load[name]; running > 0 {
 		cost = drainCost + runningCost*float64(running)
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -294,6 +294,32 @@
 	require.Equal(t, 1, d.holders("wanted"))
 }
 
+// Guards against the eviction of the only replica that serves while another one is still being loaded from the weight store
+// (incident inc-bf1a of agam-muestreo: five seconds without a replica of a busy model).
+func TestReplicaUnderLoadIsNoSpare(t *testing.T) {
+	d := newDeployment(t, 1, 3, model("hot", 90), model("wanted", 90), model("other", 90))
+	d.hold(0, "hot")
+	d.hold(1, "other")
+	d.run(2 * time.Second)
+	hot := []Demand{{Service: "llm", Target: target("hot"), Arrivals: 4, Prompt: 40000}}
+	for range 12 {
+		d.planner.Demands(d.now, "host", hot)
+		d.run(250 * time.Millisecond)
+	}
+	for range 40 {
+		d.planner.Demands(d.now, "host", append(hot, Demand{Service: "llm", Target: target("wanted"), Waiting: 1, Arrivals: 1}))
+		ready := 0
+		for _, id := range d.ids {
+			if h := d.planner.engines[id].models["hot"]; h != nil && h.phase == held {
+				ready++
+			}
+		}
+		require.Positive(t, ready)
+		d.run(250 * time.Millisecond)
+	}
+	require.Positive(t, d.holders("wanted"))
+}
+
 // Guards against an engine that can't be given orders and keeps a model from being loaded elsewhere.
 func TestGoalOfUnreachableEngineIsGivenUp(t *testing.T) {
 	d := newDeployment(t, 1, 2, model("wanted", 50))
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -141,6 +141,7 @@
 	c.reign = r
 	c.planner = residency.New(c.cfg.Planner)
 	c.configure(state)
+	c.registry.Restart(now)
 	for _, in := range c.registry.After(0) {
 		if in.State != registry.Gone {
 			c.planner.Observe(now, in, registry.Heartbeat{Instance: in, Engine: c.isEngine(in.Service)})
