--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -297,27 +297,21 @@
 // Guards against the eviction of the only replica that serves while another one is still being loaded from the weight store
 // (incident inc-bf1a of agam-muestreo: five seconds without a replica of a busy model).
 func TestReplicaUnderLoadIsNoSpare(t *testing.T) {
-	d := newDeployment(t, 1, 3, model("hot", 90), model("wanted", 90), model("other", 90))
-	d.hold(0, "hot")
-	d.hold(1, "other")
+	d := newDeployment(t, 1, 2, model("hot", 40), model("idle", 40))
+	d.hold(0, "hot", "idle")
+	d.hold(1, "hot")
 	d.run(2 * time.Second)
-	hot := []Demand{{Service: "llm", Target: target("hot"), Arrivals: 4, Prompt: 40000}}
-	for range 12 {
-		d.planner.Demands(d.now, "host", hot)
-		d.run(250 * time.Millisecond)
-	}
-	for range 40 {
-		d.planner.Demands(d.now, "host", append(hot, Demand{Service: "llm", Target: target("wanted"), Waiting: 1, Arrivals: 1}))
-		ready := 0
-		for _, id := range d.ids {
-			if h := d.planner.engines[id].models["hot"]; h != nil && h.phase == held {
-				ready++
-			}
-		}
-		require.Positive(t, ready)
-		d.run(250 * time.Millisecond)
+	d.planner.Demands(d.now, "host", []Demand{{Service: "llm", Target: target("hot"), Arrivals: 1}})
+	cost := func() float64 {
+		e := d.planner.engines["e0"]
+		return d.planner.evictionCost(d.now, e, "hot", e.models["hot"], d.planner.modelDemands(d.now))
 	}
-	require.Positive(t, d.holders("wanted"))
+	spare := cost()
+	d.planner.engines["e1"].models["hot"].phase = loading
+	only := cost()
+	require.Greater(t, only, spare)
+	delete(d.planner.engines["e1"].models, "hot")
+	require.Equal(t, cost(), only)
 }
 
 // Guards against an engine that can't be given orders and keeps a model from being loaded elsewhere.
