--- /dev/null
+++ b/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
@@ -0,0 +1,135 @@
+package controlscenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+	"toucanway/core/routes"
+)
+
+// scriptT runs a script inside the bubble of the test that it belongs to.
+type scriptT struct{ *testing.T }
+
+func (t scriptT) Parallel()                          {}
+func (t scriptT) Verbose() bool                      { return testing.Verbose() }
+func (t scriptT) Run(_ string, f func(testscript.T)) { f(t) }
+
+// Every script of testdata guards against the failure that its first line names.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				defer finish(t, w)
+				cmds := map[string]func(*testscript.TestScript, bool, []string){}
+				for name, c := range commands() {
+					cmds[name] = func(ts *testscript.TestScript, neg bool, words []string) {
+						args, opt := parse(words)
+						err := c(w, args, opt)
+						switch {
+						case neg && err == nil:
+							ts.Fatalf("command succeeded and should fail")
+						case !neg && err != nil:
+							ts.Fatalf("%v", err)
+						}
+					}
+				}
+				testscript.RunT(scriptT{t}, testscript.Params{Files: []string{file}, Cmds: cmds})
+			})
+		})
+	}
+}
+
+func finish(t *testing.T, w *world) {
+	violations, err := w.close()
+	if len(violations) > 0 || err != nil || t.Failed() {
+		t.Log(w.log.text.String())
+	}
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
+// Guards against two groups, a lost acknowledged change or an older read under random kills, cuts, lost disks and restarts with
+// any of the seeds, as long as no more than one disk is lost at a time.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				defer finish(t, w)
+				r := rand.New(rand.NewPCG(seed, 3))
+				require.NoError(t, form(w, []string{"5"}, map[string]string{"seeds": "h1,h2,h3"}))
+				require.NoError(t, awaitVoters(w, []string{"5"}, nil))
+				version := routes.Version(0)
+				for range 40 {
+					fault(t, w, r)
+					for range 3 {
+						h := w.hosts[r.IntN(len(w.hosts))]
+						version++
+						// A host that is down or cut off acknowledges nothing, which is no fault.
+						_ = w.submit(h, version)
+						_, _ = w.read(w.hosts[r.IntN(len(w.hosts))])
+						time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+					}
+				}
+				w.net.RestoreAll()
+				for _, h := range w.hosts {
+					if h.group == nil {
+						require.NoError(t, w.start(h, false))
+					}
+				}
+				require.NoError(t, awaitVoters(w, []string{"5"}, nil))
+				require.NoError(t, read(w, []string{"all"}, nil))
+				require.Positive(t, w.acknowledged)
+			})
+		})
+	}
+}
+
+// fault brings about or ends one fault. Disks are lost only while all other hosts run and are connected.
+func fault(t *testing.T, w *world, r *rand.Rand) {
+	h := w.hosts[r.IntN(len(w.hosts))]
+	switch r.IntN(6) {
+	case 0:
+		if h.group != nil {
+			require.NoError(t, w.kill(h))
+		}
+	case 1, 2:
+		for _, h := range w.hosts {
+			if h.group == nil {
+				h.seeds = []fleet.HostID{w.hosts[r.IntN(len(w.hosts))].ip, w.hosts[r.IntN(len(w.hosts))].ip}
+				require.NoError(t, w.start(h, false))
+			}
+		}
+	case 3:
+		w.net.Isolate(string(h.ip))
+	case 4:
+		w.net.RestoreAll()
+	case 5:
+		w.net.RestoreAll()
+		for _, o := range w.hosts {
+			if o.group == nil {
+				require.NoError(t, w.start(o, false))
+			}
+		}
+		require.NoError(t, awaitVoters(w, []string{"5"}, nil))
+		require.NoError(t, w.kill(h))
+		w.wipe(h)
+		require.NoError(t, w.start(h, false))
+		require.NoError(t, awaitVoters(w, []string{"5"}, nil))
+	}
+}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/controlscenario/world.go
@@ -0,0 +1,317 @@
+package controlscenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/cmd/toucanway-lab/internal/memnet"
+	"toucanway/core/catalog"
+	"toucanway/core/fleet"
+	"toucanway/core/raft"
+	"toucanway/core/residency"
+	"toucanway/core/routes"
+	"toucanway/io/controlapi"
+	"toucanway/io/controller"
+	"toucanway/io/disk"
+	"toucanway/io/formation"
+	"toucanway/io/hosts"
+	"toucanway/io/metrics"
+	"toucanway/io/voters"
+)
+
+const (
+	port = 7400
+	// handover is the time for which engines must not be ordered when another host has ordered them.
+	handover = 3 * time.Second
+	// checkInterval is the time between two looks at who leads.
+	checkInterval = 5 * time.Millisecond
+	delayRegions  = 12 * time.Millisecond
+	delayCentres  = time.Millisecond
+)
+
+// versionParser reads configurations that hold only a version.
+type versionParser struct{}
+
+// Configuration reads a version.
+func (versionParser) Configuration(data []byte) (*routes.Configuration, error) {
+	var c struct{ Version routes.Version }
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	return &routes.Configuration{Version: c.Version}, nil
+}
+
+// noEngines stands for a deployment without engines.
+type noEngines struct{}
+
+// Order is never called.
+func (noEngines) Order(context.Context, residency.Order, fleet.Fence, fleet.HostID) residency.Outcome {
+	return residency.Unreachable
+}
+
+// Report is never called.
+func (noEngines) Report(context.Context, residency.Probe) (residency.Report, error) {
+	return residency.Report{}, controller.ErrUnavailable.New("there are no engines")
+}
+
+// host is one machine of the control group; it outlives its processes.
+type host struct {
+	name    string
+	ip      fleet.HostID
+	storage *disk.Memory
+	seeds   []fleet.HostID
+	group   *formation.Group
+	control *controller.Controller
+	stop    func() error
+}
+
+// world is a script under way.
+type world struct {
+	net   *memnet.Network
+	hosts []*host
+	disks raft.StorageID
+	log   lines
+
+	mu sync.Mutex
+	// acknowledged is the highest version that an operator got an acknowledgement for.
+	acknowledged routes.Version
+	violations   []string
+	cancel       context.CancelFunc
+	checks       errgroup.Group
+}
+
+// lines collects log lines.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends lines.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// Sync does nothing.
+func (l *lines) Sync() error { return nil }
+
+func delay(from, to netip.Addr) time.Duration {
+	if from.As4()[1] == to.As4()[1] {
+		return delayCentres
+	}
+	return delayRegions
+}
+
+func newWorld() *world {
+	w := &world{net: memnet.New(memnet.Settings{Delay: delay})}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.checks.Go(func() error {
+		w.watch(ctx)
+		return nil
+	})
+	return w
+}
+
+// watch notes when two hosts lead at once.
+func (w *world) watch(ctx context.Context) {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		w.mu.Lock()
+		running := slices.Clone(w.hosts)
+		w.mu.Unlock()
+		var leading []string
+		for _, h := range running {
+			if g := w.groupOf(h); g != nil && g.Leading() {
+				leading = append(leading, h.name)
+			}
+		}
+		if len(leading) > 1 {
+			w.violate("%v lead at once", leading)
+		}
+	}
+}
+
+func (w *world) groupOf(h *host) *formation.Group {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return h.group
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// add adds a machine with an empty disk; its number decides its address.
+func (w *world) add(name string) *host {
+	n := len(w.hosts) + 1
+	w.disks++
+	h := &host{name: name, ip: fleet.HostID(fmt.Sprintf("10.%d.1.%d", n%3+1, n)), storage: disk.NewMemory(w.disks)}
+	w.net.Host(string(h.ip))
+	w.mu.Lock()
+	w.hosts = append(w.hosts, h)
+	w.mu.Unlock()
+	return h
+}
+
+func (w *world) host(name string) (*host, error) {
+	for _, h := range w.hosts {
+		if h.name == name {
+			return h, nil
+		}
+	}
+	return nil, fmt.Errorf("no host %s", name)
+}
+
+// leader returns the host that leads, nil if there is none.
+func (w *world) leader() *host {
+	for _, h := range w.hosts {
+		if h.group != nil && h.group.Leading() {
+			return h
+		}
+	}
+	return nil
+}
+
+// start begins a process on a host.
+func (w *world) start(h *host, bootstrap bool) error {
+	if h.group != nil {
+		return fmt.Errorf("%s runs already", h.name)
+	}
+	net := w.net.Host(string(h.ip))
+	client := hosts.NewClient(h.ip, net, nil)
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(cfg), &w.log, zapcore.InfoLevel)).Named(h.name)
+	seeds := func() []fleet.HostID { return h.seeds }
+	group := formation.New(formation.Settings{
+		Self: h.ip, Port: port, Seeds: seeds, Bootstrap: bootstrap, Tolerated: 1,
+		Open:    func() (voters.Storage, error) { return h.storage, nil },
+		Machine: func() raft.StateMachine { return &catalog.Machine{} },
+		Client:  client, Now: time.Now, Log: log,
+	})
+	control := controller.New(controller.Settings{
+		Self: h.ip, Control: string(h.ip) + ":80", Group: group, Client: controlapi.NewClient(client, port, seeds), Parser: versionParser{},
+		Engines: noEngines{}, Log: log, Metrics: metrics.New(metrics.Options{}), Now: time.Now, Handover: handover, Lifetime: time.Second,
+	})
+	srv := &hosts.Server{}
+	group.Register(srv)
+	control.Register(srv)
+	l, err := net.Listen(formation.Address(h.ip, port))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var eg errgroup.Group
+	eg.Go(func() error { return srv.Run(ctx, l) })
+	eg.Go(func() error { return group.Run(ctx) })
+	eg.Go(func() error { return control.Run(ctx) })
+	w.mu.Lock()
+	h.group, h.control = group, control
+	w.mu.Unlock()
+	h.stop = func() error {
+		w.mu.Lock()
+		h.group, h.control = nil, nil
+		w.mu.Unlock()
+		// The connections go first, as when a process is killed.
+		net.Close()
+		cancel()
+		err := eg.Wait()
+		client.Close()
+		if errors.Is(err, stdnet.ErrClosed) {
+			// The listener was closed before the server was told to stop.
+			return nil
+		}
+		return err
+	}
+	return nil
+}
+
+func (w *world) kill(h *host) error {
+	if h.group == nil {
+		return fmt.Errorf("%s does not run", h.name)
+	}
+	return h.stop()
+}
+
+// wipe empties the disk of a host that doesn't run.
+func (w *world) wipe(h *host) {
+	w.disks++
+	h.storage = disk.NewMemory(w.disks)
+}
+
+// submit sends a version to a host, and notes it if it is acknowledged.
+func (w *world) submit(h *host, v routes.Version) error {
+	c := h.control
+	if c == nil {
+		return fmt.Errorf("%s does not run", h.name)
+	}
+	if err := c.Replace(context.Background(), fmt.Appendf(nil, `{"version":%d}`, v)); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.acknowledged = max(w.acknowledged, v)
+	return nil
+}
+
+// read reads the configuration from a host and notes when it is older than one that was acknowledged before.
+func (w *world) read(h *host) (routes.Version, error) {
+	c := h.control
+	if c == nil {
+		return 0, fmt.Errorf("%s does not run", h.name)
+	}
+	w.mu.Lock()
+	least := w.acknowledged
+	w.mu.Unlock()
+	data, err := c.Read(context.Background())
+	if err != nil {
+		return 0, err
+	}
+	cfg, err := versionParser{}.Configuration(data)
+	if err != nil {
+		return 0, err
+	}
+	if cfg.Version < least {
+		w.violate("%s told version %d after version %d was acknowledged", h.name, cfg.Version, least)
+	}
+	return cfg.Version, nil
+}
+
+// close ends the script and returns what was violated.
+func (w *world) close() ([]string, error) {
+	var err error
+	for _, h := range w.hosts {
+		if h.group != nil {
+			if e := h.stop(); err == nil {
+				err = e
+			}
+		}
+	}
+	w.cancel()
+	if e := w.checks.Wait(); err == nil {
+		err = e
+	}
+	return w.violations, err
+}
--- a/io/hosts/server.go
+++ b/io/hosts/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -57,7 +59,9 @@
 		Handler:           &s.mux,
 		ReadHeaderTimeout: HeartbeatTimeout,
 		IdleTimeout:       time.Minute,
-		Protocols:         &protocols,
+		// Broken connections show up at the callers; the library's own lines have no fields.
+		ErrorLog:  log.New(io.Discard, "", 0),
+		Protocols: &protocols,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxConcurrentCalls,
 			SendPingTimeout:      HeartbeatInterval,
