--- a/cmd/toucanway-lab/internal/commands/commands.go
+++ b/cmd/toucanway-lab/internal/commands/commands.go
@@ -102,5 +102,10 @@
 		{
 			"demo", "show the system at work", "Runs the system with stand-ins in one process and tells what happens.", &demoCommand{run: r},
 		},
+		{
+			"soak", "break gateways and controllers at random",
+			"Starts gateways and controllers as processes on loopback addresses, injects seeded faults from outside, and checks what callers, backend servers and operators see.",
+			&soakCommand{run: r},
+		},
 	}
 }
--- /dev/null
+++ b/cmd/toucanway-lab/internal/soak/soak.go
@@ -0,0 +1,294 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/platform/standin"
+)
+
+// Settings of a run.
+type Settings struct {
+	// Program is the path of the toucanway program.
+	Program string
+	Seed    uint64
+	// Duration is the time in which faults come.
+	Duration time.Duration
+	// Out gets one line for each fault.
+	Out io.Writer
+}
+
+// Sizes of a run.
+const (
+	controllers = 3
+	gateways    = 2
+	plains      = 2
+	engines     = 2
+	callers     = 6
+	// formTime is how long the deployment may take until it serves, and calmTime how long it runs without faults at the end.
+	formTime = 15 * time.Second
+	calmTime = 8 * time.Second
+	// stopTime is the longest a process may take to stop.
+	stopTime = 6 * time.Second
+	losses   = 0.01
+)
+
+// Result is what a run has found.
+type Result struct {
+	Answered, Failed, Runs int
+	Violations             []string
+	// Logs are the log lines of all processes, by name.
+	Logs map[string]string
+}
+
+// run is one run under way.
+type run struct {
+	cfg       Settings
+	rand      *rand.Rand
+	folder    string
+	ports     ports
+	links     *links
+	processes []*process
+	record    *standin.Record
+	models    []string
+	backends  []*life
+}
+
+// life is a backend server over its lives.
+type life struct {
+	cfg    standin.BackendSettings
+	cancel context.CancelFunc
+	done   chan struct{}
+	server *standin.Backend
+}
+
+// Run carries out one run.
+func Run(ctx context.Context, cfg Settings) (Result, error) {
+	folder, err := os.MkdirTemp("", "toucanway-soak-")
+	if err != nil {
+		return Result{}, err
+	}
+	defer os.RemoveAll(folder)
+	r := &run{
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 5)), folder: folder, links: newLinks(), record: standin.NewRecord(),
+		models: []string{"m0", "m1", "m2"},
+	}
+	if r.ports, err = freePorts(); err != nil {
+		return Result{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	eg, ctx := errgroup.WithContext(ctx)
+	if err := r.begin(ctx, eg); err != nil {
+		r.stopAll()
+		cancel()
+		return Result{}, err
+	}
+	r.play(ctx)
+	res := r.finish(ctx)
+	r.stopAll()
+	res.Violations = r.record.Violations()
+	for _, p := range r.processes {
+		res.Logs[p.name] = p.log.String()
+	}
+	cancel()
+	if err := eg.Wait(); err != nil && ctx.Err() == nil {
+		return res, err
+	}
+	return res, nil
+}
+
+// freePorts returns ports that no process uses at present.
+func freePorts() (ports, error) {
+	var out [5]int
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ports{}, err
+		}
+		defer l.Close()
+		out[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return ports{out[0], out[1], out[2], out[3], out[4]}, nil
+}
+
+// address returns a loopback address of this run; runs at the same time have different process ids.
+func address(kind, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, kind, n)
+}
+
+// begin starts processes, stand-ins and callers.
+func (r *run) begin(ctx context.Context, eg *errgroup.Group) error {
+	var seeds []string
+	for i := 1; i <= controllers; i++ {
+		p := &process{role: "controller", name: fmt.Sprintf("c%d", i), ip: address(1, i), bind: address(2, i)}
+		seeds = append(seeds, p.ip)
+		r.processes = append(r.processes, p)
+		eg.Go(func() error {
+			return r.links.proxy(ctx, fmt.Sprintf("%s:%d", p.ip, r.ports.hosts), fmt.Sprintf("%s:%d", p.bind, r.ports.hosts))
+		})
+	}
+	for i := 1; i <= gateways; i++ {
+		r.processes = append(r.processes, &process{role: "gateway", name: fmt.Sprintf("g%d", i), ip: address(3, i)})
+	}
+	for _, p := range r.processes {
+		p.folder, p.program = r.folder, r.cfg.Program
+		if err := p.write(r.ports, seeds, true); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	r.beginBackends(ctx)
+	op := r.operator()
+	end := time.Now().Add(formTime)
+	for !op.Submit(ctx) {
+		if time.Now().After(end) {
+			return fmt.Errorf("no configuration was acknowledged within %v; the first lines of %s: %.2000s", formTime,
+				r.processes[0].name, r.processes[0].log.String())
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	// The group has formed; what starts from now on must not form another one.
+	for _, p := range r.processes {
+		if err := p.write(r.ports, seeds, false); err != nil {
+			return err
+		}
+	}
+	eg.Go(func() error {
+		r.operate(ctx, op)
+		return nil
+	})
+	for i := range callers {
+		c := &standin.Caller{
+			Name: fmt.Sprintf("s%d-%d", r.cfg.Seed, i), Directory: func() []string { return r.addresses("controller", r.ports.directory) },
+			Models: r.models, Record: r.record, Rand: rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+i))),
+		}
+		eg.Go(func() error { return c.Run(ctx) })
+	}
+	return nil
+}
+
+func (r *run) operator() *standin.Operator {
+	return &standin.Operator{
+		Control: func() []string { return r.addresses("controller", r.ports.control) }, Models: r.models, Record: r.record,
+		Rand: rand.New(rand.NewPCG(r.cfg.Seed, 99)),
+	}
+}
+
+// addresses returns the addresses of all processes of a role.
+func (r *run) addresses(role string, port int) []string {
+	var out []string
+	for _, p := range r.processes {
+		if p.role == role {
+			out = append(out, fmt.Sprintf("%s:%d", p.ip, port))
+		}
+	}
+	return out
+}
+
+// operate submits and reads configurations until the context ends.
+func (r *run) operate(ctx context.Context, op *standin.Operator) {
+	for ctx.Err() == nil {
+		if op.Rand.IntN(3) == 0 {
+			op.Submit(ctx)
+		} else {
+			list := op.Control()
+			op.Read(ctx, list[op.Rand.IntN(len(list))])
+		}
+		time.Sleep(time.Duration(50+op.Rand.IntN(250)) * time.Millisecond)
+	}
+}
+
+func (r *run) beginBackends(ctx context.Context) {
+	control := func() []string { return r.addresses("controller", r.ports.control) }
+	for i := range plains + engines {
+		cfg := standin.BackendSettings{
+			ID: fmt.Sprintf("b%d", i), Service: "plain", DataCentre: "z", Address: fmt.Sprintf("%s:%d", address(4, i+1), r.ports.callers),
+			Control: control, Record: r.record, Losses: losses, Seed: r.cfg.Seed + uint64(i),
+		}
+		if i >= plains {
+			cfg.Service, cfg.Engine, cfg.Room = "engines", true, 2
+			cfg.Models = []string{r.models[i-plains]}
+		}
+		l := &life{cfg: cfg}
+		r.backends = append(r.backends, l)
+		r.beginLife(ctx, l)
+	}
+}
+
+// beginLife starts a backend server.
+func (r *run) beginLife(ctx context.Context, l *life) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.server, l.cancel, l.done = standin.NewBackend(l.cfg), cancel, make(chan struct{})
+	go func() {
+		defer close(l.done)
+		if err := l.server.Run(ctx); err != nil {
+			r.record.Violate("stand-in %s: %v", l.cfg.ID, err)
+		}
+	}()
+}
+
+func (r *run) logf(format string, args ...any) {
+	fmt.Fprintf(r.cfg.Out, "%s seed %d: "+format+"\n", append([]any{time.Now().Format("15:04:05.000"), r.cfg.Seed}, args...)...)
+}
+
+// finish ends all faults, checks that the deployment serves again, and returns what was found.
+func (r *run) finish(ctx context.Context) Result {
+	r.links.heal()
+	for _, p := range r.processes {
+		p.signal(syscall.SIGCONT)
+		if err := p.start(); err != nil {
+			r.record.Violate("%s cannot be started: %v", p.name, err)
+		}
+	}
+	time.Sleep(calmTime)
+	before, _ := r.record.Answered()
+	time.Sleep(time.Second)
+	if after, _ := r.record.Answered(); after == before {
+		r.record.Violate("no request was answered in the last second without faults")
+	}
+	op := r.operator()
+	for _, a := range op.Control() {
+		ok := false
+		for end := time.Now().Add(5 * time.Second); !ok && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			ok = op.Read(ctx, a)
+		}
+		if !ok {
+			r.record.Violate("%s tells no configuration after all faults have ended", a)
+		}
+	}
+	res := Result{Runs: r.record.Runs(), Logs: map[string]string{}}
+	res.Answered, res.Failed = r.record.Answered()
+	for _, p := range r.processes {
+		p.mu.Lock()
+		for _, u := range p.unasked {
+			r.record.Violate("%s", u)
+		}
+		p.mu.Unlock()
+	}
+	return res
+}
+
+// stopAll ends all processes that the run has started.
+func (r *run) stopAll() {
+	exited := make([]<-chan struct{}, len(r.processes))
+	for i, p := range r.processes {
+		p.signal(syscall.SIGCONT)
+		exited[i] = p.end(syscall.SIGTERM)
+	}
+	for i, p := range r.processes {
+		if !p.await(exited[i], stopTime) {
+			r.record.Violate("%s did not stop within %v", p.name, stopTime)
+		}
+	}
+}
--- a/io/routed/controller.go
+++ b/io/routed/controller.go
@@ -47,7 +47,11 @@
 	srv := &hosts.Server{}
 	group.Register(srv)
 	c.Register(srv)
-	l, err := p.network.Listen(net.JoinHostPort(string(s.IP), strconv.Itoa(s.HostsPort)))
+	address := string(s.Listen.Hosts)
+	if address == "" {
+		address = net.JoinHostPort(string(s.IP), strconv.Itoa(s.HostsPort))
+	}
+	l, err := p.network.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/io/settings/routed.go
+++ b/io/settings/routed.go
@@ -37,6 +37,7 @@
 	Control   Address `key:"control" doc:"IP:PORT for backend servers and operators; needed by a controller."`
 	Directory Address `key:"directory" doc:"IP:PORT for callers that ask which gateways to use; needed by a controller."`
 	Metrics   Address `key:"metrics" doc:"IP:PORT for metrics."`
+	Hosts     Address `key:"hosts" doc:"IP:PORT for other hosts where it is not ip with hosts-port, as behind an address translation."`
 }
 
 // RoutedBounds are times and shares that others rely on.
