--- /dev/null
+++ b/core/balance/balancer_test.go
@@ -0,0 +1,171 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+	"toucanway/core/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func instance(id string, dc fleet.DataCentre) *registry.Instance {
+	return &registry.Instance{ID: fleet.BackendID(id), Incarnation: 1, DataCentre: dc, Slots: 4, Models: []registry.Model{{Name: "m"}}}
+}
+
+func balancer() *Balancer {
+	return New(Place{DataCentre: "d1", Regions: map[fleet.DataCentre]fleet.Region{"d1": "r1", "d2": "r1", "d3": "r2"}})
+}
+
+func prompt(tokens fleet.Tokens, parts ...string) *Request {
+	r := &Request{Target: fleet.Target{Model: "m"}, Prompt: tokens}
+	for _, p := range parts {
+		r.Parts = append(r.Parts, Part{ID: p, Tokens: tokens / fleet.Tokens(len(parts))})
+	}
+	return r
+}
+
+// Guards against requests that leave the data centre or the region without need.
+func TestNearestFirst(t *testing.T) {
+	tests := map[string]struct {
+		options []*registry.Instance
+		want    fleet.BackendID
+	}{
+		"same data centre": {[]*registry.Instance{instance("c", "d3"), instance("b", "d2"), instance("a", "d1")}, "a"},
+		"same region":      {[]*registry.Instance{instance("c", "d3"), instance("b", "d2")}, "b"},
+		"only another":     {[]*registry.Instance{instance("c", "d3")}, "c"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			in, _, _ := balancer().Pick(start, &Request{Plain: true}, tt.options)
+			require.Equal(t, tt.want, in.ID)
+		})
+	}
+	in, ticket, _ := balancer().Pick(start, prompt(100), nil)
+	require.Nil(t, in)
+	require.Nil(t, ticket)
+}
+
+// Guards against a near server that is given everything while others idle, by this host's requests or those of others.
+func TestLoadMovesOn(t *testing.T) {
+	b := balancer()
+	options := []*registry.Instance{instance("a", "d1"), instance("b", "d2")}
+	seen := map[fleet.BackendID]int{}
+	for range 20 {
+		in, _, _ := b.Pick(start, prompt(5000), options)
+		seen[in.ID]++
+	}
+	require.Greater(t, seen["b"], 5)
+	b = balancer()
+	b.Pick(start, prompt(1), []*registry.Instance{options[0]})
+	b.SetOthers(map[fleet.BackendID]Load{"a": {Active: 3, Prompt: 50000}})
+	in, _, _ := b.Pick(start, prompt(100), options)
+	require.Equal(t, fleet.BackendID("b"), in.ID)
+}
+
+// Guards against prompts with common parts that are spread over servers which each have to read them.
+func TestPrefixes(t *testing.T) {
+	b := balancer()
+	options := []*registry.Instance{instance("a", "d1"), instance("b", "d1"), instance("c", "d1")}
+	first, ticket, _ := b.Pick(start, prompt(9000, "x", "y", "own1"), options)
+	b.First(start.Add(100*time.Millisecond), ticket)
+	b.End(start.Add(200*time.Millisecond), ticket, Answered)
+	again, _, choice := b.Pick(start.Add(time.Second), prompt(9000, "x", "y", "own2"), options)
+	require.Equal(t, first.ID, again.ID)
+	require.Equal(t, fleet.Tokens(6000), choice.Cached)
+	// A new incarnation has nothing cached.
+	next := *first
+	next.Incarnation = 2
+	_, _, choice = b.Pick(start.Add(2*time.Second), prompt(9000, "x", "y", "own3"), []*registry.Instance{&next})
+	require.LessOrEqual(t, choice.Cached, fleet.Tokens(homeShare*6000))
+	// Other hosts choose the same server without having heard of the first request.
+	other, _, _ := balancer().Pick(start, prompt(9000, "x", "y", "own4"), options)
+	require.Equal(t, first.ID, other.ID)
+}
+
+// Guards against a server without connection that is tried again at once, and against one that is avoided for ever.
+func TestAvoidsBrokenServer(t *testing.T) {
+	for _, out := range []Outcome{Lost, Unconnected, Refused} {
+		t.Run(out.String(), func(t *testing.T) {
+			b := balancer()
+			options := []*registry.Instance{instance("a", "d1"), instance("b", "d3")}
+			_, ticket, _ := b.Pick(start, prompt(100), options[:1])
+			b.End(start, ticket, out)
+			in, _, _ := b.Pick(start.Add(time.Millisecond), prompt(100), options)
+			require.Equal(t, fleet.BackendID("b"), in.ID)
+			in, _, c := b.Pick(start.Add(time.Millisecond), prompt(100), options[:1])
+			require.Equal(t, fleet.BackendID("a"), in.ID, "the only server is used all the same")
+			require.True(t, c.Avoided)
+			in, _, _ = b.Pick(start.Add(time.Minute), prompt(100), options)
+			require.Equal(t, fleet.BackendID("a"), in.ID)
+		})
+	}
+}
+
+// Guards against a server that takes requests and answers none of them: its health looks good and no connection fails.
+func TestMuteServer(t *testing.T) {
+	b := balancer()
+	options := []*registry.Instance{instance("a", "d1"), instance("b", "d3")}
+	in, _, _ := b.Pick(start, prompt(100), options)
+	require.Equal(t, fleet.BackendID("a"), in.ID)
+	in, _, _ = b.Pick(start.Add(2*time.Second), prompt(100), options)
+	require.Equal(t, fleet.BackendID("b"), in.ID)
+}
+
+// Guards against a slow server that gets as much as the others.
+func TestSlowServer(t *testing.T) {
+	b := balancer()
+	a, other := instance("a", "d1"), instance("b", "d2")
+	for i := range 20 {
+		at := start.Add(time.Duration(i) * 3 * time.Second)
+		_, ticket, _ := b.Pick(at, prompt(3000), []*registry.Instance{a})
+		b.First(at.Add(time.Second), ticket)
+		b.End(at.Add(2*time.Second), ticket, Answered)
+	}
+	in, _, _ := b.Pick(start.Add(2*time.Minute), prompt(3000), []*registry.Instance{a, other})
+	require.Equal(t, other.ID, in.ID)
+}
+
+// Guards against counts that drift when requests end in any order, or after their server was started again.
+func TestCountsReturnToZero(t *testing.T) {
+	b := balancer()
+	options := []*registry.Instance{instance("a", "d1"), instance("b", "d1")}
+	var tickets []*Ticket
+	for i := range 30 {
+		_, ticket, _ := b.Pick(start, prompt(fleet.Tokens(100*i)), options)
+		tickets = append(tickets, ticket)
+	}
+	for i, ticket := range tickets {
+		if i%3 == 0 {
+			b.First(start.Add(time.Second), ticket)
+		}
+		b.End(start.Add(2*time.Second), ticket, Outcome(i%6))
+	}
+	for id, l := range b.Loads(start.Add(time.Hour)) {
+		require.Fail(t, fmt.Sprint(id, l))
+	}
+	_, old, _ := b.Pick(start, prompt(10), options[:1])
+	next := *options[0]
+	next.Incarnation = 2
+	_, ticket, _ := b.Pick(start, prompt(10), []*registry.Instance{&next})
+	b.End(start, old, Answered)
+	require.Equal(t, 1, b.Loads(start)["a"].Active)
+	b.End(start, ticket, Answered)
+	b.Keep(map[fleet.BackendID]*registry.Instance{})
+	require.Empty(t, b.servers)
+}
+
+// Guards against remembered prompts without a bound.
+func TestPrefixesAreBounded(t *testing.T) {
+	b := balancer()
+	options := []*registry.Instance{instance("a", "d1")}
+	for i := range maxPrefixes {
+		_, ticket, _ := b.Pick(start, prompt(10, fmt.Sprint("p", i), fmt.Sprint("q", i)), options)
+		b.End(start, ticket, Answered)
+	}
+	require.LessOrEqual(t, len(b.sent.at), maxPrefixes)
+}
--- a/core/balance/prefixes.go
+++ b/core/balance/prefixes.go
@@ -52,8 +52,9 @@
 			delete(p.at, key)
 		}
 	}
+	// Room for a while is made at once, since each look at all parts is dear.
 	for key := range p.at {
-		if len(p.at) <= maxPrefixes {
+		if len(p.at) <= maxPrefixes/2 {
 			break
 		}
 		delete(p.at, key)
--- /dev/null
+++ b/io/logs/logs_test.go
@@ -0,0 +1,59 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// blocked is an output that never takes anything.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against a log that makes requests wait for a slow output, and against memory that grows with it.
+func TestSlowOutputBlocksNothing(t *testing.T) {
+	out := blocked{make(chan struct{})}
+	w := NewWriter(out)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	for range 3 * queueLines {
+		n, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+		require.Equal(t, 5, n)
+	}
+	require.GreaterOrEqual(t, w.Dropped(), uint64(queueLines))
+	close(out.release)
+	cancel()
+	require.NoError(t, <-done)
+}
+
+// Guards against lines that are lost at the end of the process, and against a flood of one message.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	log := New(w, zapcore.InfoLevel, "h1")
+	log.Info("once", zap.String("request", "r1"))
+	for range 10 * sampleFirst {
+		log.Info("often")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, w.Run(ctx))
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	require.Less(t, len(lines), 2*sampleFirst)
+	var first map[string]any
+	require.NoError(t, json.Unmarshal(lines[0], &first))
+	require.Equal(t, "once", first["message"])
+	require.Equal(t, "r1", first["request"])
+	require.Equal(t, "h1", first["host"])
+}
