--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -26,6 +26,8 @@
 	Parts  []Part
 	// Objective is the time to the first byte of an answer that is on time.
 	Objective time.Duration
+	// Size is the number of bytes that go to the server.
+	Size fleet.Bytes
 	// Plain requests go to servers without a model.
 	Plain bool
 }
@@ -38,9 +40,11 @@
 	plainTime = 20 * time.Millisecond
 	// stepCost is the time that each running request adds to the first byte of the next.
 	stepCost = time.Millisecond
-	// zoneCost and regionCost are the costs of leaving the data centre or the region: two ways, and the traffic.
-	zoneCost   = 4 * time.Millisecond
-	regionCost = 30 * time.Millisecond
+	// zoneCost and regionCost are the costs of leaving the data centre or the region, there and back, and regionTraffic that of
+	// each KiB sent to another region, which is billed by volume.
+	zoneCost      = 4 * time.Millisecond
+	regionCost    = 28 * time.Millisecond
+	regionTraffic = 3 * time.Millisecond
 	// longPrompt is the number of tokens from which a prompt makes running streams pause.
 	longPrompt fleet.Tokens = 3000
 	// mixCost is the cost of running short and long prompts together.
@@ -156,7 +160,7 @@
 		wait = time.Duration(float64(max(tokens, 0))/prefillRate*float64(time.Millisecond)) + stepCost*time.Duration(s.active+s.othersActive)
 	}
 	c.Expected = time.Duration(float64(wait) * s.pace)
-	c.Cost = c.Expected + b.distance(in) + time.Duration(s.failureRate(now)*float64(failureCost)) + s.lateness(now)
+	c.Cost = c.Expected + b.distance(r, in) + time.Duration(s.failureRate(now)*float64(failureCost)) + s.lateness(now)
 	if now.Before(s.avoid) || in.Silent {
 		c.Avoided = true
 		c.Cost += avoidCost
@@ -175,14 +179,14 @@
 	return most
 }
 
-func (b *Balancer) distance(in *registry.Instance) time.Duration {
+func (b *Balancer) distance(r *Request, in *registry.Instance) time.Duration {
 	switch {
 	case in.DataCentre == b.place.DataCentre:
 		return 0
 	case b.place.Regions[in.DataCentre] == b.place.Regions[b.place.DataCentre]:
 		return zoneCost
 	default:
-		return regionCost
+		return regionCost + regionTraffic*time.Duration(r.Size/fleet.KiB)
 	}
 }
 
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -107,6 +107,8 @@
 	Loads []Load `cbor:"2,keyasint,omitempty"`
 	// Entries is the number of entry hosts, among which the retry budget is divided.
 	Entries int `cbor:"3,keyasint,omitempty"`
+	// Interval is the time until the next report that nothing hurries.
+	Interval time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 func (r *ReportResponse) reply() Reply { return r.Reply }
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -33,6 +33,7 @@
 		}
 		select {
 		case <-changed:
+			pause(ctx, c.gather())
 		case <-hold.C:
 			return res, nil
 		case <-ctx.Done():
@@ -110,7 +111,19 @@
 			c.hurry()
 		}
 	}
-	return &controlapi.ReportResponse{Loads: c.othersLoads(from), Entries: len(c.entries)}, nil
+	return &controlapi.ReportResponse{Loads: c.othersLoads(from), Entries: len(c.entries), Interval: c.reportInterval()}, nil
+}
+
+// reportInterval is the time between two reports of an entry host; c.mu is held.
+func (c *Controller) reportInterval() time.Duration {
+	return min(max(leastReport, reportShare*time.Duration(len(c.entries))), mostReport)
+}
+
+// gather returns how long changes are gathered before followers are told.
+func (c *Controller) gather() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(gatherShare*time.Duration(len(c.entries)), mostGather)
 }
 
 // othersLoads sums what other entry hosts have under way at each backend server; c.mu is held.
@@ -164,8 +177,9 @@
 
 // expireEntries drops entry hosts that no longer report; c.mu is held.
 func (c *Controller) expireEntries(now time.Time) {
+	lifetime := (1+entryMisses)*c.reportInterval() + entrySlack
 	for h, e := range c.entries {
-		if now.Sub(e.heard) > entryLifetime {
+		if now.Sub(e.heard) > lifetime {
 			delete(c.entries, h)
 			c.entryRevision++
 			c.cfg.Log.Info(logEntry, zap.String("entry", string(h)), zap.Bool("ready", false), zap.Duration("silent-ms", now.Sub(e.heard)))
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -65,8 +65,18 @@
 	orderTimeout = time.Second
 	// unloadNotice is the time between the notice to entry hosts and the unload of a model.
 	unloadNotice = 50 * time.Millisecond
-	// entryLifetime is how long an entry host counts as present after its last report.
-	entryLifetime = 1500 * time.Millisecond
+	// entryMisses is the number of reports that an entry host may miss, and entrySlack the time that one may be late, before it
+	// no longer counts as present.
+	entryMisses = 2
+	entrySlack  = 750 * time.Millisecond
+	// leastReport and mostReport bound the time between two reports of an entry host; reportShare is that for each host, so
+	// that the leader's work doesn't grow with their number.
+	leastReport = 250 * time.Millisecond
+	mostReport  = time.Second
+	reportShare = 13 * time.Millisecond
+	// gatherShare is the time for which changes are gathered for each entry host before they are told, and mostGather its bound.
+	gatherShare = 500 * time.Microsecond
+	mostGather  = 50 * time.Millisecond
 	// settleTime is the age of a leader at which every backend server that can has sent it a heartbeat.
 	settleTime = 4 * time.Second
 	// followHold is how long a member of the group lets the leader keep back an answer.
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -106,7 +106,7 @@
 	x.service = x.route.Pick(rand.Float64())
 	svc := t.Configuration.Service(x.service)
 	x.ask = balance.Request{
-		Target: x.meta.Target, Prompt: x.meta.Prompt, Parts: x.meta.Parts, Objective: x.route.Objective,
+		Target: x.meta.Target, Prompt: x.meta.Prompt, Parts: x.meta.Parts, Objective: x.route.Objective, Size: fleet.Bytes(len(x.in.Body())),
 		Plain: svc == nil || svc.Engine == nil || x.meta.Target.Model == "",
 	}
 	if x.ask.Plain {
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -29,8 +29,9 @@
 
 // View is what this host knows of the deployment, and what it has under way. It is safe for concurrent use.
 type View struct {
-	cfg  Settings
-	hurr chan struct{}
+	cfg Settings
+	// hurried makes the next report go out at once.
+	hurried chan struct{}
 
 	mu        sync.Mutex
 	position  controlapi.Position
@@ -62,7 +63,7 @@
 
 func newView(cfg Settings) *View {
 	return &View{
-		cfg: cfg, hurr: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
+		cfg: cfg, hurried: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
 		balancer: balance.New(balance.Place{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}),
 		budget: retry.NewBudget(retry.Settings{
 			Share: cfg.Budget.Ratio * budgetShare, Floor: 1, Burst: 1, Attempts: 1 << 20,
@@ -204,11 +205,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-		case <-v.hurr:
+		case <-v.hurried:
 			pause(ctx, hurriedInterval)
 		}
-		v.tell(ctx)
-		t.Reset(reportInterval)
+		t.Reset(v.tell(ctx))
 	}
 }
 
@@ -221,7 +221,8 @@
 	}
 }
 
-func (v *View) tell(ctx context.Context) {
+// tell sends a report and returns the time until the next one.
+func (v *View) tell(ctx context.Context) time.Duration {
 	req := v.account()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -229,7 +230,7 @@
 		controlapi.ProcedureReport, 0, req)
 	if err != nil {
 		// The follower logs lost contact; the next report repeats what is still true.
-		return
+		return reportInterval
 	}
 	loads := make(map[fleet.BackendID]balance.Load, len(res.Loads))
 	for _, l := range res.Loads {
@@ -240,6 +241,7 @@
 	defer v.mu.Unlock()
 	v.balancer.SetOthers(loads)
 	v.budget.Limit(slack/2/v.cfg.Budget.Window.Seconds(), max(slack/2, 1))
+	return max(res.Interval, reportInterval)
 }
 
 // account returns what this host has to tell.
@@ -278,7 +280,7 @@
 // hurry makes the next report go out at once.
 func (v *View) hurry() {
 	select {
-	case v.hurr <- struct{}{}:
+	case v.hurried <- struct{}{}:
 	default:
 	}
 }
