raft: a host that knows no group is not admitted; routed: the host that ordered engines leads first after a full restart

A host with an empty disk and no voters in its settings took itself for admitted (no acceptances needed of no voters) and let a candidate lead that lacked the change. The unit test fails first.

--- a/cmd/toucanway-lab/internal/controlscenario/commands.go
+++ b/cmd/toucanway-lab/internal/controlscenario/commands.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanway/core/fleet"
+	"toucanway/core/raft"
 	"toucanway/core/routes"
 )
 
@@ -226,16 +227,18 @@
 		if h == nil {
 			continue
 		}
-		vs := h.group.Status().Voters
-		last = fmt.Sprint(vs)
-		if fmt.Sprint(len(vs)) == args[0] && w.holds(vs, opt["has"], true) && w.holds(vs, opt["not"], false) {
+		st := h.group.Status()
+		last = fmt.Sprint(st.Voters)
+		if fmt.Sprint(len(st.Voters)) == args[0] && w.isVoter(st.Members, opt["has"], true) && w.isVoter(st.Members, opt["not"], false) &&
+			w.knowsItself(opt["has"]) {
 			return nil
 		}
 	}
 	return fmt.Errorf("the voters are %s", last)
 }
 
-func (w *world) holds(vs []fleet.HostID, name string, want bool) bool {
+// isVoter says whether a host has a vote with its present disk, or has none, as is wanted; no name is always right.
+func (w *world) isVoter(ms raft.Membership, name string, want bool) bool {
 	if name == "" {
 		return true
 	}
@@ -243,12 +246,17 @@
 	if err != nil {
 		return false
 	}
-	for _, v := range vs {
-		if v == h.ip {
-			return want
-		}
+	m, ok := ms.Find(h.ip)
+	return (ok && !m.Learner && m.Storage == h.disk) == want
+}
+
+// knowsItself says whether a host's own log names it as a voter, so that its admission is not lost with the leader.
+func (w *world) knowsItself(name string) bool {
+	h, err := w.host(name)
+	if err != nil || h.group == nil {
+		return name == ""
 	}
-	return !want
+	return w.isVoter(h.group.Status().Members, name, true)
 }
 
 // lead waits until some host leads: lead [within=1500ms].
--- a/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
@@ -54,6 +54,13 @@
 }
 
 func finish(t *testing.T, w *world) {
+	if t.Failed() {
+		for _, h := range w.hosts {
+			if h.group != nil {
+				t.Logf("%s: %+v", h.name, h.group.Status())
+			}
+		}
+	}
 	violations, err := w.close()
 	if len(violations) > 0 || err != nil || t.Failed() {
 		t.Log(w.log.text.String())
@@ -130,6 +137,6 @@
 		require.NoError(t, w.kill(h))
 		w.wipe(h)
 		require.NoError(t, w.start(h, false))
-		require.NoError(t, awaitVoters(w, []string{"5"}, nil))
+		require.NoError(t, awaitVoters(w, []string{"5"}, map[string]string{"has": h.name}))
 	}
 }
--- a/cmd/toucanway-lab/internal/controlscenario/world.go
+++ b/cmd/toucanway-lab/internal/controlscenario/world.go
@@ -71,6 +71,7 @@
 	name    string
 	ip      fleet.HostID
 	storage *disk.Memory
+	disk    raft.StorageID
 	seeds   []fleet.HostID
 	group   *formation.Group
 	control *controller.Controller
@@ -167,7 +168,7 @@
 func (w *world) add(name string) *host {
 	n := len(w.hosts) + 1
 	w.disks++
-	h := &host{name: name, ip: fleet.HostID(fmt.Sprintf("10.%d.1.%d", n%3+1, n)), storage: disk.NewMemory(w.disks)}
+	h := &host{name: name, ip: fleet.HostID(fmt.Sprintf("10.%d.1.%d", n%3+1, n)), storage: disk.NewMemory(w.disks), disk: w.disks}
 	w.net.Host(string(h.ip))
 	w.mu.Lock()
 	w.hosts = append(w.hosts, h)
@@ -211,8 +212,9 @@
 		Machine: func() raft.StateMachine { return &catalog.Machine{} },
 		Client:  client, Now: time.Now, Log: log,
 	})
+	find := func() []fleet.HostID { return slices.Concat(group.Status().Voters, h.seeds) }
 	control := controller.New(controller.Settings{
-		Self: h.ip, Control: string(h.ip) + ":80", Group: group, Client: controlapi.NewClient(client, port, seeds), Parser: versionParser{},
+		Self: h.ip, Control: string(h.ip) + ":80", Group: group, Client: controlapi.NewClient(client, port, find), Parser: versionParser{},
 		Engines: noEngines{}, Log: log, Metrics: metrics.New(metrics.Options{}), Now: time.Now, Handover: handover, Lifetime: time.Second,
 	})
 	srv := &hosts.Server{}
@@ -258,7 +260,7 @@
 // wipe empties the disk of a host that doesn't run.
 func (w *world) wipe(h *host) {
 	w.disks++
-	h.storage = disk.NewMemory(w.disks)
+	h.storage, h.disk = disk.NewMemory(w.disks), w.disks
 }
 
 // submit sends a version to a host, and notes it if it is acknowledged.
--- a/cmd/toucanway-lab/internal/docs/observe.go
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -87,6 +87,7 @@
 		"configuration refused":                                                        {settings.LogControl, "A configuration is not valid; `error` names the contradiction.", "Mend the configuration and send it again."},
 		"configuration acknowledged; a version as high is in force":                    {settings.LogControl, "A configuration was sent again, or a newer one overtook it; nothing changed.", nothing},
 		"configuration in force cannot be read":                                        {settings.LogControl, "The stored configuration is of another format.", "Upgrade the controller."},
+		"who orders engines cannot be noted for the next start":                        {settings.LogControl, "The data folder takes no file; the wait after a restart of all controllers is longer.", "Free space."},
 		"configuration in force on this host":                                          {settings.LogControl, "The gateway serves by this version.", nothing},
 		"configuration cannot be read; the earlier one stays in force":                 {settings.LogControl, "The configuration is of another format.", "Upgrade the gateway."},
 		"backend server known":                                                         {settings.LogControl, "The gateway has heard of an incarnation or a state of a backend server.", nothing},
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -203,8 +203,14 @@
 	n.admit()
 }
 
+// admit notes that enough others have accepted this host's folder. A host that knows no group yet, as with an empty disk, is
+// not admitted by anybody.
 func (n *Node) admit() {
-	if !n.state.Admitted && len(n.accepted) >= helloNeeded(len(n.members().Voters())) {
+	m, ok := n.members().Find(n.set.Self)
+	if !ok || m.Learner || n.state.Admitted {
+		return
+	}
+	if len(n.accepted) >= helloNeeded(len(n.members().Voters())) {
 		n.state.Admitted, n.stateDirty = true, true
 	}
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -68,6 +68,8 @@
 	PromoteGap fleet.Index
 	// Seed makes the election timeouts of hosts differ.
 	Seed uint64
+	// StartDelay is added to the first election timeout after a start, so that hosts without it lead first.
+	StartDelay time.Duration
 }
 
 func (s *Settings) setDefaults() {
@@ -188,6 +190,7 @@
 	n.noteMembers(n.log.entries)
 	n.admit()
 	n.resetElection()
+	n.electionAt = n.electionAt.Add(set.StartDelay)
 	return n, nil
 }
 
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -264,3 +264,18 @@
 		}
 	})
 }
+
+// Guards against a host with an empty disk that votes under its old place before the others have accepted its folder: it let a
+// candidate lead that lacked a committed change.
+func TestHostWithoutMembershipHasNoVote(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n, err := New(Settings{Self: "a", Storage: 4, Seed: 1}, Saved{Storage: 4}, now)
+	require.NoError(t, err)
+	require.False(t, n.state.Admitted)
+	require.NoError(t, n.Step(now.Add(5*time.Second), Message{Kind: MsgVote, To: "a", From: "b", Term: 2, Storage: 2, Admitted: true}))
+	o, ok := n.Ready()
+	require.True(t, ok)
+	for _, m := range append(o.Send, o.SendSaved...) {
+		require.False(t, m.Admitted, "%+v", m)
+	}
+}
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -31,6 +31,7 @@
 	logInvalid  = "configuration refused"
 	logCurrent  = "configuration acknowledged; a version as high is in force"
 	logUnread   = "configuration in force cannot be read"
+	logNote     = "who orders engines cannot be noted for the next start"
 )
 
 // Controller is the control part of one host. It is safe for concurrent use.
@@ -162,6 +163,7 @@
 	}
 	c.cfg.Log.Info(logFollower, zap.Uint64("term", uint64(c.reign.term)))
 	c.reign = nil
+	c.noteOrdering(false)
 	c.announce()
 }
 
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -81,10 +81,21 @@
 	c.mu.Lock()
 	if err == nil && c.reign == r {
 		r.ordering = true
+		c.noteOrdering(true)
 		c.hurry()
 	}
 }
 
+// noteOrdering notes for the next start whether this host orders engines; c.mu is held.
+func (c *Controller) noteOrdering(ordering bool) {
+	if c.cfg.Ordering == nil {
+		return
+	}
+	if err := c.cfg.Ordering(ordering); err != nil {
+		c.cfg.Log.Warn(logNote, zap.Error(err))
+	}
+}
+
 // carryOut performs an action and tells the planner its outcome.
 func (c *Controller) carryOut(ctx context.Context, a residency.Action) {
 	switch a := a.(type) {
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -50,6 +50,8 @@
 	Planner residency.Settings
 	Log     *zap.Logger
 	Metrics *metrics.Registry
+	// Ordering notes whether this host is the one that orders engines, for its next start; an error costs no more than time.
+	Ordering func(bool) error
 	// Now must count the time in which the host was suspended.
 	Now func() time.Time
 	// Handover is how long a new leader waits before it orders engines that another host may have ordered.
--- a/io/formation/group.go
+++ b/io/formation/group.go
@@ -120,6 +120,9 @@
 	p := &part{machine: g.cfg.Machine()}
 	set := g.cfg.Raft
 	set.Self = g.cfg.Self
+	if g.cfg.First != nil && !g.cfg.First() {
+		set.StartDelay = startDelay
+	}
 	if seeds := g.cfg.Seeds(); g.cfg.Bootstrap && slices.Contains(seeds, g.cfg.Self) {
 		set.Voters = seeds
 	}
--- a/io/formation/settings.go
+++ b/io/formation/settings.go
@@ -28,6 +28,8 @@
 	DefaultMaxVoters      = 9
 	// joinTimeout bounds a join, in which the host receives the state and catches up.
 	joinTimeout = 10 * time.Second
+	// startDelay is how much longer the other hosts wait for a leader after a start.
+	startDelay = 250 * time.Millisecond
 	// leaderless is the time without a leader after which a host asks whether it is still a member.
 	leaderless = 2 * time.Second
 )
@@ -46,6 +48,8 @@
 	Tolerated int
 	// Open opens the storage; it is called again after the storage has failed.
 	Open func() (voters.Storage, error)
+	// First says whether this host should lead when all hosts start at once, nil for no preference. It is asked at each opening.
+	First func() bool
 	// Machine returns a new state machine, to be filled from the storage.
 	Machine func() raft.StateMachine
 	Client  *hosts.Client
--- a/io/routed/controller.go
+++ b/io/routed/controller.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"io/fs"
 	"net"
+	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
 	"toucanway/core/catalog"
+	"toucanway/core/fleet"
 	"toucanway/core/raft"
 	"toucanway/io/backend"
+	"toucanway/io/controlapi"
 	"toucanway/io/controller"
 	"toucanway/io/disk"
 	"toucanway/io/formation"
@@ -31,17 +37,21 @@
 func RunController(ctx context.Context, s *settings.Routed, file string, a Adapter, out io.Writer) error {
 	p := newProcess(s, file, out)
 	clock := network.NewClock()
+	note := orderingNote(filepath.Join(string(s.Data), orderingFile))
 	group := formation.New(formation.Settings{
 		Self: s.IP, Port: uint16(s.HostsPort), Seeds: p.seedHosts, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
 		Open: func() (voters.Storage, error) {
 			return disk.Open(disk.Settings{Dir: filepath.Join(string(s.Data), groupFolder)})
 		},
+		First:   note.exists,
 		Machine: func() raft.StateMachine { return &catalog.Machine{} },
 		Client:  p.client, Now: clock.Now, Log: p.log,
 	})
+	// The group itself knows its members, also when no seed runs any more.
+	find := func() []fleet.HostID { return slices.Concat(group.Status().Voters, p.seedHosts()) }
 	c := controller.New(controller.Settings{
-		Self: s.IP, Control: string(s.Listen.Control), Group: group, Client: p.control, Parser: a.Dialect,
-		Engines: a.Engines(backend.NewPool(p.network)), Log: p.log, Metrics: p.metrics, Now: clock.Now,
+		Self: s.IP, Control: string(s.Listen.Control), Group: group, Client: controlapi.NewClient(p.client, uint16(s.HostsPort), find), Parser: a.Dialect,
+		Engines: a.Engines(backend.NewPool(p.network)), Log: p.log, Metrics: p.metrics, Now: clock.Now, Ordering: note.set,
 		Handover: s.Bounds.Handover, Lifetime: min(s.Bounds.AddressLife, addressLifetime),
 	})
 	srv := &hosts.Server{}
@@ -62,3 +72,33 @@
 		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Directory, a.Directory(c)) },
 	)
 }
+
+// orderingFile is the name of a file below the data folder that is there while this host orders engines. A leader that has ordered
+// them before need not wait, so that it should lead again when all hosts start at once.
+const orderingFile = "ordering"
+
+// orderingNote is the path of that file.
+type orderingNote string
+
+func (n orderingNote) exists() bool {
+	_, err := os.Stat(string(n))
+	return err == nil
+}
+
+func (n orderingNote) set(ordering bool) error {
+	if ordering {
+		f, err := os.Create(string(n))
+		if err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	} else if err := os.Remove(string(n)); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	// A name that was added or removed lasts once its folder is synced.
+	return disk.OS{}.SyncDir(filepath.Dir(string(n)))
+}
