--- a/cmd/toucanway-lab/internal/controlscenario/world.go
+++ b/cmd/toucanway-lab/internal/controlscenario/world.go
@@ -20,7 +20,6 @@
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
 	"toucanway/core/raft"
-	"toucanway/core/residency"
 	"toucanway/core/routes"
 	"toucanway/io/controlapi"
 	"toucanway/io/controller"
@@ -50,20 +49,9 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, err
 	}
-	return &routes.Configuration{Version: c.Version}, nil
-}
-
-// noEngines stands for a deployment without engines.
-type noEngines struct{}
-
-// Order is never called.
-func (noEngines) Order(context.Context, residency.Order, fleet.Fence, fleet.HostID) residency.Outcome {
-	return residency.Unreachable
-}
-
-// Report is never called.
-func (noEngines) Report(context.Context, residency.Probe) (residency.Report, error) {
-	return residency.Report{}, controller.ErrUnavailable.New("there are no engines")
+	return &routes.Configuration{Version: c.Version, Services: []routes.Service{{
+		Name: service, Engine: &routes.Engine{Weights: 10, StoreRate: 10, Models: models},
+	}}}, nil
 }
 
 // host is one machine of the control group; it outlives its processes.
@@ -84,6 +72,8 @@
 	hosts []*host
 	disks raft.StorageID
 	log   lines
+	// engines are those of the deployment.
+	engines *engines
 
 	mu sync.Mutex
 	// acknowledged is the highest version that an operator got an acknowledgement for.
@@ -118,6 +108,7 @@
 
 func newWorld() *world {
 	w := &world{net: memnet.New(memnet.Settings{Delay: delay})}
+	w.engines = &engines{w: w, states: map[fleet.BackendID]*engineState{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
 	w.checks.Go(func() error {
@@ -215,7 +206,7 @@
 	find := func() []fleet.HostID { return slices.Concat(group.Status().Voters, h.seeds) }
 	control := controller.New(controller.Settings{
 		Self: h.ip, Control: string(h.ip) + ":80", Group: group, Client: controlapi.NewClient(client, port, find), Parser: versionParser{},
-		Engines: noEngines{}, Log: log, Metrics: metrics.New(metrics.Options{}), Now: time.Now, Handover: handover, Lifetime: time.Second,
+		Engines: w.engines, Log: log, Metrics: metrics.New(metrics.Options{}), Now: time.Now, Handover: handover, Lifetime: time.Second,
 	})
 	srv := &hosts.Server{}
 	group.Register(srv)
