--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -177,9 +177,9 @@
 		crowding := max(float64(load)/float64(p.cfg.CopyLoad), d.prompt/p.cfg.CopyPrompt) - float64(copies)
 		switch {
 		case copies == 0 && d.waiting > 0:
-			p.setGoal(now, wish{k, m, float64(d.waiting) + d.rate*waitWorth, true, "requests wait for it"}, demands)
+			p.setGoal(now, wish{k, m, float64(d.waiting) + d.rate*waitWorth, true, "requests wait for it", false}, demands)
 		case copies > 0 && crowding > 0:
-			p.setGoal(now, wish{k, m, crowding, true, "replicas are busy"}, demands)
+			p.setGoal(now, wish{k, m, crowding, true, "replicas are busy", true}, demands)
 		}
 	}
 	p.fill(now, demands)
@@ -196,7 +196,7 @@
 			m := &s.Engine.Models[j]
 			k := demandKey{s.Name, fleet.Target{Model: m.Name}}
 			if n, _ := p.copies(k); n == 0 {
-				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room"}, demands)
+				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room", false}, demands)
 			}
 		}
 	}
@@ -211,6 +211,8 @@
 	// push says that other models may be evicted for it, or the weight store be used.
 	push   bool
 	reason string
+	// spare says that a replica serves already.
+	spare bool
 }
 
 // copies returns the replicas of a model, those on their way included, and the requests under way at them.
@@ -249,7 +251,7 @@
 			continue
 		}
 		d, store := e.loadTime(w.model)
-		if store && (!w.push || !p.storeAllows(now)) {
+		if store && (!w.push || w.spare && w.worth < 1 || !p.storeAllows(now)) {
 			continue
 		}
 		victims, cost, ok := p.victims(now, e, w.model, demands)
