--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -159,6 +159,23 @@
 	})
 }
 
+// Renew takes in that a later heartbeat of an incarnation told nothing new, and says whether the incarnation is known.
+func (r *Registry) Renew(now time.Time, id fleet.BackendID, inc fleet.Incarnation, seq uint64) bool {
+	e := r.entries[id]
+	if e == nil || e.instance.Incarnation != inc {
+		return false
+	}
+	if e.instance.State == Gone || seq <= e.seq {
+		return true
+	}
+	e.seq, e.heard = seq, now
+	if e.instance.Silent {
+		e.instance.Silent = false
+		r.touch(e)
+	}
+	return true
+}
+
 // Leave takes in that an incarnation has gone, or the newest one if the incarnation is 0, and says whether that is news.
 func (r *Registry) Leave(now time.Time, id fleet.BackendID, inc fleet.Incarnation) bool {
 	e := r.entries[id]
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -183,3 +183,22 @@
 	require.False(t, in.Silent)
 	require.ElementsMatch(t, []fleet.BackendID{"a", "b"}, r.Tick(later.Add(2*time.Second)))
 }
+
+// Guards against a server that counts as silent although another host has heard it, and against a late word of an earlier life.
+func TestRenew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{Silence: time.Second})
+	r.Observe(now, beat("a", 5, 1))
+	require.True(t, r.Renew(now.Add(900*time.Millisecond), "a", 5, 2))
+	require.Empty(t, r.Tick(now.Add(1800*time.Millisecond)))
+	require.False(t, r.Renew(now, "a", 4, 9))
+	require.False(t, r.Renew(now, "b", 5, 9))
+	require.Len(t, r.Tick(now.Add(3*time.Second)), 1)
+	require.True(t, r.Renew(now.Add(3*time.Second), "a", 5, 2), "an old one is known")
+	in, _, _ := r.Get("a")
+	require.True(t, in.Silent)
+	require.True(t, r.Renew(now.Add(3*time.Second), "a", 5, 3))
+	in, _, _ = r.Get("a")
+	require.False(t, in.Silent)
+	require.Equal(t, Outdated, r.Observe(now, beat("a", 5, 3)))
+}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -158,6 +158,7 @@
 // any replica where there is room.
 func (p *Planner) planModels(now time.Time) {
 	demands := p.modelDemands(now)
+	p.count()
 	var keys []demandKey
 	for k := range demands {
 		keys = append(keys, k)
@@ -171,7 +172,7 @@
 		if m == nil {
 			continue
 		}
-		copies, load := p.copies(k)
+		copies, load := p.tallies[k].copies, p.tallies[k].load
 		d := demands[k]
 		// crowding is how many more replicas the demand would keep busy.
 		crowding := max(float64(load)/float64(p.cfg.CopyLoad), d.prompt/p.cfg.CopyPrompt) - float64(copies)
@@ -195,7 +196,7 @@
 		for j := range s.Engine.Models {
 			m := &s.Engine.Models[j]
 			k := demandKey{s.Name, fleet.Target{Model: m.Name}}
-			if n, _ := p.copies(k); n == 0 {
+			if p.tallies[k].copies == 0 {
 				p.setGoal(now, wish{k, m, 0, false, "no replica, and there is room", false}, demands)
 			}
 		}
@@ -215,30 +216,46 @@
 	spare bool
 }
 
-// copies returns the replicas of a model, those on their way included, and the requests under way at them.
-func (p *Planner) copies(k demandKey) (n, load int) {
+// tally counts the replicas of a model.
+type tally struct {
+	// copies are all replicas, those on their way included, and ready those that take requests now.
+	copies, ready int
+	// load is the number of requests under way at them.
+	load int
+}
+
+// count counts the replicas of all models once, since each look at all engines is dear where there are many.
+func (p *Planner) count() {
+	p.tallies = map[demandKey]tally{}
 	for _, e := range p.engines {
-		if e.Service != k.service || !e.usable() {
+		if !e.usable() {
 			continue
 		}
-		if h := e.models[k.target.Model]; h != nil && h.phase != unloading {
-			n++
-			load += e.load[k.target.Model]
-		} else if e.goal == k.target.Model {
-			n++
+		for name, h := range e.models {
+			if h.phase == unloading {
+				continue
+			}
+			k := demandKey{e.Service, fleet.Target{Model: name}}
+			t := p.tallies[k]
+			t.copies++
+			t.load += e.load[name]
+			if h.phase == held {
+				t.ready++
+			}
+			p.tallies[k] = t
+		}
+		if e.goal != "" && e.models[e.goal] == nil {
+			p.countGoal(e)
 		}
 	}
-	return n, load
 }
 
-// ready returns the replicas of a model that take requests now.
-func (p *Planner) ready(k demandKey) (n int) {
-	for _, e := range p.engines {
-		if h := e.models[k.target.Model]; e.Service == k.service && e.usable() && h != nil && h.phase == held {
-			n++
-		}
-	}
-	return n
+// countGoal counts the replica that an engine is to load.
+func (p *Planner) countGoal(e *engine) {
+	k := demandKey{e.Service, fleet.Target{Model: e.goal}}
+	t := p.tallies[k]
+	t.copies++
+	p.tallies[k] = t
 }
 
 // setGoal chooses the engine that loads a model, if one can at a cost below the wish's worth.
@@ -268,6 +285,7 @@
 	}
 	if best != nil {
 		best.goal, best.goalAt, best.reason = w.model.Name, now, w.reason
+		p.countGoal(best)
 	}
 }
 
@@ -341,7 +359,7 @@
 // evictionCost returns what evicting a model costs its own requests.
 func (p *Planner) evictionCost(now time.Time, e *engine, name fleet.ModelID, h *holding, demands map[demandKey]modelDemand) float64 {
 	k := demandKey{e.Service, fleet.Target{Model: name}}
-	n := p.ready(k)
+	n := p.tallies[k].ready
 	cost := 0.0
 	if running := e.load[name]; running > 0 {
 		cost = drainCost + runningCost*float64(running)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -37,6 +37,8 @@
 	table   *routes.Table
 	engines map[fleet.BackendID]*engine
 	demands map[demandKey]*demand
+	// tallies are the replicas of each model as counted last.
+	tallies map[demandKey]tally
 	// stored are the times of the latest loads from the weight store.
 	stored []time.Time
 }
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -304,6 +304,7 @@
 	d.planner.Demands(d.now, "host", []Demand{{Service: "llm", Target: target("hot"), Arrivals: 1}})
 	cost := func() float64 {
 		e := d.planner.engines["e0"]
+		d.planner.count()
 		return d.planner.evictionCost(d.now, e, "hot", e.models["hot"], d.planner.modelDemands(d.now))
 	}
 	spare := cost()
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -15,6 +15,7 @@
 	ProcedureFollow    = "/controller.v1/Follow"
 	ProcedureReport    = "/controller.v1/Report"
 	ProcedureHeartbeat = "/controller.v1/Heartbeat"
+	ProcedureRenew     = "/controller.v1/Renew"
 	ProcedureLeave     = "/controller.v1/Leave"
 	ProcedureReplace   = "/controller.v1/Replace"
 	ProcedureRead      = "/controller.v1/Read"
@@ -118,6 +119,26 @@
 	Heartbeat registry.Heartbeat `cbor:"1,keyasint"`
 }
 
+// Renewal says that a heartbeat told nothing new.
+type Renewal struct {
+	Instance    fleet.BackendID   `cbor:"1,keyasint"`
+	Incarnation fleet.Incarnation `cbor:"2,keyasint"`
+	Seq         uint64            `cbor:"3,keyasint"`
+}
+
+// RenewRequest passes on heartbeats that told nothing new since the calling host passed on a whole one.
+type RenewRequest struct {
+	Renewals []Renewal `cbor:"1,keyasint"`
+}
+
+// RenewResponse names the instances whose next heartbeat the leader needs whole.
+type RenewResponse struct {
+	Reply   Reply             `cbor:"1,keyasint,omitempty"`
+	Unknown []fleet.BackendID `cbor:"2,keyasint,omitempty"`
+}
+
+func (r *RenewResponse) reply() Reply { return r.Reply }
+
 // LeaveRequest passes on that a backend server has left.
 type LeaveRequest struct {
 	Instance    fleet.BackendID   `cbor:"1,keyasint"`
@@ -127,8 +148,6 @@
 // HeartbeatResponse acknowledges a heartbeat or a leave.
 type HeartbeatResponse struct {
 	Reply Reply `cbor:"1,keyasint,omitempty"`
-	// Control is the leader's own address for backend servers.
-	Control string `cbor:"2,keyasint,omitempty"`
 }
 
 func (r *HeartbeatResponse) reply() Reply { return r.Reply }
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -13,20 +13,25 @@
 )
 
 // Heartbeat takes in what a backend server says of itself, on whichever host it arrived, and returns the address to which the
-// next one should go. Without an error the leader knows it.
+// next one should go. Without an error the leader knows what it tells.
 func (c *Controller) Heartbeat(ctx context.Context, h registry.Heartbeat) (string, error) {
+	if c.takeHere(h) {
+		return c.cfg.Control, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &controlapi.HeartbeatRequest{Heartbeat: h}
 	res, err := c.heartbeat(ctx, c.cfg.Self, req)
 	if err == nil && res.Reply.Status != hosts.StatusOK {
-		res, err = controlapi.Call[controlapi.HeartbeatRequest, controlapi.HeartbeatResponse](ctx, c.cfg.Client,
-			controlapi.ProcedureHeartbeat, 0, req)
+		if _, err = controlapi.Call[controlapi.HeartbeatRequest, controlapi.HeartbeatResponse](ctx, c.cfg.Client,
+			controlapi.ProcedureHeartbeat, 0, req); err == nil {
+			c.passedOn(h)
+		}
 	}
 	if err != nil {
 		return "", ErrUnavailable.Wrap(err, "the leader of the control group did not take the heartbeat; send it to another host")
 	}
-	return res.Control, nil
+	return c.cfg.Control, nil
 }
 
 // Leave takes in that a backend server has left; an incarnation of 0 stands for the newest one.
@@ -70,7 +75,7 @@
 		c.announce()
 		c.hurry()
 	}
-	return &controlapi.HeartbeatResponse{Control: c.cfg.Control}, nil
+	return &controlapi.HeartbeatResponse{}, nil
 }
 
 func (c *Controller) logInstance(was, in registry.Instance, seq uint64) {
@@ -93,7 +98,7 @@
 		c.announce()
 		c.hurry()
 	}
-	return &controlapi.HeartbeatResponse{Control: c.cfg.Control}, nil
+	return &controlapi.HeartbeatResponse{}, nil
 }
 
 // observe tells the planner of all instances that have changed, also those that another one has displaced; c.mu is held.
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -54,6 +54,11 @@
 	// entryRevision counts the changes of the list of ready entry hosts.
 	entryRevision uint64
 	followed      []controlapi.Entry
+	// mirrored is when the leader last answered this host as a follower.
+	mirrored time.Time
+	relay    relay
+	// loads are the sums of what all entry hosts have under way.
+	loads map[fleet.BackendID]controlapi.Load
 	// table is the configuration that the planner works with.
 	table *routes.Table
 }
@@ -80,6 +85,7 @@
 	return &Controller{
 		cfg: cfg, count: newCounters(cfg.Metrics), changed: make(chan struct{}), kick: make(chan struct{}, 1),
 		registry: registry.New(registry.Settings{}), planner: residency.New(cfg.Planner), entries: map[fleet.HostID]*entry{},
+		relay: newRelay(), loads: map[fleet.BackendID]controlapi.Load{},
 	}
 }
 
@@ -88,6 +94,7 @@
 	hosts.Handle(srv, controlapi.ProcedureFollow, c.follow)
 	hosts.Handle(srv, controlapi.ProcedureReport, c.report)
 	hosts.Handle(srv, controlapi.ProcedureHeartbeat, c.heartbeat)
+	hosts.Handle(srv, controlapi.ProcedureRenew, c.renewed)
 	hosts.Handle(srv, controlapi.ProcedureLeave, c.leave)
 	hosts.Handle(srv, controlapi.ProcedureReplace, c.replace)
 	hosts.Handle(srv, controlapi.ProcedureRead, c.read)
@@ -98,6 +105,7 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return c.watch(ctx) })
 	eg.Go(func() error { return c.mirror(ctx) })
+	eg.Go(func() error { return c.renew(ctx) })
 	eg.Go(func() error { return c.plan(ctx) })
 	return eg.Wait()
 }
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -104,6 +104,8 @@
 		c.cfg.Log.Info(logEntry, zap.String("entry", string(from)), zap.Bool("ready", req.Ready), zap.String("address", req.Entry.Address))
 		defer c.announce()
 	}
+	c.addLoads(e.loads, -1)
+	c.addLoads(req.Loads, 1)
 	e.Entry, e.ready, e.heard, e.loads = req.Entry, req.Ready, now, req.Loads
 	c.planner.Demands(now, from, req.Demands)
 	for _, d := range req.Demands {
@@ -111,7 +113,7 @@
 			c.hurry()
 		}
 	}
-	return &controlapi.ReportResponse{Loads: c.othersLoads(from), Entries: len(c.entries), Interval: c.reportInterval()}, nil
+	return &controlapi.ReportResponse{Loads: c.othersLoads(req.Loads), Entries: len(c.entries), Interval: c.reportInterval()}, nil
 }
 
 // reportInterval is the time between two reports of an entry host; c.mu is held.
@@ -126,27 +128,26 @@
 	return min(gatherShare*time.Duration(len(c.entries)), mostGather)
 }
 
-// othersLoads sums what other entry hosts have under way at each backend server; c.mu is held.
-func (c *Controller) othersLoads(but fleet.HostID) []controlapi.Load {
-	sums := map[fleet.BackendID]*controlapi.Load{}
-	for h, e := range c.entries {
-		if h == but {
-			continue
-		}
-		for _, l := range e.loads {
-			s := sums[l.Instance]
-			if s == nil {
-				s = &controlapi.Load{Instance: l.Instance}
-				sums[l.Instance] = s
-			}
-			s.Active += l.Active
-			s.Prompt += l.Prompt
+// addLoads adds what an entry host has under way to the sums, or takes it away with a sign of -1; c.mu is held.
+func (c *Controller) addLoads(list []controlapi.Load, sign int) {
+	for _, l := range list {
+		sum := c.loads[l.Instance]
+		sum.Instance = l.Instance
+		sum.Active += sign * l.Active
+		sum.Prompt += fleet.Tokens(sign) * l.Prompt
+		if sum.Active == 0 && sum.Prompt == 0 {
+			delete(c.loads, l.Instance)
+		} else {
+			c.loads[l.Instance] = sum
 		}
 	}
-	out := make([]controlapi.Load, 0, len(sums))
-	for _, id := range slices.Sorted(maps.Keys(sums)) {
-		out = append(out, *sums[id])
-	}
+}
+
+// othersLoads returns what all entry hosts but one have under way; c.mu is held.
+func (c *Controller) othersLoads(own []controlapi.Load) []controlapi.Load {
+	c.addLoads(own, -1)
+	out := slices.Collect(maps.Values(c.loads))
+	c.addLoads(own, 1)
 	return out
 }
 
@@ -180,6 +181,7 @@
 	lifetime := (1+entryMisses)*c.reportInterval() + entrySlack
 	for h, e := range c.entries {
 		if now.Sub(e.heard) > lifetime {
+			c.addLoads(e.loads, -1)
 			delete(c.entries, h)
 			c.entryRevision++
 			c.cfg.Log.Info(logEntry, zap.String("entry", string(h)), zap.Bool("ready", false), zap.Duration("silent-ms", now.Sub(e.heard)))
@@ -225,6 +227,11 @@
 // adopt takes over what the leader told; c.mu is held.
 func (c *Controller) adopt(at controlapi.Position, res *controlapi.FollowResponse) {
 	now := c.cfg.Now()
+	c.mirrored = now
+	if res.Position.Term != at.Term {
+		// Another leader needs each heartbeat whole once.
+		c.relay = newRelay()
+	}
 	if res.Complete || at.Term == 0 {
 		c.registry = registry.New(registry.Settings{})
 	}
