--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,8 +50,19 @@
 	entries  map[fleet.BackendID]*entry
 	// addresses holds the newest instance at each address.
 	addresses map[string]fleet.BackendID
+	// changes are the latest changes in order of their revisions, for followers that are only a little behind.
+	changes []change
 }
 
+// change is one change of an instance.
+type change struct {
+	revision uint64
+	id       fleet.BackendID
+}
+
+// maxChanges bounds the changes that are kept; followers that are further behind cost a look at all instances.
+const maxChanges = 4096
+
 type entry struct {
 	instance Instance
 	seq      uint64
@@ -79,6 +91,10 @@
 func (r *Registry) touch(e *entry) {
 	r.revision++
 	e.instance.Revision = r.revision
+	if len(r.changes) >= maxChanges {
+		r.changes = append(r.changes[:0], r.changes[maxChanges/2:]...)
+	}
+	r.changes = append(r.changes, change{r.revision, e.instance.ID})
 }
 
 // Observe takes in a heartbeat.
@@ -273,17 +289,24 @@
 
 // After returns the instances that changed after a revision, tombstones included, in the order of their changes.
 func (r *Registry) After(revision uint64) []Instance {
+	if revision >= r.revision {
+		return nil
+	}
 	var out []Instance
+	if len(r.changes) > 0 && r.changes[0].revision <= revision+1 {
+		for _, c := range r.changes[revision+1-r.changes[0].revision:] {
+			// Only the last change of an instance tells its state.
+			if e := r.entries[c.id]; e != nil && e.instance.Revision == c.revision {
+				out = append(out, e.instance)
+			}
+		}
+		return out
+	}
 	for _, e := range r.entries {
 		if e.instance.Revision > revision {
 			out = append(out, e.instance)
 		}
 	}
-	slices.SortFunc(out, func(a, b Instance) int {
-		if a.Revision < b.Revision {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -202,3 +202,21 @@
 	require.False(t, in.Silent)
 	require.Equal(t, Outdated, r.Observe(now, beat("a", 5, 3)))
 }
+
+// Guards against a follower that misses changes when more were made than are kept, or when it asks from the middle of them.
+func TestAfter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Settings{})
+	for i := range 3 * maxChanges {
+		id := fleet.BackendID(fmt.Sprint("b", i%50))
+		r.Observe(now, beat(id, fleet.Incarnation(i/50+1), 1, at(fmt.Sprintf("10.0.0.%d:80", i%50))))
+	}
+	last := r.Revision()
+	require.Empty(t, r.After(last))
+	require.Len(t, r.After(last-10), 10)
+	require.Len(t, r.After(0), 50)
+	require.Len(t, r.After(last-uint64(maxChanges)*2), 50)
+	for i, in := range r.After(last - 30) {
+		require.Equal(t, last-29+uint64(i), in.Revision)
+	}
+}
--- a/core/residency/order.go
+++ b/core/residency/order.go
@@ -8,7 +8,10 @@
 )
 
 // Action is what the caller of Planner.Next has to carry out; the types below are all of them.
-type Action interface{ engine() fleet.BackendID }
+type Action interface {
+	// Subject is the engine that the action concerns.
+	Subject() fleet.BackendID
+}
 
 // Order asks an engine to change what it holds. Planner.Ordered must follow.
 type Order struct {
@@ -32,8 +35,11 @@
 	Address     string
 }
 
-func (o Order) engine() fleet.BackendID { return o.Engine }
-func (p Probe) engine() fleet.BackendID { return p.Engine }
+// Subject returns the engine that is ordered.
+func (o Order) Subject() fleet.BackendID { return o.Engine }
+
+// Subject returns the engine that is asked.
+func (p Probe) Subject() fleet.BackendID { return p.Engine }
 
 // Outcome is what an engine answered to an order.
 type Outcome uint8
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -46,6 +46,8 @@
 	Position Position `cbor:"1,keyasint"`
 	// Hold is how long the answer may wait for a change.
 	Hold time.Duration `cbor:"2,keyasint"`
+	// Entries asks for the entry hosts as well.
+	Entries bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Entry is an entry host that takes callers' requests.
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -71,7 +71,7 @@
 	if v == registry.Changed {
 		c.observe(now)
 		c.logInstance(before, h.Instance, h.Seq)
-		c.publish()
+		c.publish(h.Instance.ID)
 		c.announce()
 		c.hurry()
 	}
@@ -110,14 +110,17 @@
 	c.observed = c.registry.Revision()
 }
 
-// publish puts the planner's view of what engines hold into the registry; c.mu is held.
-func (c *Controller) publish() {
+// publish puts the planner's view of what engines hold into the registry, of all engines or of the given ones; c.mu is held.
+func (c *Controller) publish(ids ...fleet.BackendID) {
 	now := c.cfg.Now()
+	if len(ids) == 0 {
+		ids = c.planner.Engines()
+	}
 	news := false
-	for _, id := range c.planner.Engines() {
-		models, _ := c.planner.Published(now, id)
+	for _, id := range ids {
+		models, known := c.planner.Published(now, id)
 		in, _, ok := c.registry.Get(id)
-		news = ok && c.registry.SetModels(id, in.Incarnation, models) || news
+		news = known && ok && c.registry.SetModels(id, in.Incarnation, models) || news
 	}
 	if news {
 		c.announce()
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -47,6 +47,8 @@
 	planner  *residency.Planner
 	// observed is the revision of the registry up to which the planner knows the instances.
 	observed uint64
+	// published is when what all engines hold was last looked at.
+	published time.Time
 	// reign is the present leadership, nil on other hosts.
 	reign *reign
 	// entries are the entry hosts as reported here, or as followed from the leader.
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -25,7 +25,7 @@
 			c.mu.Unlock()
 			return &controlapi.FollowResponse{Reply: c.notLeader()}, nil
 		}
-		res, news := c.changes(r, req.Position)
+		res, news := c.changes(r, req)
 		changed := c.changed
 		c.mu.Unlock()
 		if news {
@@ -43,8 +43,8 @@
 }
 
 // changes returns what is new after a position, and whether anything is; c.mu is held.
-func (c *Controller) changes(r *reign, at controlapi.Position) (*controlapi.FollowResponse, bool) {
-	term := uint64(r.term)
+func (c *Controller) changes(r *reign, req *controlapi.FollowRequest) (*controlapi.FollowResponse, bool) {
+	at, term := req.Position, uint64(r.term)
 	news := at.Term != term
 	if news {
 		at.Backends, at.Entries = 0, 0
@@ -57,7 +57,7 @@
 	if news || at.Backends != res.Position.Backends {
 		res.Instances, news = c.registry.After(at.Backends), true
 	}
-	if news || at.Entries != res.Position.Entries {
+	if req.Entries && (news || at.Entries != res.Position.Entries) {
 		res.Entries, news = c.ready(), true
 	}
 	if state.Version > at.Configuration {
@@ -209,7 +209,7 @@
 		at.Configuration = math.MaxUint64
 		call, cancel := context.WithTimeout(ctx, 2*followHold)
 		res, err := controlapi.Call[controlapi.FollowRequest, controlapi.FollowResponse](call, c.cfg.Client,
-			controlapi.ProcedureFollow, followHold, &controlapi.FollowRequest{Position: at, Hold: followHold})
+			controlapi.ProcedureFollow, followHold, &controlapi.FollowRequest{Position: at, Hold: followHold, Entries: true})
 		cancel()
 		if err != nil {
 			continue
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -50,7 +50,10 @@
 	}
 	c.observe(now)
 	c.configure(c.state())
-	c.publish()
+	if now.Sub(c.published) >= publishInterval {
+		c.published = now
+		c.publish()
+	}
 	if now.Before(r.ordersFrom) {
 		return c.planner.Probes(now)
 	}
@@ -63,7 +66,9 @@
 		c.planner.Loads(id, loads[id].running, loads[id].suspect)
 	}
 	actions := c.planner.Next(now)
-	c.publish()
+	for _, a := range actions {
+		c.publish(a.Subject())
+	}
 	return actions
 }
 
@@ -107,7 +112,7 @@
 		panic("controller: unknown action of the planner")
 	}
 	c.mu.Lock()
-	c.publish()
+	c.publish(a.Subject())
 	c.mu.Unlock()
 	c.hurry()
 }
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -63,6 +63,8 @@
 // Timing of a controller.
 const (
 	planInterval = 100 * time.Millisecond
+	// publishInterval is the time after which what all engines hold is looked at again, beside those that have changed.
+	publishInterval = time.Second
 	// orderTimeout bounds an order; an engine answers at once or not at all.
 	orderTimeout = time.Second
 	// unloadNotice is the time between the notice to entry hosts and the unload of a model.
