--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -183,9 +183,15 @@
 			p.setGoal(now, wish{k, m, crowding, true, "replicas are busy", true}, demands)
 		}
 	}
-	p.fill(now, demands)
+	if now.Sub(p.filled) >= fillInterval {
+		p.filled = now
+		p.fill(now, demands)
+	}
 }
 
+// fillInterval is the time between two searches for models without a replica.
+const fillInterval = 200 * time.Millisecond
+
 // fill gives engines with free memory and a copy at hand the models that no engine holds, before anybody asks for them.
 func (p *Planner) fill(now time.Time, demands map[demandKey]modelDemand) {
 	for i := range p.table.Configuration.Services {
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,7 +37,11 @@
 	cfg     Settings
 	table   *routes.Table
 	engines map[fleet.BackendID]*engine
+	// ids are the ids of all engines, sorted; nil after engines came or went.
+	ids     []fleet.BackendID
 	demands map[demandKey]*demand
+	// filled is when models without a replica were last looked for.
+	filled time.Time
 	// tallies are the replicas of each model as counted last.
 	tallies map[demandKey]tally
 	// stored are the times of the latest loads from the weight store.
@@ -100,6 +105,7 @@
 	e := p.engines[in.ID]
 	if in.State == registry.Gone {
 		delete(p.engines, in.ID)
+		p.ids = nil
 		return
 	}
 	if e == nil || e.Incarnation != in.Incarnation {
@@ -109,6 +115,7 @@
 		e = &engine{Instance: in, spec: p.spec(in.Service), models: map[fleet.ModelID]*holding{}}
 		e.take(now, p.specs(in.Service), beat.Instance.Models)
 		p.engines[in.ID] = e
+		p.ids = nil
 	}
 	e.Instance = in
 	if beat.Engine {
@@ -188,14 +195,12 @@
 	return e.published(now), true
 }
 
-// Engines returns the ids of all engines, sorted.
+// Engines returns the ids of all engines, sorted; the slice must not be changed.
 func (p *Planner) Engines() []fleet.BackendID {
-	out := make([]fleet.BackendID, 0, len(p.engines))
-	for id := range p.engines {
-		out = append(out, id)
+	if p.ids == nil {
+		p.ids = slices.Sorted(maps.Keys(p.engines))
 	}
-	slices.Sort(out)
-	return out
+	return p.ids
 }
 
 // Doubt makes all engines be asked for a report before the next order; a new leader calls it first.
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -24,12 +24,15 @@
 		case <-t.C:
 		case <-c.kick:
 		}
+		began := time.Now()
 		for _, a := range c.next(ctx) {
 			eg.Go(func() error {
 				c.carryOut(ctx, a)
 				return nil
 			})
 		}
+		// Where a look is dear there are fewer of them, however often one is asked for.
+		pause(ctx, planRest*time.Since(began))
 		t.Reset(planInterval)
 	}
 }
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -63,6 +63,8 @@
 // Timing of a controller.
 const (
 	planInterval = 100 * time.Millisecond
+	// planRest is the rest after each look of the planner, in units of the time that the look took.
+	planRest = 4
 	// publishInterval is the time after which what all engines hold is looked at again, beside those that have changed.
 	publishInterval = time.Second
 	// orderTimeout bounds an order; an engine answers at once or not at all.
