--- a/core/registry/instance.go
+++ b/core/registry/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"toucanway/core/fleet"
 )
@@ -71,6 +70,4 @@
 	Engine bool
 	// InMemory and OnDisk are models whose weights the engine has copies of.
 	InMemory, OnDisk []fleet.ModelID
-	// Remaining is how long an instance that is taken away at short notice still runs; 0 if it wasn't told.
-	Remaining time.Duration
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -203,17 +203,6 @@
 	return true
 }
 
-// Drain marks an incarnation as draining and says whether that is news.
-func (r *Registry) Drain(id fleet.BackendID, inc fleet.Incarnation) bool {
-	e := r.entries[id]
-	if e == nil || e.instance.Incarnation != inc || e.instance.State != Ready {
-		return false
-	}
-	e.instance.State = Draining
-	r.touch(e)
-	return true
-}
-
 // SetModels replaces the models of an incarnation, as its orders have changed them, and says whether that is news.
 func (r *Registry) SetModels(id fleet.BackendID, inc fleet.Incarnation, models []Model) bool {
 	e := r.entries[id]
--- a/core/residency/order.go
+++ b/core/residency/order.go
@@ -76,9 +76,6 @@
 	Pending []fleet.Target
 	// InMemory and OnDisk are models whose weights the engine has copies of.
 	InMemory, OnDisk []fleet.ModelID
-	// Active and Queued count requests, CacheUsed the tokens of the KV cache that can't yield.
-	Active, Queued int
-	CacheUsed      fleet.Tokens
 }
 
 // Timing of orders.
--- a/core/routes/configuration.go
+++ b/core/routes/configuration.go
@@ -74,9 +74,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the largest batch, CacheTokens the KV cache in tokens.
-	Slots       int
-	CacheTokens fleet.Tokens
 	// Weights is the memory for weights and adapters together, AdapterSlots bounds the adapters.
 	Weights      fleet.Bytes
 	AdapterSlots int
@@ -88,8 +85,6 @@
 // Service is a group of backend servers that serve the same requests.
 type Service struct {
 	Name fleet.ServiceID
-	// MaxConnections bounds the connections that one backend server accepts from all callers.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -39,7 +39,7 @@
 	Signed bool
 	// NotRun answers say that the request was not run and never will be.
 	NotRun bool
-	// Misdirected answers come from a server that is not the one meant, or lacks the model.
+	// Misdirected answers come from a server that is not the one meant, or lacks the model; they are not run.
 	Misdirected bool
 	// Instance is the server that answered, if it says so.
 	Instance fleet.BackendID
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 func (plain) Answer(h *fasthttp.ResponseHeader) Head {
 	return Head{
 		ID: fleet.RequestID(h.Peek("Id")), Signed: len(h.Peek("Signature")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
-		Instance: fleet.BackendID(h.Peek("Instance")),
+		Misdirected: h.StatusCode() == 421, Instance: fleet.BackendID(h.Peek("Instance")),
 	}
 }
 
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -290,9 +290,13 @@
 func (x *exchange) receive(up *backend.Exchange, ticket *balance.Ticket) (int, balance.Outcome, error) {
 	head := x.p.cfg.Dialect.Answer(&up.Response.Header)
 	status := up.Response.StatusCode()
-	if head.NotRun || status == fasthttp.StatusMisdirectedRequest {
+	if head.NotRun || head.Misdirected {
 		// The body is read so that the connection can be used again; an error shows up there.
 		_, _ = io.Copy(io.Discard, io.LimitReader(up, maxAnswer))
+		if head.Misdirected && head.Instance != "" && head.Instance != ticket.Instance {
+			// Another server has the address now.
+			return status, balance.Unconnected, errNotRun
+		}
 		return status, balance.Refused, errNotRun
 	}
 	x.mayHaveRun = true
--- a/io/settings/routed.go
+++ b/io/settings/routed.go
@@ -48,7 +48,6 @@
 	RepeatRatio  float64       `key:"repeat-ratio" default:"0.2" min:"0" max:"10" doc:"Requests that may be sent again for each request."`
 	RepeatSlack  float64       `key:"repeat-slack" default:"50" min:"0" max:"100000" doc:"Requests that may be sent again in each window beyond the ratio, over all hosts."`
 	RepeatWindow time.Duration `key:"repeat-window" default:"10s" doc:"Window of the allowance for repeats."`
-	CheckFences  bool          `key:"check-fences" doc:"Whether engines refuse orders with an old fencing token."`
 }
 
 // LoadRouted reads and checks a settings file.
--- a/io/settings/routed_test.go
+++ b/io/settings/routed_test.go
@@ -34,7 +34,6 @@
   repeat-ratio: 0.2
   repeat-slack: 52
   repeat-window: "10s"
-  check-fences: false
 `
 
 // Guards against the settings of a host that are read in part.
