controlapi: calls without a leader share one search

Change: one search a host, one round at a time, with a pause that grows with the number of gateways; a host that names another one leads to it. The search ends with its last caller.

--- a/cmd/toucanway-lab/internal/controlscenario/world.go
+++ b/cmd/toucanway-lab/internal/controlscenario/world.go
@@ -27,6 +27,7 @@
 	"toucanway/io/formation"
 	"toucanway/io/hosts"
 	"toucanway/io/metrics"
+	"toucanway/io/network"
 	"toucanway/io/voters"
 )
 
@@ -306,5 +307,7 @@
 	if e := w.checks.Wait(); err == nil {
 		err = e
 	}
+	// The HTTP library carries on dials that no call waits for any more.
+	time.Sleep(network.DialTimeout)
 	return w.violations, err
 }
--- /dev/null
+++ b/io/controlapi/client_test.go
@@ -0,0 +1,122 @@
+package controlapi_test
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/fleet"
+	"toucanway/io/controlapi"
+	"toucanway/io/hosts"
+	"toucanway/io/network"
+)
+
+// group is a control group of loopback addresses that share a port.
+type group struct {
+	members []fleet.HostID
+	port    uint16
+	// leader is the index of the member that leads, -1 for none.
+	leader atomic.Int32
+	// asked counts all calls that reach a member.
+	asked atomic.Int64
+}
+
+func newGroup(t *testing.T) *group {
+	t.Helper()
+	g := &group{}
+	g.leader.Store(-1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for i := range 3 {
+		ip := "127.0.0." + strconv.Itoa(i+1)
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(int(g.port))))
+		require.NoError(t, err)
+		g.port = uint16(l.Addr().(*net.TCPAddr).Port)
+		g.members = append(g.members, fleet.HostID(ip))
+		srv := &hosts.Server{}
+		reply := func() controlapi.Reply {
+			g.asked.Add(1)
+			if g.leader.Load() == int32(i) {
+				return controlapi.Reply{}
+			}
+			r := controlapi.Reply{Status: hosts.StatusNotLeader}
+			if l := g.leader.Load(); l >= 0 {
+				r.Leader = g.members[l]
+			}
+			return r
+		}
+		hosts.Handle(srv, controlapi.ProcedureLead, func(context.Context, fleet.HostID, *controlapi.LeadRequest) (*controlapi.LeadResponse, error) {
+			return &controlapi.LeadResponse{Reply: reply()}, nil
+		})
+		hosts.Handle(srv, controlapi.ProcedureLeave, func(context.Context, fleet.HostID, *controlapi.LeaveRequest) (*controlapi.HeartbeatResponse, error) {
+			return &controlapi.HeartbeatResponse{Reply: reply()}, nil
+		})
+		wg.Go(func() { _ = srv.Run(ctx, l) })
+	}
+	return g
+}
+
+func (g *group) client(seeds ...fleet.HostID) *controlapi.Client {
+	return controlapi.NewClient(hosts.NewClient("127.0.0.9", network.TCP{}, nil), g.port, func() []fleet.HostID { return seeds })
+}
+
+func leave(ctx context.Context, c *controlapi.Client) error {
+	_, err := controlapi.Call[controlapi.LeaveRequest, controlapi.HeartbeatResponse](ctx, c, controlapi.ProcedureLeave, 0, &controlapi.LeaveRequest{})
+	return err
+}
+
+// Guards against a storm: while a large deployment had no leader, each waiting call asked every member by itself, which kept the
+// members too busy to elect one.
+func TestSearchIsShared(t *testing.T) {
+	g := newGroup(t)
+	c := g.client(g.members...)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() { assert.ErrorContains(t, leave(ctx, c), "no host answered as leader") })
+	}
+	wg.Wait()
+	assert.Less(t, g.asked.Load(), int64(60), "calls that reached members while none led")
+}
+
+// Guards against calls that stay with a host that leads no longer, and against a search that ends without the new leader.
+func TestFindsNextLeader(t *testing.T) {
+	g := newGroup(t)
+	c := g.client(g.members...)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, i := range []int32{2, 0, 1} {
+		g.leader.Store(i)
+		require.NoError(t, leave(ctx, c))
+		assert.Equal(t, g.members[i], c.Leader())
+	}
+	g.leader.Store(-1)
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() { assert.NoError(t, leave(ctx, c)) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	g.leader.Store(2)
+	wg.Wait()
+	assert.Equal(t, g.members[2], c.Leader())
+}
+
+// Guards against a host that started after the seeds were written, and never found a leader that is none of them.
+func TestFindsLeaderThatIsNoSeed(t *testing.T) {
+	g := newGroup(t)
+	g.leader.Store(2)
+	c := g.client(g.members[0], g.members[1])
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	require.NoError(t, leave(ctx, c))
+	assert.Equal(t, g.members[2], c.Leader())
+}
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -12,6 +12,7 @@
 
 // Procedures of the leader of the control group.
 const (
+	ProcedureLead      = "/controller.v1/Lead"
 	ProcedureFollow    = "/controller.v1/Follow"
 	ProcedureReport    = "/controller.v1/Report"
 	ProcedureHeartbeat = "/controller.v1/Heartbeat"
@@ -30,6 +31,16 @@
 
 func (r Reply) reply() Reply { return r }
 
+// LeadRequest asks whether the host leads the control group.
+type LeadRequest struct{}
+
+// LeadResponse answers with StatusOK where it does.
+type LeadResponse struct {
+	Reply Reply `cbor:"1,keyasint,omitempty"`
+}
+
+func (r *LeadResponse) reply() Reply { return r.Reply }
+
 // Position is how much of the leader's state a host has.
 type Position struct {
 	// Term is the leader's term; revisions of different terms can't be compared.
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -93,6 +93,7 @@
 
 // Register adds the procedures of the leader to a server.
 func (c *Controller) Register(srv *hosts.Server) {
+	hosts.Handle(srv, controlapi.ProcedureLead, c.lead)
 	hosts.Handle(srv, controlapi.ProcedureFollow, c.follow)
 	hosts.Handle(srv, controlapi.ProcedureReport, c.report)
 	hosts.Handle(srv, controlapi.ProcedureHeartbeat, c.heartbeat)
@@ -117,7 +118,7 @@
 	for ctx.Err() == nil {
 		s := c.cfg.Group.Status()
 		if s.Role == raft.Leader {
-			c.lead(ctx, s.Term)
+			c.reignFrom(ctx, s.Term)
 		} else {
 			c.resign()
 		}
@@ -128,8 +129,8 @@
 	return nil
 }
 
-// lead begins a leadership once this host has applied all that was committed before.
-func (c *Controller) lead(ctx context.Context, term raft.Term) {
+// reignFrom begins a leadership once this host has applied all that was committed before.
+func (c *Controller) reignFrom(ctx context.Context, term raft.Term) {
 	c.mu.Lock()
 	known := c.reign != nil && c.reign.term == term
 	c.mu.Unlock()
@@ -191,6 +192,16 @@
 	}
 }
 
+// lead answers whether this host leads.
+func (c *Controller) lead(context.Context, fleet.HostID, *controlapi.LeadRequest) (*controlapi.LeadResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leading() == nil {
+		return &controlapi.LeadResponse{Reply: c.notLeader()}, nil
+	}
+	return &controlapi.LeadResponse{}, nil
+}
+
 // leading returns the present leadership if it is valid now, else nil; c.mu is held.
 func (c *Controller) leading() *reign {
 	if c.reign == nil || !c.cfg.Group.Leading() {
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -236,6 +236,7 @@
 	for _, l := range res.Loads {
 		loads[l.Instance] = balance.Load{Active: l.Active, Prompt: l.Prompt}
 	}
+	v.cfg.Client.SetSearchers(res.Entries)
 	slack := v.cfg.Budget.Slack * budgetShare / float64(max(res.Entries, 1))
 	v.mu.Lock()
 	defer v.mu.Unlock()
