pause: one context-aware wait instead of five copies

Cause: io/gateway, io/controller, io/formation, io/follow and io/dispatch each had their own wait for a time or the end of a context, beside the lab's package pause; io/hosts, io/planning and io/logs wrote the same select inline.

Change: the lab's package moves to core/pause and serves all of them. search.exhausted calls search.pause instead of repeating it. Behaviour is the same; where a loop ended at its next look at the context it ends at once.

--- a/cmd/toucanway-lab/internal/caller/client.go
+++ b/cmd/toucanway-lab/internal/caller/client.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/io/network"
 )
 
--- a/cmd/toucanway-lab/internal/cost/measurements.go
+++ b/cmd/toucanway-lab/internal/cost/measurements.go
@@ -14,9 +14,9 @@
 	"toucanway/cmd/toucanway-lab/internal/capacity"
 	"toucanway/cmd/toucanway-lab/internal/deployment"
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 )
 
 // Shares of the target in section 1.7 of the design page for one entry host.
--- a/cmd/toucanway-lab/internal/demo/steps.go
+++ b/cmd/toucanway-lab/internal/demo/steps.go
@@ -15,10 +15,10 @@
 	"toucanway/cmd/toucanway-lab/internal/deployment"
 	"toucanway/cmd/toucanway-lab/internal/history"
 	"toucanway/cmd/toucanway-lab/internal/live"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/io/operators"
 )
 
--- a/cmd/toucanway-lab/internal/engine/orders.go
+++ b/cmd/toucanway-lab/internal/engine/orders.go
@@ -10,9 +10,9 @@
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 )
 
 // maxFinished bounds the ended orders whose answer is kept for a resend; the oldest is forgotten first.
--- a/cmd/toucanway-lab/internal/engine/run.go
+++ b/cmd/toucanway-lab/internal/engine/run.go
@@ -11,9 +11,9 @@
 	"github.com/valyala/fasthttp"
 
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/tokens"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 )
 
 // refusal is an engine's reason not to do what it is asked; nothing was run.
--- a/cmd/toucanway-lab/internal/live/network.go
+++ b/cmd/toucanway-lab/internal/live/network.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"toucanway/cmd/toucanway-lab/internal/pause"
+	"toucanway/core/pause"
 	"toucanway/io/network"
 )
 
--- a/cmd/toucanway-lab/internal/load/load_test.go
+++ b/cmd/toucanway-lab/internal/load/load_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
+	"toucanway/core/pause"
 )
 
 // stalled answers nothing before a time of its own, and everything at once from then on.
--- a/cmd/toucanway-lab/internal/load/run.go
+++ b/cmd/toucanway-lab/internal/load/run.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/cmd/toucanway-lab/internal/caller"
-	"toucanway/cmd/toucanway-lab/internal/pause"
+	"toucanway/core/pause"
 )
 
 // DefaultMaxInFlight bounds the requests under way; those planned beyond are counted as not sent.
--- a/cmd/toucanway-lab/internal/organisation/disturb.go
+++ b/cmd/toucanway-lab/internal/organisation/disturb.go
@@ -8,8 +8,8 @@
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/live"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 )
 
 const (
--- a/cmd/toucanway-lab/internal/service/service.go
+++ b/cmd/toucanway-lab/internal/service/service.go
@@ -11,9 +11,9 @@
 
 	"toucanway/cmd/toucanway-lab/internal/backend"
 	"toucanway/cmd/toucanway-lab/internal/history"
-	"toucanway/cmd/toucanway-lab/internal/pause"
 	"toucanway/cmd/toucanway-lab/internal/wire"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/io/network"
 )
 
--- a/cmd/toucanway-lab/internal/store/store.go
+++ b/cmd/toucanway-lab/internal/store/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"toucanway/cmd/toucanway-lab/internal/pause"
+	"toucanway/core/pause"
 )
 
 // Settings describe a weight store. Zero fields mean no limit.
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/registry"
 	"toucanway/io/controlapi"
 )
@@ -33,7 +34,9 @@
 		}
 		select {
 		case <-changed:
-			pause(ctx, c.gather())
+			if err := pause.For(ctx, c.gather()); err != nil {
+				return nil, err
+			}
 		case <-hold.C:
 			return res, nil
 		case <-ctx.Done():
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -9,6 +9,7 @@
 
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/residency"
 )
 
@@ -32,7 +33,9 @@
 			})
 		}
 		// Where a look is dear there are fewer of them, however often one is asked for.
-		pause(ctx, planRest*time.Since(began))
+		if pause.For(ctx, planRest*time.Since(began)) != nil {
+			return eg.Wait()
+		}
 		t.Reset(planInterval)
 	}
 }
@@ -123,7 +126,7 @@
 func (c *Controller) order(ctx context.Context, o residency.Order) {
 	if o.Kind == fleet.OrderUnload {
 		// Entry hosts stop sending requests for the model first.
-		pause(ctx, unloadNotice)
+		_ = pause.For(ctx, unloadNotice)
 	}
 	began := c.cfg.Now()
 	out := residency.Unreachable
@@ -145,7 +148,7 @@
 		zap.Int64("expected", o.Expected), zap.Bool("store", o.Store), zap.String("reason", o.Reason),
 		zap.Stringer("outcome", out), zap.Duration("took-ms", now.Sub(began)))
 	if out == residency.Accepted && o.Kind == fleet.OrderLoadAdapter {
-		pause(ctx, residency.AdapterLoad)
+		_ = pause.For(ctx, residency.AdapterLoad)
 	}
 }
 
@@ -165,12 +168,3 @@
 	c.cfg.Log.Info(logReport, zap.String("instance", string(p.Engine)), zap.Int64("accepted", rep.Accepted), zap.Bool("busy", rep.Busy),
 		zap.Int("models", len(rep.Models)), zap.Error(err))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/dispatch/attempt.go
+++ b/io/dispatch/attempt.go
@@ -8,6 +8,7 @@
 	"toucanway/core/capacity"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/poison"
 	"toucanway/core/routing"
 	"toucanway/io/callers"
@@ -128,10 +129,7 @@
 		return r
 	}
 	s.avoid = slices.Clone(s.avoid[:s.fixed])
-	if !sleep(ctx, choosePause) {
-		return s.a.timedOut(s.resume > 0)
-	}
-	return nil
+	return s.pause(ctx)
 }
 
 // hopeless refuses at once a request whose model cannot be ready before its deadline.
@@ -187,7 +185,7 @@
 
 // pause waits before another choice, and refuses when the time of the request is over.
 func (s *search) pause(ctx context.Context) *fleet.Refusal {
-	if !sleep(ctx, choosePause) {
+	if pause.For(ctx, choosePause) != nil {
 		return s.a.timedOut(s.resume > 0)
 	}
 	return nil
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -12,6 +12,7 @@
 	"toucanway/core/capacity"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/io/backend"
 	"toucanway/io/engines"
 )
@@ -201,7 +202,7 @@
 		return a.refuse(fleet.CodeBackendFailed, busyRetry, "no backend server gave the whole answer in %d attempts: %v", a.attempts, cause)
 	}
 	a.d.metrics.retries.With(string(a.call.Identity.Tenant)).Inc(1)
-	if !sleep(ctx, wait) {
+	if pause.For(ctx, wait) != nil {
 		return a.truthful(a.timedOut(a.received > 0))
 	}
 	return nil
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -13,6 +13,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/core/ledger"
+	"toucanway/core/pause"
 	"toucanway/io/backend"
 	"toucanway/io/callers"
 	"toucanway/io/services"
@@ -150,7 +151,7 @@
 func (o *once) run(ctx, caller context.Context) onceResult {
 	wait, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
-	pause := resultPause
+	interval := resultPause
 	for {
 		res, err := o.ask(wait, &ledger.Dispatch{Key: o.key, Fingerprint: o.fingerprint, Attempt: o.attempt})
 		if err != nil {
@@ -163,10 +164,10 @@
 			}
 			return o.dispatch(ctx)
 		case ledger.VerdictRunning:
-			if !sleep(wait, pause) {
+			if pause.For(wait, interval) != nil {
 				return onceResult{refusal: o.notOurs(fleet.CodeStillRunning, fleet.Running)}
 			}
-			pause = min(2*pause, maxResultPause)
+			interval = min(2*interval, maxResultPause)
 		default:
 			return o.settled(res)
 		}
@@ -344,14 +345,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -12,6 +12,7 @@
 	"toucanway/core/config"
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/io/hosts"
 	"toucanway/io/metrics"
 )
@@ -173,21 +174,14 @@
 		}
 		if err != nil {
 			f.met.failed.With().Inc(1)
-			sleep(ctx, pollPause)
+			if pause.For(ctx, pollPause) != nil {
+				return nil
+			}
 		}
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // PollLeader carries a poll to the control leader.
 func PollLeader(ctx context.Context, control *hosts.GroupClient, req *hosts.FollowRequest) (*hosts.FollowResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/io/formation/group.go
+++ b/io/formation/group.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/io/hosts"
 	"toucanway/io/voters"
@@ -80,7 +81,9 @@
 				return nil
 			}
 			g.cfg.Log.Error(logReopen, zap.Error(err))
-			sleep(ctx, g.cfg.ReopenInterval)
+			if pause.For(ctx, g.cfg.ReopenInterval) != nil {
+				return nil
+			}
 		}
 		return nil
 	})
@@ -96,21 +99,11 @@
 }
 
 func (g *Group) every(ctx context.Context, d time.Duration, f func(context.Context)) {
-	for ctx.Err() == nil {
-		sleep(ctx, d)
+	for pause.For(ctx, d) == nil {
 		f(ctx)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // runPart opens the storage and takes part until the storage fails or the context ends.
 func (g *Group) runPart(ctx context.Context) error {
 	storage, err := g.cfg.Open()
--- a/io/formation/members.go
+++ b/io/formation/members.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/io/hosts"
 )
@@ -87,8 +88,7 @@
 	if p.group.Status().Leader != "" {
 		return false
 	}
-	sleep(ctx, leaderless)
-	return g.current() == p && p.group.Status().Leader == ""
+	return pause.For(ctx, leaderless) == nil && g.current() == p && p.group.Status().Leader == ""
 }
 
 // join admits the calling host.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/pause"
 	"toucanway/core/routes"
 )
 
@@ -84,7 +85,8 @@
 	g.server.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Grace-drainReserve)
 	defer cancel()
-	pause(ctx, min(drainAccept, g.cfg.Grace/3))
+	// A grace that is over ends the wait as well.
+	_ = pause.For(ctx, min(drainAccept, g.cfg.Grace/3))
 	// The listener's error is that it was closed already.
 	_ = l.Close()
 	g.server.closeIdle()
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/pause"
 	"toucanway/core/routes"
 )
 
@@ -75,7 +76,9 @@
 			return nil
 		}
 		if err != nil {
-			pause(stop, 10*time.Millisecond)
+			if pause.For(stop, 10*time.Millisecond) != nil {
+				return nil
+			}
 			continue
 		}
 		c := &conn{Conn: nc, w: bufio.NewWriterSize(nc, 4<<10), draining: s.isDraining}
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -10,6 +10,7 @@
 
 	"toucanway/core/balance"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/registry"
 	"toucanway/core/residency"
 	"toucanway/core/retry"
@@ -206,21 +207,14 @@
 			return nil
 		case <-t.C:
 		case <-v.hurried:
-			pause(ctx, hurriedInterval)
+			if pause.For(ctx, hurriedInterval) != nil {
+				return nil
+			}
 		}
 		t.Reset(v.tell(ctx))
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // tell sends a report and returns the time until the next one.
 func (v *View) tell(ctx context.Context) time.Duration {
 	req := v.account()
--- a/io/hosts/group.go
+++ b/io/hosts/group.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 )
 
 // Errors is the namespace of this package's errors.
@@ -91,25 +92,18 @@
 			}
 			g.follow(m, hint)
 		}
-		if err := pause(ctx, tries, g.size()); err != nil {
+		if err := pauseRound(ctx, tries, g.size()); err != nil {
 			return nil, ErrNoLeader.Wrap(last, "no leader answered before the deadline; check that a majority of voters runs and is reachable")
 		}
 	}
 }
 
-// pause waits after each round over all members.
-func pause(ctx context.Context, tries, members int) error {
+// pauseRound waits after each round over all members.
+func pauseRound(ctx context.Context, tries, members int) error {
 	if (tries+1)%members != 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	return pause.For(ctx, retryPause)
 }
 
 func (g *GroupClient) size() int {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"toucanway/core/pause"
 )
 
 const (
@@ -60,12 +62,8 @@
 		case <-ctx.Done():
 			return w.finish()
 		}
-		t := time.NewTimer(flushInterval)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		// At the end the lines that wait are written at once.
+		_ = pause.For(ctx, flushInterval)
 		if err := w.write(w.gather(buf)); err != nil {
 			return err
 		}
--- a/io/planning/repeat.go
+++ b/io/planning/repeat.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"toucanway/core/pause"
 )
 
 // repeat calls f at an interval, and a delay after each wake-up so that several causes share one call, until the context
@@ -16,12 +18,8 @@
 			return
 		case <-t.C:
 		case <-wake:
-			d := time.NewTimer(delay)
-			select {
-			case <-ctx.Done():
-				d.Stop()
+			if pause.For(ctx, delay) != nil {
 				return
-			case <-d.C:
 			}
 		}
 		f(ctx)
