core, io: defaults by cmp.Or, orders by cmp.Compare

The standard library has both.

Change: cmp.Or and cmp.Compare in their place; no other behaviour. The default of raft's longest election timeout still depends on the shortest one, which is set before it.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -73,21 +74,14 @@
 }
 
 func (s *Settings) setDefaults() {
-	def(&s.Heartbeat, DefaultHeartbeat)
-	def(&s.ElectionMin, DefaultElectionMin)
-	def(&s.ElectionMax, max(DefaultElectionMax, s.ElectionMin*3/2))
-	def(&s.MaxBatch, DefaultMaxBatch)
-	def(&s.MaxInflight, DefaultMaxInflight)
-	def(&s.MaxPending, DefaultMaxPending)
-	def(&s.Chunk, DefaultChunk)
-	def(&s.PromoteGap, DefaultPromoteGap)
-}
-
-func def[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	s.Heartbeat = cmp.Or(s.Heartbeat, DefaultHeartbeat)
+	s.ElectionMin = cmp.Or(s.ElectionMin, DefaultElectionMin)
+	s.ElectionMax = cmp.Or(s.ElectionMax, max(DefaultElectionMax, s.ElectionMin*3/2))
+	s.MaxBatch = cmp.Or(s.MaxBatch, DefaultMaxBatch)
+	s.MaxInflight = cmp.Or(s.MaxInflight, DefaultMaxInflight)
+	s.MaxPending = cmp.Or(s.MaxPending, DefaultMaxPending)
+	s.Chunk = cmp.Or(s.Chunk, DefaultChunk)
+	s.PromoteGap = cmp.Or(s.PromoteGap, DefaultPromoteGap)
 }
 
 // Node is one host's part in a group. It is not safe for concurrent use.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -73,15 +73,9 @@
 
 // New returns an empty registry.
 func New(cfg Settings) *Registry {
-	if cfg.Silence == 0 {
-		cfg.Silence = DefaultSilence
-	}
-	if cfg.Forget == 0 {
-		cfg.Forget = DefaultForget
-	}
-	if cfg.Instances == 0 {
-		cfg.Instances = DefaultInstances
-	}
+	cfg.Silence = cmp.Or(cfg.Silence, DefaultSilence)
+	cfg.Forget = cmp.Or(cfg.Forget, DefaultForget)
+	cfg.Instances = cmp.Or(cfg.Instances, DefaultInstances)
 	return &Registry{cfg: cfg, entries: map[fleet.BackendID]*entry{}, addresses: map[string]fleet.BackendID{}}
 }
 
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -102,12 +103,7 @@
 		slices.Sort(m.Adapters)
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b registry.Model) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b registry.Model) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -50,21 +51,11 @@
 
 // New returns a planner without engines.
 func New(cfg Settings) *Planner {
-	if cfg.StoreConcurrent == 0 {
-		cfg.StoreConcurrent = DefaultStoreConcurrent
-	}
-	if cfg.StoreWindow == 0 {
-		cfg.StoreWindow = DefaultStoreWindow
-	}
-	if cfg.StoreShare == 0 {
-		cfg.StoreShare = DefaultStoreShare
-	}
-	if cfg.CopyLoad == 0 {
-		cfg.CopyLoad = DefaultCopyLoad
-	}
-	if cfg.CopyPrompt == 0 {
-		cfg.CopyPrompt = DefaultCopyPrompt
-	}
+	cfg.StoreConcurrent = cmp.Or(cfg.StoreConcurrent, DefaultStoreConcurrent)
+	cfg.StoreWindow = cmp.Or(cfg.StoreWindow, DefaultStoreWindow)
+	cfg.StoreShare = cmp.Or(cfg.StoreShare, DefaultStoreShare)
+	cfg.CopyLoad = cmp.Or(cfg.CopyLoad, DefaultCopyLoad)
+	cfg.CopyPrompt = cmp.Or(cfg.CopyPrompt, DefaultCopyPrompt)
 	return &Planner{cfg: cfg, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{}}
 }
 
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -80,12 +81,7 @@
 			out = append(out, e.Entry)
 		}
 	}
-	slices.SortFunc(out, func(a, b controlapi.Entry) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b controlapi.Entry) int { return cmp.Compare(a.Host, b.Host) })
 	return out
 }
 
--- a/io/formation/settings.go
+++ b/io/formation/settings.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"cmp"
 	"net/netip"
 	"strconv"
 	"time"
@@ -65,23 +66,16 @@
 }
 
 func (s *Settings) setDefaults() {
-	def(&s.JoinInterval, DefaultJoinInterval)
-	def(&s.ReopenInterval, DefaultReopenInterval)
-	def(&s.RemoveAfter, DefaultRemoveAfter)
-	def(&s.MaxVoters, DefaultMaxVoters)
-	def(&s.Log, zap.NewNop())
+	s.JoinInterval = cmp.Or(s.JoinInterval, DefaultJoinInterval)
+	s.ReopenInterval = cmp.Or(s.ReopenInterval, DefaultReopenInterval)
+	s.RemoveAfter = cmp.Or(s.RemoveAfter, DefaultRemoveAfter)
+	s.MaxVoters = cmp.Or(s.MaxVoters, DefaultMaxVoters)
+	s.Log = cmp.Or(s.Log, zap.NewNop())
 	if s.Now == nil {
 		s.Now = time.Now
 	}
 }
 
-func def[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Address returns the address of a host for other hosts.
 func (s *Settings) Address(h fleet.HostID) string { return Address(h, s.Port) }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -47,20 +48,13 @@
 	if t := g.view.Table(); t != nil {
 		l = t.Configuration.Limits
 	}
-	def(&l.HeaderBytes, defaultHeaderBytes)
-	def(&l.BodyBytes, defaultBodyBytes)
-	def(&l.HeaderTimeout, defaultHeaderTime)
-	def(&l.IdleTimeout, defaultIdleTime)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.BodyBytes = cmp.Or(l.BodyBytes, defaultBodyBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTime)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTime)
 	return l
 }
 
-func def[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Run serves callers on the listener until the context ends, then drains within the grace.
 func (g *Gateway) Run(ctx context.Context, l net.Listener) error {
 	stop, end := context.WithCancelCause(context.WithoutCancel(ctx))
--- a/io/voters/group.go
+++ b/io/voters/group.go
@@ -1,6 +1,7 @@
 package voters
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -85,7 +86,7 @@
 		return nil, err
 	}
 	set.Raft.Storage = saved.Storage
-	def(&set.Raft.Seed, xxhash.Sum64String(string(set.Raft.Self)))
+	set.Raft.Seed = cmp.Or(set.Raft.Seed, xxhash.Sum64String(string(set.Raft.Self)))
 	set.Log = set.Log.With(zap.Uint32("group", uint32(set.Group)))
 	node, err := raft.New(set.Raft, saved, set.Now())
 	if err != nil {
--- a/io/voters/settings.go
+++ b/io/voters/settings.go
@@ -1,6 +1,7 @@
 package voters
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -73,21 +74,14 @@
 	Queue int
 }
 
-func def[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func (s *Settings) setDefaults() {
-	def(&s.SnapshotEntries, DefaultSnapshotEntries)
-	def(&s.SnapshotBytes, DefaultSnapshotBytes)
-	def(&s.KeepEntries, DefaultKeepEntries)
-	def(&s.KeepBytes, DefaultKeepBytes)
-	def(&s.SendTimeout, DefaultSendTimeout)
-	def(&s.Queue, DefaultQueue)
-	def(&s.Log, zap.NewNop())
+	s.SnapshotEntries = cmp.Or(s.SnapshotEntries, DefaultSnapshotEntries)
+	s.SnapshotBytes = cmp.Or(s.SnapshotBytes, DefaultSnapshotBytes)
+	s.KeepEntries = cmp.Or(s.KeepEntries, DefaultKeepEntries)
+	s.KeepBytes = cmp.Or(s.KeepBytes, DefaultKeepBytes)
+	s.SendTimeout = cmp.Or(s.SendTimeout, DefaultSendTimeout)
+	s.Queue = cmp.Or(s.Queue, DefaultQueue)
+	s.Log = cmp.Or(s.Log, zap.NewNop())
 	if s.Now == nil {
 		s.Now = time.Now
 	}
