controlapi, gateway, residency, balance: one piece of code where the change had two

Cause: found on reading the change once more. Three procedures of the controller repeated the step from its own handler to the leader; the gateway imported the controller's package only to unpack a configuration; the planner summed up all demands again for each engine with a goal; two choices hashed instances in the same way; headers of one connection were compared in two loops, twice; every controller built a client that nothing used.

Change: controlapi.CallHere, Pack and Unpack; planner.Next sums up demands once and hands them on; balance.highest; gateway.hopFields; the gateway makes its own client. Heartbeat keeps its own form, since only heartbeats that were passed on are remembered.

Ruled out: routes.Route.Affine and gateway.Meta.Output and LastEvent are decoded and not read by a decision; tests of the adapter expect them, so they stay.

Measured: behaviour is the same by the tests of these packages, platform and controlscenario.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -208,10 +208,7 @@
 	if r.Plain || len(options) < 2 {
 		return nil
 	}
-	key := string(r.Target.Model) + "/"
-	return slices.MaxFunc(options, func(a, b *registry.Instance) int {
-		return cmp.Compare(xxhash.Sum64String(key+string(a.ID)), xxhash.Sum64String(key+string(b.ID)))
-	})
+	return highest(string(r.Target.Model)+"/", options)
 }
 
 // homeOf returns the instance that the common parts of a prompt hash to, so that hosts that don't hear of each other's
@@ -220,7 +217,11 @@
 	if len(r.Parts) < 2 {
 		return nil
 	}
-	key := string(r.Target.Model) + "/" + string(r.Target.Adapter) + "/" + r.Parts[len(r.Parts)-2].ID + "/"
+	return highest(string(r.Target.Model)+"/"+string(r.Target.Adapter)+"/"+r.Parts[len(r.Parts)-2].ID+"/", options)
+}
+
+// highest returns the instance with the highest hash together with a key, which is the same on every host.
+func highest(key string, options []*registry.Instance) *registry.Instance {
 	return slices.MaxFunc(options, func(a, b *registry.Instance) int {
 		return cmp.Compare(xxhash.Sum64String(key+string(a.ID)), xxhash.Sum64String(key+string(b.ID)))
 	})
@@ -274,8 +275,7 @@
 		if s.active == 0 && !unreachable {
 			continue
 		}
-		l := Load{Active: s.active, Prompt: s.prompt, Targets: maps.Clone(s.targets), Unreachable: unreachable}
-		out[id] = l
+		out[id] = Load{Active: s.active, Prompt: s.prompt, Targets: maps.Clone(s.targets), Unreachable: unreachable}
 	}
 	return out
 }
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -53,13 +53,13 @@
 }
 
 // pursue issues the next order towards an engine's goal.
-func (p *Planner) pursue(now time.Time, e *engine, out []Action) []Action {
+func (p *Planner) pursue(now time.Time, e *engine, demands map[demandKey]modelDemand, out []Action) []Action {
 	m := p.table.Model(e.Service, e.goal)
 	if m == nil || e.models[e.goal] != nil || now.Sub(e.goalAt) > goalLife {
 		e.goal = ""
 		return out
 	}
-	victims, _, ok := p.victims(now, e, m, p.modelDemands(now))
+	victims, _, ok := p.victims(now, e, m, demands)
 	if !ok {
 		e.goal = ""
 		return out
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -34,11 +34,12 @@
 		}
 	}
 	out = p.planAdapters(now, out)
-	p.planModels(now)
+	demands := p.modelDemands(now)
+	p.planModels(now, demands)
 	for _, id := range ids {
 		e := p.engines[id]
 		if e.goal != "" && e.free(now) {
-			out = p.pursue(now, e, out)
+			out = p.pursue(now, e, demands, out)
 		}
 	}
 	return out
@@ -65,8 +66,7 @@
 
 // planModels sets goals for engines: models that requests wait for first, then more replicas of busy ones, then models without
 // any replica where there is room.
-func (p *Planner) planModels(now time.Time) {
-	demands := p.modelDemands(now)
+func (p *Planner) planModels(now time.Time, demands map[demandKey]modelDemand) {
 	p.count()
 	var keys []demandKey
 	for k := range demands {
--- a/io/controlapi/client.go
+++ b/io/controlapi/client.go
@@ -211,6 +211,20 @@
 	}
 }
 
+// CallHere carries out a procedure by this host's own handler, and by that of the leader if this host doesn't lead.
+func CallHere[Req, Res any, P interface {
+	*Res
+	response
+}](ctx context.Context, c *Client, self fleet.HostID, handler func(context.Context, fleet.HostID, *Req) (*Res, error),
+	procedure string, hold time.Duration, req *Req,
+) (*Res, error) {
+	res, err := handler(ctx, self, req)
+	if err != nil || P(res).reply().Status == hosts.StatusOK {
+		return res, err
+	}
+	return Call[Req, Res, P](ctx, c, procedure, hold, req)
+}
+
 func call[Req, Res any](ctx context.Context, c *Client, h fleet.HostID, procedure string, hold time.Duration, req *Req) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+attemptTimeout)
 	defer cancel()
--- a/io/controller/pack.go
+++ b/io/controlapi/pack.go
@@ -1,4 +1,4 @@
-package controller
+package controlapi
 
 import (
 	"bytes"
@@ -26,8 +26,6 @@
 }
 
 // Unpack returns what Pack compressed.
-func Unpack(data []byte) ([]byte, error) { return unpack(data) }
-
-func unpack(data []byte) ([]byte, error) {
+func Unpack(data []byte) ([]byte, error) {
 	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxConfiguration))
 }
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -39,12 +39,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &controlapi.LeaveRequest{Instance: id, Incarnation: inc}
-	res, err := c.leave(ctx, c.cfg.Self, req)
-	if err == nil && res.Reply.Status != hosts.StatusOK {
-		_, err = controlapi.Call[controlapi.LeaveRequest, controlapi.HeartbeatResponse](ctx, c.cfg.Client,
-			controlapi.ProcedureLeave, 0, req)
-	}
-	if err != nil {
+	if _, err := controlapi.CallHere(ctx, c.cfg.Client, c.cfg.Self, c.leave, controlapi.ProcedureLeave, 0, req); err != nil {
 		return ErrUnavailable.Wrap(err, "the leader of the control group did not take the leave; send it to another host")
 	}
 	return nil
--- a/io/controller/configuration.go
+++ b/io/controller/configuration.go
@@ -8,7 +8,6 @@
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
 	"toucanway/io/controlapi"
-	"toucanway/io/hosts"
 )
 
 // Replace puts a configuration in force, or acknowledges it without effect if a version as high is. Errors are ErrInvalid and
@@ -26,19 +25,14 @@
 		c.cfg.Log.Info(logCurrent, zap.Uint64("version", uint64(cfg.Version)), zap.Uint64("in-force", uint64(held)))
 		return nil
 	}
-	packed, err := Pack(data)
+	packed, err := controlapi.Pack(data)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &controlapi.ReplaceRequest{Version: cfg.Version, Data: packed}
-	res, err := c.replace(ctx, c.cfg.Self, req)
-	if err == nil && res.Reply.Status != hosts.StatusOK {
-		_, err = controlapi.Call[controlapi.ReplaceRequest, controlapi.ReplaceResponse](ctx, c.cfg.Client,
-			controlapi.ProcedureReplace, callTimeout, req)
-	}
-	if err != nil {
+	if _, err := controlapi.CallHere(ctx, c.cfg.Client, c.cfg.Self, c.replace, controlapi.ProcedureReplace, callTimeout, req); err != nil {
 		return ErrUnavailable.Wrap(err, "the configuration may or may not come into force; send it again")
 	}
 	return nil
@@ -69,11 +63,7 @@
 	defer cancel()
 	held := c.state()
 	req := &controlapi.ReadRequest{Held: held.Version}
-	res, err := c.read(ctx, c.cfg.Self, req)
-	if err == nil && res.Reply.Status != hosts.StatusOK {
-		res, err = controlapi.Call[controlapi.ReadRequest, controlapi.ReadResponse](ctx, c.cfg.Client,
-			controlapi.ProcedureRead, callTimeout, req)
-	}
+	res, err := controlapi.CallHere(ctx, c.cfg.Client, c.cfg.Self, c.read, controlapi.ProcedureRead, callTimeout, req)
 	if err != nil {
 		return nil, ErrUnavailable.Wrap(err, "the newest configuration cannot be told now; ask again")
 	}
@@ -84,7 +74,7 @@
 	if res.Version == 0 {
 		return nil, ErrUnavailable.New("no configuration is in force yet; submit one")
 	}
-	return unpack(packed)
+	return controlapi.Unpack(packed)
 }
 
 func (c *Controller) read(ctx context.Context, _ fleet.HostID, req *controlapi.ReadRequest) (*controlapi.ReadResponse, error) {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -234,7 +234,7 @@
 		}
 		return
 	}
-	data, err := unpack(s.Data)
+	data, err := controlapi.Unpack(s.Data)
 	if err == nil {
 		var cfg *routes.Configuration
 		if cfg, err = c.cfg.Parser.Configuration(data); err == nil {
--- a/io/controller/relay.go
+++ b/io/controller/relay.go
@@ -11,7 +11,6 @@
 	"toucanway/core/fleet"
 	"toucanway/core/registry"
 	"toucanway/io/controlapi"
-	"toucanway/io/hosts"
 )
 
 // Timing of the relay.
@@ -141,7 +140,7 @@
 	if c.leading() == nil {
 		return &controlapi.RenewResponse{Reply: c.notLeader()}, nil
 	}
-	res := &controlapi.RenewResponse{Reply: controlapi.Reply{Status: hosts.StatusOK}}
+	res := &controlapi.RenewResponse{}
 	before := c.registry.Revision()
 	for _, r := range req.Renewals {
 		if !c.registry.Renew(now, r.Instance, r.Incarnation, r.Seq) {
--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -74,7 +75,7 @@
 }
 
 // connectionFields are headers that concern one connection only.
-var connectionFields = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer",
+var connectionFields = fields{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect"}
 
 // hasField says whether raw headers hold a field, whose name is given in lower case.
@@ -90,18 +91,11 @@
 
 // cleanRequest removes the headers that concern the caller's connection only.
 func cleanRequest(h *fasthttp.RequestHeader) {
-	named := fieldNames(h.PeekAll("Connection"))
+	hop := hopFields(h.PeekAll("Connection"))
 	var drop []string
 	for k := range h.All() {
-		for _, f := range connectionFields {
-			if strings.EqualFold(string(k), f) {
-				drop = append(drop, string(k))
-			}
-		}
-		for _, f := range named {
-			if strings.EqualFold(string(k), f) {
-				drop = append(drop, string(k))
-			}
+		if hop.has(string(k)) {
+			drop = append(drop, string(k))
 		}
 	}
 	for _, k := range drop {
@@ -110,9 +104,17 @@
 	h.ResetConnectionClose()
 }
 
-// fieldNames returns the fields that connection headers name, but not those that a request can't do without.
-func fieldNames(values [][]byte) []string {
-	var out []string
+// fields are names of headers.
+type fields []string
+
+func (f fields) has(name string) bool {
+	return slices.ContainsFunc(f, func(one string) bool { return strings.EqualFold(one, name) })
+}
+
+// hopFields returns the headers that concern one connection only: the known ones and those that connection headers name, but not
+// those that a request can't do without.
+func hopFields(values [][]byte) fields {
+	out := slices.Clone(connectionFields)
 	for _, v := range values {
 		for name := range strings.SplitSeq(string(v), ",") {
 			switch name = strings.TrimSpace(name); strings.ToLower(name) {
@@ -129,17 +131,9 @@
 func passHeader(dst, src *fasthttp.ResponseHeader) {
 	dst.SetNoDefaultContentType(true)
 	dst.SetStatusCode(src.StatusCode())
-	named := fieldNames(src.PeekAll("Connection"))
+	skip := append(hopFields(src.PeekAll("Connection")), "Content-Length")
 	for k, v := range src.All() {
-		name := string(k)
-		skip := strings.EqualFold(name, "Content-Length")
-		for _, f := range connectionFields {
-			skip = skip || strings.EqualFold(name, f)
-		}
-		for _, f := range named {
-			skip = skip || strings.EqualFold(name, f)
-		}
-		if !skip {
+		if !skip.has(string(k)) {
 			dst.AddBytesKV(k, v)
 		}
 	}
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -120,7 +120,7 @@
 	if !busy {
 		s.idle.Broadcast()
 	}
-	return !s.draining && !s.closed || busy && !s.closed
+	return !s.closed && (busy || !s.draining)
 }
 
 // isDraining says whether connections end after their present request.
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -16,7 +16,6 @@
 	"toucanway/core/retry"
 	"toucanway/core/routes"
 	"toucanway/io/controlapi"
-	"toucanway/io/controller"
 )
 
 // Log messages of changes of belief.
@@ -158,7 +157,7 @@
 
 // read decodes a configuration, nil if it can't be read.
 func (v *View) read(res *controlapi.FollowResponse) *routes.Table {
-	data, err := controller.Unpack(res.Configuration)
+	data, err := controlapi.Unpack(res.Configuration)
 	var cfg *routes.Configuration
 	if err == nil {
 		cfg, err = v.cfg.Dialect.Configuration(data)
--- a/io/routed/gateway.go
+++ b/io/routed/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"toucanway/io/backend"
+	"toucanway/io/controlapi"
 	"toucanway/io/gateway"
 	"toucanway/io/settings"
 )
@@ -15,7 +16,8 @@
 	p := newProcess(s, file, out)
 	g := gateway.New(gateway.Settings{
 		Self: s.IP, Address: string(s.Listen.Callers), Place: s.Place(), Regions: s.Regions(), Dialect: a.Dialect,
-		Client: p.control, Pool: backend.NewPool(p.network), Log: p.log, Metrics: p.metrics, Grace: s.Bounds.Grace,
+		Client: controlapi.NewClient(p.client, uint16(s.HostsPort), p.seedHosts), Pool: backend.NewPool(p.network),
+		Log: p.log, Metrics: p.metrics, Grace: s.Bounds.Grace,
 		Budget: gateway.Budget{Ratio: s.Bounds.RepeatRatio, Slack: s.Bounds.RepeatSlack, Window: s.Bounds.RepeatWindow},
 	})
 	l, err := p.network.Listen(string(s.Listen.Callers))
--- a/io/routed/process.go
+++ b/io/routed/process.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"toucanway/core/fleet"
-	"toucanway/io/controlapi"
 	"toucanway/io/formation"
 	"toucanway/io/hosts"
 	"toucanway/io/logs"
@@ -48,7 +47,6 @@
 	file     string
 	network  network.TCP
 	client   *hosts.Client
-	control  *controlapi.Client
 	seeds    atomic.Pointer[[]fleet.HostID]
 	log      *zap.Logger
 	lines    *logs.Writer
@@ -61,7 +59,6 @@
 	p.log = logs.New(p.lines, zapcore.InfoLevel, s.Host)
 	p.client = hosts.NewClient(s.IP, p.network, nil)
 	p.setSeeds(s)
-	p.control = controlapi.NewClient(p.client, uint16(s.HostsPort), p.seedHosts)
 	p.metrics.GaugeFunc("log-lines-dropped", "Log lines that found the queue full.", func() int64 { return int64(p.lines.Dropped()) })
 	return p
 }
