config: the saved failure of the property test is a named test

Change: the property's body is checkRebase; TestRebaseSectionAddedByTheOther runs it with the sides of that failure.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -295,38 +295,63 @@
 	})
 }
 
-// Guards against a merge that differs from making both changes one after the other; rapid prints its seed.
-func TestRebaseEqualsBothChanges(t *testing.T) {
-	edits := [][2]string{
+// rebaseEdits are changes of the sample, of which TestRebaseEqualsBothChanges gives each to one side or none.
+func rebaseEdits() [][2]string {
+	return [][2]string{
 		{"14GiB", "15GiB"}, {"20s\n", "25s\n"}, {"weight: 3", "weight: 4"}, {"\nlimits:", "\ncapacity: {kv-reserve: 1GiB}\n\nlimits:"},
 		{"east-1", "east-2"}, {"# Models of the sales team.\n", ""}, {"      - {method: GET, path-prefix: /prices/live, idempotent: false}\n", ""},
 	}
-	rapid.Check(t, func(t *rapid.T) {
-		mine, theirs, both := sample(), sample(), sample()
-		for i, e := range edits {
-			switch rapid.IntRange(0, 2).Draw(t, fmt.Sprint("side of edit ", i)) {
-			case 0:
-				mine, both = strings.Replace(mine, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
-			case 1:
-				theirs, both = strings.Replace(theirs, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
-			}
+}
+
+// Sides of an edit.
+const (
+	sideMine = iota
+	sideTheirs
+	sideNone
+)
+
+// checkRebase compares a merge with making the edits of both sides one after the other.
+func checkRebase(t require.TestingT, sides []int) {
+	mine, theirs, both := sample(), sample(), sample()
+	for i, e := range rebaseEdits() {
+		switch sides[i] {
+		case sideMine:
+			mine, both = strings.Replace(mine, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
+		case sideTheirs:
+			theirs, both = strings.Replace(theirs, e[0], e[1], 1), strings.Replace(both, e[0], e[1], 1)
 		}
-		merged, err := Rebase(sample(), mine, theirs)
-		var c *Conflict
-		if errors.As(err, &c) {
-			require.Equal(t, []Section{SectionModels}, c.Sections, "two edits are in the section models")
-			return
+	}
+	merged, err := Rebase(sample(), mine, theirs)
+	var c *Conflict
+	if errors.As(err, &c) {
+		require.Equal(t, []Section{SectionModels}, c.Sections, "two edits are in the section models")
+		return
+	}
+	require.NoError(t, err)
+	require.Empty(t, changedText(both, merged))
+	want, problems := Parse("both", both)
+	require.NoError(t, problems.Err())
+	got, problems := Parse("merged", merged)
+	require.NoError(t, problems.Err())
+	require.Empty(t, changedValues(want, got))
+}
+
+// Guards against a merge that differs from making both changes one after the other; rapid prints its seed.
+func TestRebaseEqualsBothChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sides := make([]int, len(rebaseEdits()))
+		for i := range sides {
+			sides[i] = rapid.IntRange(sideMine, sideNone).Draw(t, fmt.Sprint("side of edit ", i))
 		}
-		require.NoError(t, err)
-		require.Empty(t, changedText(both, merged))
-		want, problems := Parse("both", both)
-		require.NoError(t, problems.Err())
-		got, problems := Parse("merged", merged)
-		require.NoError(t, problems.Err())
-		require.Empty(t, changedValues(want, got))
+		checkRebase(t, sides)
 	})
 }
 
+// Guards against a section that the other side adds being taken for a change of the section above, whose last blank line moves to it.
+func TestRebaseSectionAddedByTheOther(t *testing.T) {
+	checkRebase(t, []int{sideMine, sideMine, sideMine, sideTheirs, sideMine, sideMine, sideMine})
+}
+
 // Guards against operators changing sections of other teams.
 func TestCheckOwner(t *testing.T) {
 	d := parsed(t, sample())
