--- /dev/null
+++ b/io/gateway/drain_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// Guards against a stop that cuts requests under way, and against one that waits for idle connections.
+func TestDrain(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	f.server("a", func(req *fasthttp.Request, c net.Conn) {
+		<-release
+		answers("late")(req, c)
+	})
+	idle, err := f.callers.Dial()
+	require.NoError(t, err)
+	busy, err := f.callers.Dial()
+	require.NoError(t, err)
+	_, err = io.WriteString(busy, get("/unsafe/"))
+	require.NoError(t, err)
+	for len(f.requests("a")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.g.server.drain()
+	f.g.server.closeIdle()
+	_, err = idle.Read(make([]byte, 1))
+	require.Error(t, err)
+	close(release)
+	var res fasthttp.Response
+	require.NoError(t, res.Read(bufio.NewReader(busy)))
+	require.Equal(t, "late", string(res.Body()))
+	f.g.server.wait(t.Context())
+}
+
+// Guards against a request that waits for a server when the host's grace is over and ends without an answer (LOST, seed
+// hunt-312d-27 of agam-muestreo).
+func TestStopAnswersWaitingRequests(t *testing.T) {
+	f := newFixture(t)
+	go func() {
+		for {
+			f.g.view.mu.Lock()
+			waiting := len(f.g.view.waiting)
+			f.g.view.mu.Unlock()
+			if waiting > 0 {
+				f.end()
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	res, err := f.call(get("/unsafe/"))
+	require.NoError(t, err)
+	require.Equal(t, 503, res.StatusCode())
+}
--- /dev/null
+++ b/io/gateway/fixture_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+	"go.uber.org/zap"
+
+	"toucanway/core/fleet"
+	"toucanway/core/registry"
+	"toucanway/core/routes"
+	"toucanway/io/backend"
+	"toucanway/io/controlapi"
+	"toucanway/io/metrics"
+)
+
+// plain is a dialect with short header names.
+type plain struct{}
+
+func (plain) Configuration([]byte) (*routes.Configuration, error) { return nil, errors.New("not used") }
+
+func (plain) Request(h *fasthttp.RequestHeader) Meta {
+	m := Meta{ID: fleet.RequestID(h.Peek("Id")), Target: fleet.Target{Model: fleet.ModelID(h.Peek("Model"))}}
+	if d, err := time.ParseDuration(string(h.Peek("Deadline"))); err == nil {
+		m.Deadline = d
+	}
+	return m
+}
+
+func (plain) Pass(h *fasthttp.RequestHeader, f Forward) {
+	h.Del("Secret")
+	h.Set("Instance", string(f.Instance))
+	if f.LastEvent != "" {
+		h.Set("Last-Event", f.LastEvent)
+	}
+}
+
+func (plain) Answer(h *fasthttp.ResponseHeader) Head {
+	return Head{
+		ID: fleet.RequestID(h.Peek("Id")), Signed: len(h.Peek("Signature")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
+		Misdirected: h.StatusCode() == 421, Instance: fleet.BackendID(h.Peek("Instance")),
+	}
+}
+
+// fixture is a gateway in front of scripted backend servers, on in-memory connections.
+type fixture struct {
+	t         *testing.T
+	g         *Gateway
+	callers   *fasthttputil.InmemoryListener
+	mu        sync.Mutex
+	listeners map[string]*fasthttputil.InmemoryListener
+	// seen are the requests that each backend server has read, as text.
+	seen map[string][]string
+	stop func()
+	// end makes the host answer the requests under way and stop.
+	end func()
+}
+
+func (f *fixture) Listen(string) (net.Listener, error) { return nil, errors.New("not used") }
+
+func (f *fixture) Dial(_ context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	l := f.listeners[address]
+	f.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	return l.Dial()
+}
+
+// script serves the connections of one backend server; it gets the request and writes raw bytes.
+type script func(req *fasthttp.Request, c net.Conn)
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{
+		t: t, callers: fasthttputil.NewInmemoryListener(), listeners: map[string]*fasthttputil.InmemoryListener{}, seen: map[string][]string{},
+	}
+	f.g = New(Settings{
+		Self: "host", Place: fleet.Place{Region: "r", DataCentre: "d"}, Dialect: plain{},
+		Client: controlapi.NewClient(nil, 1, func() []fleet.HostID { return nil }), Pool: backend.NewPool(f), Log: zap.NewNop(),
+		Metrics: metrics.New(metrics.Options{}), Budget: Budget{Ratio: 1, Slack: 100, Window: time.Second}, Grace: 4 * time.Second,
+	})
+	v := f.g.view
+	v.budget.Limit(100, 100)
+	v.table = routes.NewTable(&routes.Configuration{
+		Version: 1,
+		Routes: []routes.Route{
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.Unsafe, Timeout: 5 * time.Second, MaxAttempts: 1, Services: []routes.Weighted{{Service: "s", Weight: 1}}},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Safe, Timeout: 5 * time.Second, MaxAttempts: 2, Services: []routes.Weighted{{Service: "s", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routes.Streaming, Timeout: 5 * time.Second, MaxAttempts: 1, Services: []routes.Weighted{{Service: "s", Weight: 1}}},
+			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: routes.Streaming, Resumable: true, Timeout: 5 * time.Second, MaxAttempts: 2, Services: []routes.Weighted{{Service: "s", Weight: 1}}},
+			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: routes.Unsafe, Timeout: 80 * time.Millisecond, MaxAttempts: 1, Services: []routes.Weighted{{Service: "s", Weight: 1}}},
+		},
+		Services: []routes.Service{{Name: "s"}},
+	})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.g.server.serve(f.callers, ctx) }()
+	f.end = func() { cancel(errStopping) }
+	f.stop = sync.OnceFunc(func() {
+		cancel(nil)
+		f.callers.Close()
+		f.g.server.closeAll()
+		require.NoError(t, <-done)
+	})
+	t.Cleanup(f.stop)
+	return f
+}
+
+// server adds a backend server with a script; a nil script stands for one that refuses connections.
+func (f *fixture) server(name string, s script) {
+	address := name + ":80"
+	in := registry.Instance{ID: fleet.BackendID(name), Incarnation: 1, Service: "s", Address: address, DataCentre: "d", Slots: 4}
+	f.g.view.mu.Lock()
+	f.g.view.instances[in.ID] = &in
+	f.g.view.mu.Unlock()
+	if s == nil {
+		return
+	}
+	l := fasthttputil.NewInmemoryListener()
+	f.mu.Lock()
+	f.listeners[address] = l
+	f.mu.Unlock()
+	f.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					var req fasthttp.Request
+					if req.Header.Read(r) != nil || req.ContinueReadBody(r, 1<<20, false) != nil {
+						return
+					}
+					f.mu.Lock()
+					f.seen[name] = append(f.seen[name], req.String())
+					f.mu.Unlock()
+					s(&req, c)
+				}
+			}()
+		}
+	}()
+}
+
+func (f *fixture) requests(name string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen[name]
+}
+
+// total is the number of requests that all backend servers have read.
+func (f *fixture) total() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.seen {
+		n += len(s)
+	}
+	return n
+}
+
+// answers returns a script that gives a signed answer.
+func answers(body string) script {
+	return func(req *fasthttp.Request, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nContent-Length: %d\r\n\r\n%s", req.Header.Peek("Id"), len(body), body)
+	}
+}
+
+func raw(text string) script {
+	return func(_ *fasthttp.Request, c net.Conn) { io.WriteString(c, text) }
+}
+
+func drop(_ *fasthttp.Request, c net.Conn) { c.Close() }
+
+// call sends raw bytes on a new connection and reads one answer.
+func (f *fixture) call(text string) (*fasthttp.Response, error) {
+	c, err := f.callers.Dial()
+	require.NoError(f.t, err)
+	defer c.Close()
+	return exchange1(c, text)
+}
+
+func exchange1(c net.Conn, text string) (*fasthttp.Response, error) {
+	go io.WriteString(c, text)
+	var res fasthttp.Response
+	err := res.Read(bufio.NewReader(c))
+	return &res, err
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"
+}
--- /dev/null
+++ b/io/gateway/stream_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a stream that is cut and looks complete, that joins events of two runs, or that passes on half an event.
+func TestStreams(t *testing.T) {
+	cut := func(events string) script {
+		return func(_ *fasthttp.Request, c net.Conn) {
+			io.WriteString(c, streamHead+chunk(events))
+			c.Close()
+		}
+	}
+	resumes := func(req *fasthttp.Request, c net.Conn) {
+		if string(req.Header.Peek("Last-Event")) == "2" {
+			io.WriteString(c, streamHead+chunk(event(3))+"0\r\n\r\n")
+			return
+		}
+		io.WriteString(c, streamHead+chunk(event(1)+event(2)+"id: 3\nda"))
+		c.Close()
+	}
+	tests := map[string]struct {
+		path    string
+		servers []script
+		body    string
+		whole   bool
+	}{
+		"whole":              {"/stream/", []script{raw(streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n")}, event(1) + event(2), true},
+		"events in pieces":   {"/stream/", []script{raw(streamHead + chunk("id: 1\nda") + chunk("ta: x\n\n") + "0\r\n\r\n")}, event(1), true},
+		"cut":                {"/stream/", []script{cut(event(1) + "id: 2\n")}, event(1), false},
+		"missing event":      {"/stream/", []script{raw(streamHead + chunk(event(1)) + chunk(event(3)) + "0\r\n\r\n")}, event(1), false},
+		"event twice":        {"/stream/", []script{raw(streamHead + chunk(event(1)) + chunk(event(1)) + "0\r\n\r\n")}, event(1), false},
+		"ends within event":  {"/stream/", []script{raw(streamHead + chunk(event(1)+"id: 2\nd") + "0\r\n\r\n")}, event(1), false},
+		"resumed":            {"/resumable/", []script{resumes, resumes}, event(1) + event(2) + event(3), true},
+		"resumed from start": {"/resumable/", []script{drop, raw(streamHead + chunk(event(1)) + "0\r\n\r\n")}, event(1), true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			for i, s := range tt.servers {
+				f.server(fmt.Sprint("s", i), s)
+			}
+			c, err := f.callers.Dial()
+			require.NoError(t, err)
+			defer c.Close()
+			go io.WriteString(c, get(tt.path))
+			r := bufio.NewReader(c)
+			var res fasthttp.Response
+			res.StreamBody = true
+			require.NoError(t, res.ReadLimitBody(r, 0))
+			body, err := io.ReadAll(res.BodyStream())
+			require.Equal(t, tt.body, string(body))
+			require.Equal(t, tt.whole, err == nil, "%v", err)
+		})
+	}
+}
