lab: one runner of test scripts

Cause: the scenarios of the two modes had the same runner, the same splitting of words and the same type to stay in the bubble of synthetic time.

Change: package script of the lab. The check for options that a command did not use stays with the scenarios that have it.

--- a/cmd/toucanway-lab/internal/controlscenario/commands.go
+++ b/cmd/toucanway-lab/internal/controlscenario/commands.go
@@ -38,19 +38,6 @@
 	}
 }
 
-// parse splits the words of a line into arguments and options.
-func parse(words []string) (args []string, opt map[string]string) {
-	opt = map[string]string{}
-	for _, word := range words {
-		if k, v, ok := strings.Cut(word, "="); ok {
-			opt[k] = v
-		} else {
-			args = append(args, word)
-		}
-	}
-	return args, opt
-}
-
 // names returns the hosts of a list: names, "all" for those that run, or "leader".
 func (w *world) names(args []string) ([]*host, error) {
 	var out []*host
--- a/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"path/filepath"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,45 +10,27 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
 
+	"toucanway/cmd/toucanway-lab/internal/script"
 	"toucanway/core/fleet"
 	"toucanway/core/routes"
 )
 
-// scriptT runs a script inside the bubble of the test that it belongs to.
-type scriptT struct{ *testing.T }
-
-func (t scriptT) Parallel()                          {}
-func (t scriptT) Verbose() bool                      { return testing.Verbose() }
-func (t scriptT) Run(_ string, f func(testscript.T)) { f(t) }
-
 // Every script of testdata guards against the failure that its first line names.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld()
-				defer finish(t, w)
-				cmds := map[string]func(*testscript.TestScript, bool, []string){}
-				for name, c := range commands() {
-					cmds[name] = func(ts *testscript.TestScript, neg bool, words []string) {
-						args, opt := parse(words)
-						err := c(w, args, opt)
-						switch {
-						case neg && err == nil:
-							ts.Fatalf("command succeeded and should fail")
-						case !neg && err != nil:
-							ts.Fatalf("%v", err)
-						}
-					}
+	script.Each(t, func(t *testing.T, file string) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			defer finish(t, w)
+			cmds := map[string]script.Command{}
+			for name, c := range commands() {
+				cmds[name] = func(_ *testscript.TestScript, words []string) error {
+					args, opt := script.Parse(words)
+					return c(w, args, opt)
 				}
-				testscript.RunT(scriptT{t}, testscript.Params{Files: []string{file}, Cmds: cmds})
-			})
+			}
+			script.Play(t, file, cmds)
 		})
-	}
+	})
 }
 
 func finish(t *testing.T, w *world) {
--- a/cmd/toucanway-lab/internal/scenario/commands.go
+++ b/cmd/toucanway-lab/internal/scenario/commands.go
@@ -89,20 +89,6 @@
 	return d
 }
 
-// parse splits the arguments of a command.
-func parse(args []string) ([]string, options) {
-	opt := options{}
-	var rest []string
-	for _, a := range args {
-		if k, v, ok := strings.Cut(a, "="); ok {
-			opt[k] = v
-			continue
-		}
-		rest = append(rest, a)
-	}
-	return rest, opt
-}
-
 // deploy starts hosts and stand-ins, and submits a document with models=N unless it is 0.
 func deploy(r *run, _ []string, opt options) error {
 	s := shape{
--- a/cmd/toucanway-lab/internal/scenario/scenario_test.go
+++ b/cmd/toucanway-lab/internal/scenario/scenario_test.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"path/filepath"
-	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -10,53 +8,32 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/script"
 )
 
-// scriptT runs a script inside the bubble of the test that it belongs to.
-type scriptT struct{ *testing.T }
-
-func (t scriptT) Parallel()                          {}
-func (t scriptT) Verbose() bool                      { return testing.Verbose() }
-func (t scriptT) Run(_ string, f func(testscript.T)) { f(t) }
-
 // Every script of testdata guards against the failure that its first line names.
-func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			t.Parallel()
-			play(t, file)
-		})
-	}
-}
+func TestScenarios(t *testing.T) { script.Each(t, play) }
 
 func play(t *testing.T, file string) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &run{}
 		defer finish(t, r)
-		cmds := map[string]func(*testscript.TestScript, bool, []string){}
+		cmds := map[string]script.Command{}
 		for name, c := range commands() {
-			cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) { execute(ts, r, c, neg, args) }
+			cmds[name] = func(ts *testscript.TestScript, words []string) error { return execute(ts, r, c, words) }
 		}
-		testscript.RunT(scriptT{t}, testscript.Params{Files: []string{file}, Cmds: cmds})
+		script.Play(t, file, cmds)
 	})
 }
 
-func execute(ts *testscript.TestScript, r *run, c command, neg bool, args []string) {
+func execute(ts *testscript.TestScript, r *run, c command, words []string) error {
 	r.ts = ts
-	rest, opt := parse(args)
-	err := c(r, rest, opt)
+	args, opt := script.Parse(words)
+	err := c(r, args, opt)
 	if err == nil && len(opt) > 0 {
 		ts.Fatalf("%v: %v", errUnused, opt)
 	}
-	switch {
-	case neg && err == nil:
-		ts.Fatalf("command succeeded and should fail")
-	case !neg && err != nil:
-		ts.Fatalf("%v", err)
-	}
+	return err
 }
 
 // finish ends the scenario, checks the invariants and prints the trace of a failed one.
