soak: ports of processes are none of outgoing connections

Ruled out: a fault of the program (its log has the failed listen only). A small program that closes a connection from a bound address and listens on the same address and port gets the same error.

--- a/cmd/toucanway-lab/internal/soak/soak.go
+++ b/cmd/toucanway-lab/internal/soak/soak.go
@@ -81,7 +81,7 @@
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 5)), folder: folder, links: newLinks(), record: standin.NewRecord(),
 		models: []string{"m0", "m1", "m2"},
 	}
-	if r.ports, err = freePorts(); err != nil {
+	if r.ports, err = freePorts(rand.New(rand.NewPCG(cfg.Seed, uint64(os.Getpid())))); err != nil {
 		return Result{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -106,11 +106,15 @@
 	return res, nil
 }
 
+// The ports of processes lie below those that the system takes for outgoing connections: one that an earlier run has closed keeps
+// its port on a process's address for a minute.
+const firstPort, portCount = 20000, 10000
+
 // freePorts returns ports that no process uses at present.
-func freePorts() (ports, error) {
+func freePorts(r *rand.Rand) (ports, error) {
 	var out [5]int
 	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenBelow(r)
 		if err != nil {
 			return ports{}, err
 		}
@@ -120,6 +124,20 @@
 	return ports{out[0], out[1], out[2], out[3], out[4]}, nil
 }
 
+// portTries bounds the ports that are tried until a free one is found.
+const portTries = 100
+
+// listenBelow listens on a free port of those for processes.
+func listenBelow(r *rand.Rand) (l net.Listener, err error) {
+	for range portTries {
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+r.IntN(portCount)))
+		if err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // address returns a loopback address of this run; runs at the same time have different process ids.
 func address(kind, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, kind, n)
--- a/cmd/toucanway-lab/internal/soak/soak_test.go
+++ b/cmd/toucanway-lab/internal/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"math/rand/v2"
+	"net"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -13,7 +15,25 @@
 const ciDuration = 6 * time.Second
 
 // regressions are seeds that have failed once, each with its cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	438: "a process's port had been taken by an outgoing connection of the run before",
+}
+
+// Guards against processes that can't listen: the system took their port for an outgoing connection of an earlier run.
+func TestPortsAreNotThoseOfConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	for seed := range uint64(20) {
+		p, err := freePorts(rand.New(rand.NewPCG(seed, 0)))
+		require.NoError(t, err)
+		for _, port := range []int{p.hosts, p.control, p.directory, p.callers, p.ready} {
+			require.GreaterOrEqual(t, port, firstPort)
+			require.Less(t, port, firstPort+portCount)
+		}
+	}
+	require.GreaterOrEqual(t, l.Addr().(*net.TCPAddr).Port, firstPort+portCount, "ports of connections begin above")
+}
 
 // Guards against a broken promise when real processes are killed, stopped, paused and cut off; further seeds are played by
 // toucanway-lab soak.
