balance, controlapi, controller, gateway: the leader chooses where long prompts go

Cause: long prompts met on servers that read 10,000 to 50,000 tokens already while other replicas were idle.

Change: loads of others count for unused servers too; a gateway with a prompt of 3,000 tokens and more and several servers asks the leader, which adds what all others have under way, names the server and counts the prompt there at once; 60 ms at most, and without an answer the gateway chooses by itself and leaves the leader alone for 0.5 s.

--- a/cmd/toucanway-lab/internal/controlscenario/backends_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/backends_test.go
@@ -132,6 +132,46 @@
 	})
 }
 
+// Guards against hosts that send long prompts to the same server, since each hears of the others' too late: the leader counts a
+// prompt where it has placed it, until the host's next report, and counts no host's own prompts twice.
+func TestLeaderPlacesPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := formed(t)
+		defer finish(t, w)
+		seeds := func() []fleet.HostID { return []fleet.HostID{w.hosts[0].ip, w.hosts[1].ip, w.hosts[2].ip} }
+		gateway := func(ip fleet.HostID) *controlapi.Client {
+			c := hosts.NewClient(ip, w.net.Host(string(ip)), nil)
+			t.Cleanup(c.Close)
+			return controlapi.NewClient(c, port, seeds)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		report := func(c *controlapi.Client, loads ...controlapi.Load) {
+			_, err := controlapi.Call[controlapi.ReportRequest, controlapi.ReportResponse](ctx, c, controlapi.ProcedureReport, 0,
+				&controlapi.ReportRequest{Ready: true, Loads: loads})
+			require.NoError(t, err)
+		}
+		place := func(c *controlapi.Client) fleet.BackendID {
+			res, err := controlapi.Call[controlapi.PlaceRequest, controlapi.PlaceResponse](ctx, c, controlapi.ProcedurePlace, 0,
+				&controlapi.PlaceRequest{Offers: []controlapi.Offer{
+					{Instance: "a", Cost: 100 * time.Millisecond, PerToken: 30 * time.Microsecond, Tokens: 8000},
+					{Instance: "b", Cost: 150 * time.Millisecond, PerToken: 30 * time.Microsecond, Tokens: 8000},
+				}})
+			require.NoError(t, err)
+			return res.Instance
+		}
+		g1, g2 := gateway("10.9.9.1"), gateway("10.9.9.2")
+		require.Empty(t, place(g1), "a host that has not reported is counted nowhere")
+		report(g1)
+		report(g2)
+		require.Equal(t, fleet.BackendID("a"), place(g1))
+		require.Equal(t, fleet.BackendID("b"), place(g2), "a reads the other host's prompt")
+		require.Equal(t, fleet.BackendID("a"), place(g1), "its own prompt is part of the host's cost")
+		report(g1)
+		require.Equal(t, fleet.BackendID("a"), place(g2), "the prompts at a have been read")
+	})
+}
+
 // Guards against a planner that goes on counting an engine whose address another one has taken: its models were never loaded
 // elsewhere.
 func TestDisplacedEngineHoldsNothing(t *testing.T) {
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -34,8 +34,8 @@
 
 // Costs of a choice.
 const (
-	// prefillRate is the number of prompt tokens that an engine reads in a millisecond at pace 1.
-	prefillRate = 30.0
+	// tokenTime is the time in which an engine reads a prompt token at pace 1.
+	tokenTime = time.Second / 30000
 	// plainTime is the expected time of a plain request at pace 1.
 	plainTime = 20 * time.Millisecond
 	// stepCost is the time that each running request adds to the first byte of the next.
@@ -73,11 +73,14 @@
 	place   Place
 	servers map[fleet.BackendID]*server
 	sent    prefixes
+	// others returns what other hosts have under way at a server.
+	others func(fleet.BackendID) (active int, prompt fleet.Tokens)
 }
 
 // New returns a balancer of a host.
 func New(p Place) *Balancer {
-	return &Balancer{place: p, servers: map[fleet.BackendID]*server{}, sent: newPrefixes()}
+	none := func(fleet.BackendID) (int, fleet.Tokens) { return 0, 0 }
+	return &Balancer{place: p, servers: map[fleet.BackendID]*server{}, sent: newPrefixes(), others: none}
 }
 
 // Ticket is one request under way at a server.
@@ -93,12 +96,14 @@
 
 // Choice explains why a server was chosen, for the log.
 type Choice struct {
-	Cost     time.Duration
-	Cached   fleet.Tokens
-	Active   int
-	Others   int
-	Options  int
-	Avoided  bool
+	Cost    time.Duration
+	Cached  fleet.Tokens
+	Active  int
+	Others  int
+	Options int
+	Avoided bool
+	// Placed says that the leader of the control group chose among the options.
+	Placed   bool
 	Expected time.Duration
 }
 
@@ -106,6 +111,7 @@
 	s := b.servers[in.ID]
 	if s == nil || s.incarnation != in.Incarnation {
 		s = newServer(in.Incarnation)
+		s.othersActive, s.othersPrompt = b.others(in.ID)
 		b.servers[in.ID] = s
 	}
 	return s
@@ -116,56 +122,32 @@
 	if len(options) == 0 {
 		return nil, nil, Choice{}
 	}
-	home := homeOf(r, options)
-	quiet := quietOf(r, options)
-	var best *registry.Instance
-	var bestChoice Choice
-	for _, in := range options {
-		c := b.cost(now, r, in, in == home)
-		if quiet != nil && (in == quiet) != r.short() {
-			c.Cost += mixCost
-		}
-		if best == nil || c.Cost < bestChoice.Cost || c.Cost == bestChoice.Cost && in.ID < best.ID {
-			best, bestChoice = in, c
-		}
+	offers := b.Offers(now, r, options)
+	best, _ := Best(offers, func(id fleet.BackendID) (int, fleet.Tokens) {
+		s := b.servers[id]
+		return s.othersActive, s.othersPrompt
+	})
+	t, c := b.Take(now, r, options[best], offers[best])
+	c.Options = len(options)
+	return options[best], t, c
+}
+
+// Take begins a request at the server of an offer.
+func (b *Balancer) Take(now time.Time, r *Request, in *registry.Instance, o Offer) (*Ticket, Choice) {
+	s := b.server(in)
+	others := o.PerActive*time.Duration(s.othersActive) + o.PerToken*time.Duration(s.othersPrompt)
+	c := Choice{
+		Cost: o.Cost + others, Cached: o.cached, Active: s.active, Others: s.othersActive, Avoided: o.avoided, Expected: o.expected + others,
 	}
-	bestChoice.Options = len(options)
-	s := b.server(best)
 	t := &Ticket{
-		Instance: best.ID, Incarnation: best.Incarnation, target: r.Target, prompt: r.Prompt - bestChoice.Cached,
-		expected: bestChoice.Expected, began: now,
+		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, prompt: r.Prompt - c.Cached, expected: c.Expected, began: now,
 	}
 	s.active++
 	s.prompt += t.prompt
 	s.targets[r.Target]++
 	s.waiting[t] = true
-	b.sent.add(now, r, best.ID, best.Incarnation)
-	return best, t, bestChoice
-}
-
-// cost returns the expected time to the first byte at a server, with surcharges for what speaks against it.
-func (b *Balancer) cost(now time.Time, r *Request, in *registry.Instance, home bool) Choice {
-	s := b.server(in)
-	c := Choice{Active: s.active, Others: s.othersActive}
-	var wait time.Duration
-	if r.Plain {
-		slots := max(in.Slots, 1)
-		wait = plainTime + plainTime*time.Duration(s.active+s.othersActive)/time.Duration(slots)
-	} else {
-		c.Cached = b.sent.cached(now, r, in.ID, in.Incarnation)
-		if home {
-			c.Cached = max(c.Cached, fleet.Tokens(homeShare*float64(r.shared())))
-		}
-		tokens := r.Prompt - c.Cached + s.prompt + s.othersPrompt
-		wait = time.Duration(float64(max(tokens, 0))/prefillRate*float64(time.Millisecond)) + stepCost*time.Duration(s.active+s.othersActive)
-	}
-	c.Expected = time.Duration(float64(wait) * s.pace)
-	c.Cost = c.Expected + b.distance(r, in) + time.Duration(s.failureRate(now)*float64(failureCost)) + s.lateness(now)
-	if now.Before(s.avoid) || in.Silent {
-		c.Avoided = true
-		c.Cost += avoidCost
-	}
-	return c
+	b.sent.add(now, r, in.ID, in.Incarnation)
+	return t, c
 }
 
 // lateness returns how far requests without a first byte are overdue.
@@ -202,6 +184,9 @@
 // short says whether a prompt is read in a moment.
 func (r *Request) short() bool { return r.Prompt < longPrompt }
 
+// Long says whether a prompt is read for so long that it matters what else a server reads.
+func (r *Request) Long() bool { return !r.Plain && !r.short() }
+
 // quietOf returns the replica that is kept for short prompts, since each long one makes the streams there pause; nil where there
 // is only one replica.
 func quietOf(r *Request, options []*registry.Instance) *registry.Instance {
@@ -281,9 +266,10 @@
 }
 
 // SetOthers replaces what other hosts have under way.
-func (b *Balancer) SetOthers(of func(fleet.BackendID) (active int, prompt fleet.Tokens)) {
+func (b *Balancer) SetOthers(others func(fleet.BackendID) (active int, prompt fleet.Tokens)) {
+	b.others = others
 	for id, s := range b.servers {
-		s.othersActive, s.othersPrompt = of(id)
+		s.othersActive, s.othersPrompt = others(id)
 	}
 }
 
--- a/core/balance/balancer_test.go
+++ b/core/balance/balancer_test.go
@@ -72,6 +72,21 @@
 	require.Equal(t, fleet.BackendID("b"), in.ID)
 }
 
+// Guards against a server that is taken to be idle by a host that has not used it yet, although others have told of its load: most
+// hosts of a large deployment use a server for the first time.
+func TestLoadOfUnusedServer(t *testing.T) {
+	b := balancer()
+	b.SetOthers(func(id fleet.BackendID) (int, fleet.Tokens) {
+		if id == "a" {
+			return 3, 50000
+		}
+		return 0, 0
+	})
+	in, _, choice := b.Pick(start, prompt(100), []*registry.Instance{instance("a", "d1"), instance("b", "d1")})
+	require.Equal(t, fleet.BackendID("b"), in.ID)
+	require.Zero(t, choice.Others)
+}
+
 // Guards against prompts with common parts that are spread over servers which each have to read them.
 func TestPrefixes(t *testing.T) {
 	b := balancer()
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -96,6 +96,7 @@
 	hosts.Handle(srv, controlapi.ProcedureLead, c.lead)
 	hosts.Handle(srv, controlapi.ProcedureFollow, c.follow)
 	hosts.Handle(srv, controlapi.ProcedureReport, c.report)
+	hosts.Handle(srv, controlapi.ProcedurePlace, c.place)
 	hosts.Handle(srv, controlapi.ProcedureHeartbeat, c.heartbeat)
 	hosts.Handle(srv, controlapi.ProcedureRenew, c.renewed)
 	hosts.Handle(srv, controlapi.ProcedureLeave, c.leave)
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"toucanway/core/balance"
 	"toucanway/core/fleet"
 	"toucanway/core/pause"
 	"toucanway/core/registry"
@@ -114,6 +115,31 @@
 	return &controlapi.ReportResponse{Loads: c.othersLoads(req.Loads), Entries: len(c.entries), Interval: c.reportInterval()}, nil
 }
 
+// place chooses among the servers that could take a request of an entry host, and counts the request there.
+func (c *Controller) place(_ context.Context, from fleet.HostID, req *controlapi.PlaceRequest) (*controlapi.PlaceResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leading() == nil {
+		return &controlapi.PlaceResponse{Reply: c.notLeader()}, nil
+	}
+	e := c.entries[from]
+	if e == nil || len(req.Offers) == 0 {
+		return &controlapi.PlaceResponse{}, nil
+	}
+	offers := make([]balance.Offer, len(req.Offers))
+	for i, o := range req.Offers {
+		offers[i] = balance.Offer{Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens}
+	}
+	// The host's own requests are part of its costs.
+	c.addLoads(e.loads, -1)
+	best, _ := balance.Best(offers, func(id fleet.BackendID) (int, fleet.Tokens) { return c.loads[id].Active, c.loads[id].Prompt })
+	c.addLoads(e.loads, 1)
+	placed := controlapi.Load{Instance: offers[best].Instance, Active: 1, Prompt: offers[best].Tokens}
+	c.addLoads([]controlapi.Load{placed}, 1)
+	e.loads = append(e.loads, placed)
+	return &controlapi.PlaceResponse{Instance: placed.Instance}, nil
+}
+
 // reportInterval is the time between two reports of an entry host; c.mu is held.
 func (c *Controller) reportInterval() time.Duration {
 	return min(max(leastReport, reportShare*time.Duration(len(c.entries))), mostReport)
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"toucanway/core/fleet"
 	"toucanway/core/registry"
 	"toucanway/core/routes"
+	"toucanway/io/controlapi"
 )
 
 // arrive counts a request for the demand and for the budget of repeats.
@@ -41,11 +43,60 @@
 	after   time.Time
 }
 
-// pick chooses a server for a request, other than those in not.
-func (v *View) pick(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) chosen {
-	now := time.Now()
+// pick chooses a server for a request, other than those in not. The leader is asked where a long prompt goes, since what this host
+// knows of the others is older than it takes to read one.
+func (v *View) pick(ctx context.Context, service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) chosen {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	c, options := v.free(service, r, not)
+	if id := v.place(ctx, r, options); id != "" {
+		// The lock was let go of meanwhile.
+		c, options = v.free(service, r, not)
+		i := slices.IndexFunc(options, func(in *registry.Instance) bool { return in.ID == id })
+		if i >= 0 {
+			now := time.Now()
+			c.instance = options[i]
+			c.ticket, c.choice = v.balancer.Take(now, r, c.instance, v.balancer.Offers(now, r, options)[i])
+			c.choice.Options, c.choice.Placed = len(options), true
+			return c
+		}
+	}
+	c.instance, c.ticket, c.choice = v.balancer.Pick(time.Now(), r, options)
+	return c
+}
+
+// place asks the leader which of several servers a long prompt goes to; it returns nothing where this host has to choose. v.mu is
+// held and let go of meanwhile.
+func (v *View) place(ctx context.Context, r *balance.Request, options []*registry.Instance) fleet.BackendID {
+	now := time.Now()
+	if len(options) < 2 || !r.Long() || now.Before(v.placeFrom) || v.cfg.Client.Leader() == "" {
+		return ""
+	}
+	req := &controlapi.PlaceRequest{}
+	for _, o := range v.balancer.Offers(now, r, options) {
+		req.Offers = append(req.Offers, controlapi.Offer{
+			Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens,
+		})
+	}
+	v.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, v.placeTimeout)
+	res, err := controlapi.Call[controlapi.PlaceRequest, controlapi.PlaceResponse](call, v.cfg.Client, controlapi.ProcedurePlace, 0, req)
+	cancel()
+	v.mu.Lock()
+	if ctx.Err() != nil {
+		return ""
+	}
+	if err != nil {
+		// The follower logs lost contact; the choice of this host is in the log of the request.
+		v.placeFrom = time.Now().Add(placePause)
+		return ""
+	}
+	return res.Instance
+}
+
+// free returns the servers that can take a request now, and what is to be waited for if there is none; v.mu is held.
+func (v *View) free(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) (chosen, []*registry.Instance) {
+	now := time.Now()
 	c := chosen{changed: v.changed}
 	options := slices.DeleteFunc(v.options(service, r, not), func(in *registry.Instance) bool {
 		until, ok := v.lacks[lackKey{in.ID, in.Incarnation, r.Target}]
@@ -57,8 +108,7 @@
 		}
 		return true
 	})
-	c.instance, c.ticket, c.choice = v.balancer.Pick(now, r, options)
-	return c
+	return c, options
 }
 
 // lackKey is a target that an incarnation of a server has rejected.
--- /dev/null
+++ b/io/gateway/place_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanway/core/balance"
+	"toucanway/core/fleet"
+	"toucanway/core/registry"
+	"toucanway/io/controlapi"
+	"toucanway/io/hosts"
+	"toucanway/io/network"
+)
+
+// leader stands in for a leader that answers, or not, where prompts go.
+type leader struct {
+	place func() fleet.BackendID
+	asked atomic.Int32
+}
+
+// follow makes a gateway's view know the leader.
+func (l *leader) follow(t *testing.T, v *View) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &hosts.Server{}
+	hosts.Handle(srv, controlapi.ProcedureLead, func(context.Context, fleet.HostID, *controlapi.LeadRequest) (*controlapi.LeadResponse, error) {
+		return &controlapi.LeadResponse{}, nil
+	})
+	hosts.Handle(srv, controlapi.ProcedurePlace, func(context.Context, fleet.HostID, *controlapi.PlaceRequest) (*controlapi.PlaceResponse, error) {
+		l.asked.Add(1)
+		return &controlapi.PlaceResponse{Instance: l.place()}, nil
+	})
+	done := make(chan error, 1)
+	go func() { done <- srv.Run(ctx, ln) }()
+	client := hosts.NewClient("127.0.0.9", network.TCP{}, nil)
+	t.Cleanup(func() { client.Close(); cancel(); <-done })
+	v.cfg.Client = controlapi.NewClient(client, uint16(ln.Addr().(*net.TCPAddr).Port), func() []fleet.HostID { return []fleet.HostID{"127.0.0.1"} })
+	_, err = controlapi.Call[controlapi.LeadRequest, controlapi.LeadResponse](ctx, v.cfg.Client, controlapi.ProcedureLead, 0, &controlapi.LeadRequest{})
+	require.NoError(t, err)
+}
+
+// holders adds servers that hold model m.
+func (f *fixture) holders(names ...fleet.BackendID) {
+	v := f.g.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, n := range names {
+		v.instances[n] = &registry.Instance{ID: n, Incarnation: 1, Service: "s", Address: string(n) + ":80", DataCentre: "d", Models: []registry.Model{{Name: "m"}}}
+	}
+}
+
+func longPrompt(n fleet.Tokens) *balance.Request {
+	return &balance.Request{Target: fleet.Target{Model: "m"}, Prompt: n}
+}
+
+// Guards against long prompts that go where this host alone would send them, and against a leader that is asked where it can't help.
+func TestLeaderIsAskedForLongPrompts(t *testing.T) {
+	tests := map[string]struct {
+		prompt  fleet.Tokens
+		holders []fleet.BackendID
+		answer  fleet.BackendID
+		asked   int32
+		placed  bool
+	}{
+		"long":                  {prompt: 9000, holders: []fleet.BackendID{"a", "b", "c"}, answer: "b", asked: 1, placed: true},
+		"short":                 {prompt: 100, holders: []fleet.BackendID{"a", "b"}, answer: "b"},
+		"one server":            {prompt: 9000, holders: []fleet.BackendID{"a"}, answer: "a"},
+		"server gone meanwhile": {prompt: 9000, holders: []fleet.BackendID{"a", "b"}, answer: "c", asked: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.holders(tt.holders...)
+			l := &leader{place: func() fleet.BackendID { return tt.answer }}
+			l.follow(t, f.g.view)
+			f.g.view.placeTimeout = time.Minute
+			c := f.g.view.pick(t.Context(), "s", longPrompt(tt.prompt), nil)
+			require.Contains(t, tt.holders, c.instance.ID)
+			require.Equal(t, tt.placed, c.choice.Placed)
+			if tt.placed {
+				require.Equal(t, tt.answer, c.instance.ID)
+			}
+			require.Equal(t, tt.asked, l.asked.Load())
+			require.NotNil(t, c.ticket)
+		})
+	}
+}
+
+// Guards against requests that wait for a leader that doesn't answer, each anew.
+func TestSilentLeaderIsLeftAlone(t *testing.T) {
+	f := newFixture(t)
+	f.holders("a", "b")
+	release := make(chan bool)
+	l := &leader{place: func() fleet.BackendID {
+		<-release
+		return "a"
+	}}
+	l.follow(t, f.g.view)
+	t.Cleanup(func() { close(release) })
+	v := f.g.view
+	began := time.Now()
+	c := v.pick(t.Context(), "s", longPrompt(9000), nil)
+	require.NotNil(t, c.instance)
+	require.False(t, c.choice.Placed)
+	asked := l.asked.Load()
+	v.mu.Lock()
+	require.True(t, v.placeFrom.After(began.Add(placePause)))
+	v.placeFrom = began.Add(time.Hour)
+	v.mu.Unlock()
+	c = v.pick(t.Context(), "s", longPrompt(9000), nil)
+	require.NotNil(t, c.instance)
+	require.Equal(t, asked, l.asked.Load())
+}
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -194,7 +194,7 @@
 		if !x.mayHaveRun {
 			not = nil
 		}
-		c := x.p.view.pick(x.service, &x.ask, not)
+		c := x.p.view.pick(x.ctx, x.service, &x.ask, not)
 		if c.instance != nil {
 			return c, nil
 		}
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -48,6 +48,10 @@
 	hurriedInterval = 10 * time.Millisecond
 	followHold      = 2 * time.Second
 	callTimeout     = 2 * time.Second
+	// placeTimeout bounds the question where a request with a long prompt goes, and placePause is how long this host chooses by
+	// itself after one that was not answered.
+	placeTimeout = 60 * time.Millisecond
+	placePause   = 500 * time.Millisecond
 	// connectTimeout bounds a new connection to a backend server.
 	connectTimeout = 400 * time.Millisecond
 	// busyPause and lackingPause are how long a request's target isn't sent to a server that has rejected it because it was
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -184,6 +184,7 @@
 	enc.AddInt("others", s.choice.Others)
 	enc.AddInt64("cached", int64(s.choice.Cached))
 	enc.AddBool("avoided", s.choice.Avoided)
+	enc.AddBool("placed", s.choice.Placed)
 	if s.err != nil {
 		enc.AddString("error", s.err.Error())
 	}
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -47,6 +47,9 @@
 	// lacks are the targets that servers have rejected a moment ago, until when.
 	lacks map[lackKey]time.Time
 	ready bool
+	// placeFrom is when the leader may be asked again where a request goes, and placeTimeout the time for its answer.
+	placeFrom    time.Time
+	placeTimeout time.Duration
 }
 
 type demandKey struct {
@@ -70,7 +73,7 @@
 			Share: cfg.Budget.Ratio * budgetShare, Floor: 1, Burst: 1, Attempts: 1 << 20,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
-		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waiters{}, lacks: map[lackKey]time.Time{},
+		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waiters{}, lacks: map[lackKey]time.Time{}, placeTimeout: placeTimeout,
 	}
 }
 
