--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -128,28 +128,6 @@
 
 func (r *ReportResponse) reply() Reply { return r.Reply }
 
-// PlaceRequest asks the leader, which hears of all hosts' requests first, for the server of a request with a long prompt.
-type PlaceRequest struct {
-	Offers []Offer `cbor:"1,keyasint"`
-}
-
-// Offer is a server that could take the request, as the host sees it; see balance.Offer.
-type Offer struct {
-	Instance  fleet.BackendID `cbor:"1,keyasint"`
-	Cost      time.Duration   `cbor:"2,keyasint"`
-	PerActive time.Duration   `cbor:"3,keyasint"`
-	PerToken  time.Duration   `cbor:"4,keyasint"`
-	Tokens    fleet.Tokens    `cbor:"5,keyasint"`
-}
-
-// PlaceResponse names the server. The leader counts the request there until the host's next report.
-type PlaceResponse struct {
-	Reply    Reply           `cbor:"1,keyasint,omitempty"`
-	Instance fleet.BackendID `cbor:"2,keyasint,omitempty"`
-}
-
-func (r *PlaceResponse) reply() Reply { return r.Reply }
-
 // HeartbeatRequest passes on what a backend server said of itself.
 type HeartbeatRequest struct {
 	Heartbeat registry.Heartbeat `cbor:"1,keyasint"`
--- /dev/null
+++ b/io/controlapi/place.go
@@ -0,0 +1,48 @@
+package controlapi
+
+import (
+	"time"
+
+	"toucanway/core/balance"
+	"toucanway/core/fleet"
+)
+
+// PlaceRequest asks the leader, which hears of all hosts' requests first, for the server of a request with a long prompt.
+type PlaceRequest struct {
+	Offers []Offer `cbor:"1,keyasint"`
+}
+
+// Offer is a server that could take the request, as the host sees it; see balance.Offer.
+type Offer struct {
+	Instance  fleet.BackendID `cbor:"1,keyasint"`
+	Cost      time.Duration   `cbor:"2,keyasint"`
+	PerActive time.Duration   `cbor:"3,keyasint"`
+	PerToken  time.Duration   `cbor:"4,keyasint"`
+	Tokens    fleet.Tokens    `cbor:"5,keyasint"`
+}
+
+// PlaceResponse names the server. The leader counts the request there until the host's next report.
+type PlaceResponse struct {
+	Reply    Reply           `cbor:"1,keyasint,omitempty"`
+	Instance fleet.BackendID `cbor:"2,keyasint,omitempty"`
+}
+
+func (r *PlaceResponse) reply() Reply { return r.Reply }
+
+// NewPlaceRequest returns the request for offers.
+func NewPlaceRequest(offers []balance.Offer) *PlaceRequest {
+	req := &PlaceRequest{Offers: make([]Offer, len(offers))}
+	for i, o := range offers {
+		req.Offers[i] = Offer{Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens}
+	}
+	return req
+}
+
+// Balance returns the offers of the request.
+func (r *PlaceRequest) Balance() []balance.Offer {
+	out := make([]balance.Offer, len(r.Offers))
+	for i, o := range r.Offers {
+		out[i] = balance.Offer{Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens}
+	}
+	return out
+}
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"toucanway/core/balance"
 	"toucanway/core/fleet"
 	"toucanway/core/pause"
 	"toucanway/core/registry"
@@ -115,31 +114,6 @@
 	return &controlapi.ReportResponse{Loads: c.othersLoads(req.Loads), Entries: len(c.entries), Interval: c.reportInterval()}, nil
 }
 
-// place chooses among the servers that could take a request of an entry host, and counts the request there.
-func (c *Controller) place(_ context.Context, from fleet.HostID, req *controlapi.PlaceRequest) (*controlapi.PlaceResponse, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leading() == nil {
-		return &controlapi.PlaceResponse{Reply: c.notLeader()}, nil
-	}
-	e := c.entries[from]
-	if e == nil || len(req.Offers) == 0 {
-		return &controlapi.PlaceResponse{}, nil
-	}
-	offers := make([]balance.Offer, len(req.Offers))
-	for i, o := range req.Offers {
-		offers[i] = balance.Offer{Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens}
-	}
-	// The host's own requests are part of its costs.
-	c.addLoads(e.loads, -1)
-	best, _ := balance.Best(offers, func(id fleet.BackendID) (int, fleet.Tokens) { return c.loads[id].Active, c.loads[id].Prompt })
-	c.addLoads(e.loads, 1)
-	placed := controlapi.Load{Instance: offers[best].Instance, Active: 1, Prompt: offers[best].Tokens}
-	c.addLoads([]controlapi.Load{placed}, 1)
-	e.loads = append(e.loads, placed)
-	return &controlapi.PlaceResponse{Instance: placed.Instance}, nil
-}
-
 // reportInterval is the time between two reports of an entry host; c.mu is held.
 func (c *Controller) reportInterval() time.Duration {
 	return min(max(leastReport, reportShare*time.Duration(len(c.entries))), mostReport)
@@ -152,56 +126,6 @@
 	return min(gatherShare*time.Duration(len(c.entries)), mostGather)
 }
 
-// addLoads adds what an entry host has under way to the sums, or takes it away with a sign of -1; c.mu is held.
-func (c *Controller) addLoads(list []controlapi.Load, sign int) {
-	for _, l := range list {
-		sum := c.loads[l.Instance]
-		sum.Active += sign * l.Active
-		sum.Prompt += fleet.Tokens(sign) * l.Prompt
-		if sum.Active == 0 && sum.Prompt == 0 {
-			delete(c.loads, l.Instance)
-		} else {
-			c.loads[l.Instance] = sum
-		}
-	}
-}
-
-// othersLoads returns what all entry hosts but one have under way; c.mu is held.
-func (c *Controller) othersLoads(own []controlapi.Load) controlapi.Sums {
-	c.addLoads(own, -1)
-	out := make(controlapi.Sums, 0, sumSize*len(c.loads))
-	for id, sum := range c.loads {
-		out = out.Add(id, sum)
-	}
-	c.addLoads(own, 1)
-	return out
-}
-
-// engineLoad is what all entry hosts told of one engine.
-type engineLoad struct {
-	running map[fleet.Target]int
-	suspect bool
-}
-
-// engineLoads sums the requests under way at each engine; c.mu is held.
-func (c *Controller) engineLoads() map[fleet.BackendID]engineLoad {
-	sums := map[fleet.BackendID]engineLoad{}
-	for _, e := range c.entries {
-		for _, l := range e.loads {
-			sum := sums[l.Instance]
-			if sum.running == nil {
-				sum.running = map[fleet.Target]int{}
-			}
-			for _, t := range l.Targets {
-				sum.running[t.Target] += t.Active
-			}
-			sum.suspect = sum.suspect || l.Unreachable
-			sums[l.Instance] = sum
-		}
-	}
-	return sums
-}
-
 // expireEntries drops entry hosts that no longer report; c.mu is held.
 func (c *Controller) expireEntries(now time.Time) {
 	lifetime := (1+entryMisses)*c.reportInterval() + entrySlack
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -10,7 +10,6 @@
 	"toucanway/core/fleet"
 	"toucanway/core/registry"
 	"toucanway/core/routes"
-	"toucanway/io/controlapi"
 )
 
 // arrive counts a request for the demand and for the budget of repeats.
@@ -65,35 +64,6 @@
 	return c
 }
 
-// place asks the leader which of several servers a long prompt goes to; it returns nothing where this host has to choose. v.mu is
-// held and let go of meanwhile.
-func (v *View) place(ctx context.Context, r *balance.Request, options []*registry.Instance) fleet.BackendID {
-	now := time.Now()
-	if len(options) < 2 || !r.Long() || now.Before(v.placeFrom) || v.cfg.Client.Leader() == "" {
-		return ""
-	}
-	req := &controlapi.PlaceRequest{}
-	for _, o := range v.balancer.Offers(now, r, options) {
-		req.Offers = append(req.Offers, controlapi.Offer{
-			Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens,
-		})
-	}
-	v.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, v.placeTimeout)
-	res, err := controlapi.Call[controlapi.PlaceRequest, controlapi.PlaceResponse](call, v.cfg.Client, controlapi.ProcedurePlace, 0, req)
-	cancel()
-	v.mu.Lock()
-	if ctx.Err() != nil {
-		return ""
-	}
-	if err != nil {
-		// The follower logs lost contact; the choice of this host is in the log of the request.
-		v.placeFrom = time.Now().Add(placePause)
-		return ""
-	}
-	return res.Instance
-}
-
 // free returns the servers that can take a request now, and what is to be waited for if there is none; v.mu is held.
 func (v *View) free(service fleet.ServiceID, r *balance.Request, not map[fleet.BackendID]bool) (chosen, []*registry.Instance) {
 	now := time.Now()
