--- a/cmd/toucanway-lab/internal/soak/faults.go
+++ b/cmd/toucanway-lab/internal/soak/faults.go
@@ -84,13 +84,7 @@
 
 // wipe makes one controller lose its disk while all others run and are connected.
 func (r *run) wipe() {
-	r.links.heal()
-	for _, p := range r.processes {
-		p.signal(syscall.SIGCONT)
-		if err := p.start(); err != nil {
-			r.record.Violate("%s cannot be started: %v", p.name, err)
-		}
-	}
+	r.restore()
 	time.Sleep(wipeRest)
 	p := r.controller()
 	r.logf("%s loses its disk", p.name)
--- a/cmd/toucanway-lab/internal/soak/soak.go
+++ b/cmd/toucanway-lab/internal/soak/soak.go
@@ -260,8 +260,8 @@
 	fmt.Fprintf(r.cfg.Out, "%s seed %d: "+format+"\n", append([]any{time.Now().Format("15:04:05.000"), r.cfg.Seed}, args...)...)
 }
 
-// finish ends all faults, checks that the deployment serves again, and returns what was found.
-func (r *run) finish(ctx context.Context) Result {
+// restore heals all links and makes all processes run.
+func (r *run) restore() {
 	r.links.heal()
 	for _, p := range r.processes {
 		p.signal(syscall.SIGCONT)
@@ -269,6 +269,11 @@
 			r.record.Violate("%s cannot be started: %v", p.name, err)
 		}
 	}
+}
+
+// finish ends all faults, checks that the deployment serves again, and returns what was found.
+func (r *run) finish(ctx context.Context) Result {
+	r.restore()
 	time.Sleep(calmTime)
 	before, _ := r.record.Answered()
 	time.Sleep(time.Second)
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -73,13 +73,12 @@
 	place   Place
 	servers map[fleet.BackendID]*server
 	sent    prefixes
-	// others returns what other hosts have under way at a server.
-	others func(fleet.BackendID) (active int, prompt fleet.Tokens)
+	others  Others
 }
 
 // New returns a balancer of a host.
 func New(p Place) *Balancer {
-	none := func(fleet.BackendID) (int, fleet.Tokens) { return 0, 0 }
+	none := func(fleet.BackendID) Sum { return Sum{} }
 	return &Balancer{place: p, servers: map[fleet.BackendID]*server{}, sent: newPrefixes(), others: none}
 }
 
@@ -111,7 +110,7 @@
 	s := b.servers[in.ID]
 	if s == nil || s.incarnation != in.Incarnation {
 		s = newServer(in.Incarnation)
-		s.othersActive, s.othersPrompt = b.others(in.ID)
+		s.others = b.others(in.ID)
 		b.servers[in.ID] = s
 	}
 	return s
@@ -123,10 +122,7 @@
 		return nil, nil, Choice{}
 	}
 	offers := b.Offers(now, r, options)
-	best, _ := Best(offers, func(id fleet.BackendID) (int, fleet.Tokens) {
-		s := b.servers[id]
-		return s.othersActive, s.othersPrompt
-	})
+	best := Best(offers, func(id fleet.BackendID) Sum { return b.servers[id].others })
 	t, c := b.Take(now, r, options[best], offers[best])
 	c.Options = len(options)
 	return options[best], t, c
@@ -135,9 +131,9 @@
 // Take begins a request at the server of an offer.
 func (b *Balancer) Take(now time.Time, r *Request, in *registry.Instance, o Offer) (*Ticket, Choice) {
 	s := b.server(in)
-	others := o.PerActive*time.Duration(s.othersActive) + o.PerToken*time.Duration(s.othersPrompt)
+	others := o.wait(s.others)
 	c := Choice{
-		Cost: o.Cost + others, Cached: o.cached, Active: s.active, Others: s.othersActive, Avoided: o.avoided, Expected: o.expected + others,
+		Cost: o.Cost + others, Cached: o.cached, Active: s.active, Others: s.others.Active, Avoided: o.avoided, Expected: o.expected + others,
 	}
 	t := &Ticket{
 		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, prompt: r.Prompt - c.Cached, expected: c.Expected, began: now,
@@ -266,10 +262,10 @@
 }
 
 // SetOthers replaces what other hosts have under way.
-func (b *Balancer) SetOthers(others func(fleet.BackendID) (active int, prompt fleet.Tokens)) {
+func (b *Balancer) SetOthers(others Others) {
 	b.others = others
 	for id, s := range b.servers {
-		s.othersActive, s.othersPrompt = others(id)
+		s.others = others(id)
 	}
 }
 
--- a/core/balance/balancer_test.go
+++ b/core/balance/balancer_test.go
@@ -62,11 +62,11 @@
 	require.Greater(t, seen["b"], 5)
 	b = balancer()
 	b.Pick(start, prompt(1), []*registry.Instance{options[0]})
-	b.SetOthers(func(id fleet.BackendID) (int, fleet.Tokens) {
+	b.SetOthers(func(id fleet.BackendID) Sum {
 		if id == "a" {
-			return 3, 50000
+			return Sum{3, 50000}
 		}
-		return 0, 0
+		return Sum{}
 	})
 	in, _, _ := b.Pick(start, prompt(100), options)
 	require.Equal(t, fleet.BackendID("b"), in.ID)
@@ -76,11 +76,11 @@
 // hosts of a large deployment use a server for the first time.
 func TestLoadOfUnusedServer(t *testing.T) {
 	b := balancer()
-	b.SetOthers(func(id fleet.BackendID) (int, fleet.Tokens) {
+	b.SetOthers(func(id fleet.BackendID) Sum {
 		if id == "a" {
-			return 3, 50000
+			return Sum{3, 50000}
 		}
-		return 0, 0
+		return Sum{}
 	})
 	in, _, choice := b.Pick(start, prompt(100), []*registry.Instance{instance("a", "d1"), instance("b", "d1")})
 	require.Equal(t, fleet.BackendID("b"), in.ID)
--- a/core/balance/offer.go
+++ b/core/balance/offer.go
@@ -7,6 +7,16 @@
 	"toucanway/core/registry"
 )
 
+// Sum is what some hosts have under way at a server.
+type Sum struct {
+	Active int
+	// Prompt is the number of prompt tokens of requests that have not had their first event.
+	Prompt fleet.Tokens
+}
+
+// Others returns what other hosts have under way at a server.
+type Others func(fleet.BackendID) Sum
+
 // Offer is a server that can take a request, as one host sees it.
 type Offer struct {
 	Instance fleet.BackendID
@@ -63,16 +73,19 @@
 	return o
 }
 
-// Best returns the index of the offer with the least cost, given what other hosts have under way at the servers, and that cost.
-// There must be an offer.
-func Best(offers []Offer, others func(fleet.BackendID) (active int, prompt fleet.Tokens)) (int, time.Duration) {
+// wait returns the time that what other hosts have under way adds.
+func (o Offer) wait(others Sum) time.Duration {
+	return o.PerActive*time.Duration(others.Active) + o.PerToken*time.Duration(others.Prompt)
+}
+
+// Best returns the index of the offer with the least cost, given what other hosts have under way. There must be an offer.
+func Best(offers []Offer, others Others) int {
 	best, least := 0, time.Duration(0)
 	for i, o := range offers {
-		active, prompt := others(o.Instance)
-		cost := o.Cost + o.PerActive*time.Duration(active) + o.PerToken*time.Duration(prompt)
+		cost := o.Cost + o.wait(others(o.Instance))
 		if i == 0 || cost < least || cost == least && o.Instance < offers[best].Instance {
 			best, least = i, cost
 		}
 	}
-	return best, least
+	return best
 }
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -54,9 +54,8 @@
 	active      int
 	prompt      fleet.Tokens
 	targets     map[fleet.Target]int
-	// othersActive and othersPrompt are what other hosts have under way.
-	othersActive int
-	othersPrompt fleet.Tokens
+	// others is what other hosts have under way.
+	others Sum
 	// waiting holds the requests without a first byte.
 	waiting map[*Ticket]bool
 	// avoid is until when the server is used only if there is no other; misses counts the failures in a row.
@@ -96,21 +95,20 @@
 	case Failed:
 		s.bad++
 	case Refused:
-		s.avoid = later(s.avoid, now.Add(refusedPause))
+		s.avoidUntil(now.Add(refusedPause))
 	case Lost, Unconnected:
 		s.bad++
 		d := min(avoidFirst<<min(s.misses, 8), avoidMost)
 		s.misses++
-		s.avoid = later(s.avoid, now.Add(d))
+		s.avoidUntil(now.Add(d))
 	case Withdrawn:
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+func (s *server) avoidUntil(at time.Time) {
+	if at.After(s.avoid) {
+		s.avoid = at
 	}
-	return b
 }
 
 // observePace takes in how a time to the first byte compared with the expected one.
--- a/io/controlapi/sums.go
+++ b/io/controlapi/sums.go
@@ -5,17 +5,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanway/core/balance"
 	"toucanway/core/fleet"
 )
 
-// Sum is what hosts have under way at one backend server.
-type Sum struct {
-	Active int
-	// Prompt is the number of prompt tokens of requests that have not had their first event, in steps of promptStep.
-	Prompt fleet.Tokens
-}
-
-// promptStep is the unit in which prompt tokens are packed.
+// promptStep is the unit to which prompt tokens are rounded up.
 const promptStep fleet.Tokens = 64
 
 // errSums means that packed sums end early.
@@ -26,15 +20,15 @@
 type Sums []byte
 
 // Add returns the sums with that of another backend server.
-func (s Sums) Add(id fleet.BackendID, sum Sum) Sums {
+func (s Sums) Add(id fleet.BackendID, sum balance.Sum) Sums {
 	s = binary.LittleEndian.AppendUint32(s, sumKey(id))
 	s = binary.AppendUvarint(s, uint64(max(sum.Active, 0)))
 	return binary.AppendUvarint(s, uint64(max(sum.Prompt+promptStep-1, 0)/promptStep))
 }
 
 // Unpack returns a function that finds the sum of a backend server.
-func (s Sums) Unpack() (func(fleet.BackendID) Sum, error) {
-	sums := map[uint32]Sum{}
+func (s Sums) Unpack() (balance.Others, error) {
+	sums := map[uint32]balance.Sum{}
 	for len(s) > 0 {
 		if len(s) < 4 {
 			return nil, errSums
@@ -48,10 +42,10 @@
 		if m <= 0 {
 			return nil, errSums
 		}
-		sums[key] = Sum{int(active), fleet.Tokens(prompt) * promptStep}
+		sums[key] = balance.Sum{Active: int(active), Prompt: fleet.Tokens(prompt) * promptStep}
 		s = s[4+n+m:]
 	}
-	return func(id fleet.BackendID) Sum { return sums[sumKey(id)] }, nil
+	return func(id fleet.BackendID) balance.Sum { return sums[sumKey(id)] }, nil
 }
 
 // sumKey returns the key of a backend server. Two servers with the same key are taken to have the load of one of them.
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/balance"
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
 	"toucanway/core/raft"
@@ -60,7 +61,7 @@
 	mirrored time.Time
 	relay    relay
 	// loads are the sums of what all entry hosts have under way.
-	loads map[fleet.BackendID]controlapi.Sum
+	loads map[fleet.BackendID]balance.Sum
 	// table is the configuration that the planner works with.
 	table *routes.Table
 }
@@ -87,7 +88,7 @@
 	return &Controller{
 		cfg: cfg, count: newCounters(cfg.Metrics), changed: make(chan struct{}), kick: make(chan struct{}, 1),
 		registry: registry.New(registry.Settings{}), planner: residency.New(cfg.Planner), entries: map[fleet.HostID]*entry{},
-		relay: newRelay(), loads: map[fleet.BackendID]controlapi.Sum{},
+		relay: newRelay(), loads: map[fleet.BackendID]balance.Sum{},
 	}
 }
 
--- a/io/controller/loads.go
+++ b/io/controller/loads.go
@@ -22,12 +22,10 @@
 	offers := req.Balance()
 	// The host's own requests are part of its costs.
 	c.addLoads(e.loads, -1)
-	best, _ := balance.Best(offers, func(id fleet.BackendID) (int, fleet.Tokens) { return c.loads[id].Active, c.loads[id].Prompt })
+	best := offers[balance.Best(offers, func(id fleet.BackendID) balance.Sum { return c.loads[id] })]
+	e.loads = append(e.loads, controlapi.Load{Instance: best.Instance, Active: 1, Prompt: best.Tokens})
 	c.addLoads(e.loads, 1)
-	placed := controlapi.Load{Instance: offers[best].Instance, Active: 1, Prompt: offers[best].Tokens}
-	c.addLoads([]controlapi.Load{placed}, 1)
-	e.loads = append(e.loads, placed)
-	return &controlapi.PlaceResponse{Instance: placed.Instance}, nil
+	return &controlapi.PlaceResponse{Instance: best.Instance}, nil
 }
 
 // addLoads adds what an entry host has under way to the sums, or takes it away with a sign of -1; c.mu is held.
--- a/io/gateway/drain_test.go
+++ b/io/gateway/drain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -21,13 +20,7 @@
 	})
 	idle, err := f.callers.Dial()
 	require.NoError(t, err)
-	busy, err := f.callers.Dial()
-	require.NoError(t, err)
-	_, err = io.WriteString(busy, get("/unsafe/"))
-	require.NoError(t, err)
-	for len(f.requests("a")) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	busy := f.begin("a", get("/unsafe/"))
 	f.g.server.drain()
 	f.g.server.closeIdle()
 	_, err = idle.Read(make([]byte, 1))
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -193,6 +193,18 @@
 	return exchange1(c, text)
 }
 
+// begin sends raw bytes on a new connection and returns it once a backend server has read the request.
+func (f *fixture) begin(server, text string) net.Conn {
+	c, err := f.callers.Dial()
+	require.NoError(f.t, err)
+	_, err = io.WriteString(c, text)
+	require.NoError(f.t, err)
+	for len(f.requests(server)) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
 func exchange1(c net.Conn, text string) (*fasthttp.Response, error) {
 	go io.WriteString(c, text)
 	var res fasthttp.Response
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -161,13 +161,7 @@
 			close(closed)
 		}
 	})
-	c, err := f.callers.Dial()
-	require.NoError(t, err)
-	_, err = io.WriteString(c, get("/unsafe/"))
-	require.NoError(t, err)
-	for len(f.requests("a")) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	c := f.begin("a", get("/unsafe/"))
 	c.Close()
 	<-closed
 }
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -42,8 +42,8 @@
 
 // Timing of a gateway.
 const (
-	// reportInterval is the time until the next report after one that has failed.
-	reportInterval = 250 * time.Millisecond
+	// reportRetry is the time until the next report after one that has failed.
+	reportRetry = 250 * time.Millisecond
 	// hurriedInterval is the shortest time between two reports that requests wait for.
 	hurriedInterval = 10 * time.Millisecond
 	followHold      = 2 * time.Second
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -227,21 +227,18 @@
 		controlapi.ProcedureReport, 0, req)
 	if err != nil {
 		// The follower logs lost contact; the next report repeats what is still true.
-		return reportInterval
+		return reportRetry
 	}
-	sum, err := res.Loads.Unpack()
+	others, err := res.Loads.Unpack()
 	if err != nil {
 		v.cfg.Log.Error(logLoads, zap.Error(err))
-		return reportInterval
+		return reportRetry
 	}
 	v.cfg.Client.SetSearchers(res.Entries)
 	slack := v.cfg.Budget.Slack * budgetShare / float64(max(res.Entries, 1))
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.balancer.SetOthers(func(id fleet.BackendID) (int, fleet.Tokens) {
-		s := sum(id)
-		return s.Active, s.Prompt
-	})
+	v.balancer.SetOthers(others)
 	v.budget.Limit(slack/2/v.cfg.Budget.Window.Seconds(), max(slack/2, 1))
 	return max(res.Interval, hurriedInterval)
 }
