io/engines: an error answer counts as not run only if it says so

Cause: every status other than 200 became ErrRefused, so that a 500 after a run released the grant as unused and the caller was told that the request had not run. An order that was answered with a 500 counted as refused. Ruled out: the status as evidence; engines answer refusals and failures with the same codes, only the body tells them apart. Change: ErrRefused needs execution not-run and the id of this request; ErrFailed stands for everything else. An order whose answer states no outcome of this order is in doubt.

--- a/io/engines/client.go
+++ b/io/engines/client.go
@@ -18,8 +18,10 @@
 var Errors = errorx.NewNamespace("engines")
 
 var (
-	// ErrRefused means that the engine refused a request before running it.
+	// ErrRefused means that the engine has stated that it did not run a request and never will.
 	ErrRefused = Errors.NewType("refused")
+	// ErrFailed means that the engine answered with an error that leaves open whether the request has run.
+	ErrFailed = Errors.NewType("failed")
 	// ErrProtocol means that an answer does not have the form that engines send.
 	ErrProtocol = Errors.NewType("protocol")
 	// ErrMisdelivered means that a piece of the answer to another request was received.
@@ -64,8 +66,8 @@
 	IdleTimeout time.Duration
 }
 
-// Complete sends a request and returns its stream once the engine has accepted it. Errors are backend.ErrNotSent, backend.ErrLost
-// and ErrRefused.
+// Complete sends a request and returns its stream once the engine has accepted it. Errors are backend.ErrNotSent, backend.ErrLost,
+// ErrRefused and ErrFailed.
 func (c *Client) Complete(ctx context.Context, call Completion) (*Stream, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -89,7 +91,7 @@
 	}
 	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
 		defer x.Close()
-		return nil, ErrRefused.New("engine at %s answered %d: %s", call.Address, code, readErrorText(x))
+		return nil, answerError(call.Address, code, readErrorText(x), call.Request)
 	}
 	return newStream(x, call.Request, call.ResumeFrom), nil
 }
@@ -98,7 +100,12 @@
 func (c *Client) Cancel(ctx context.Context, address string, id fleet.RequestID) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	return c.post(ctx, address, "/v1/cancel", cancelBody{Request: id}, nil, cancelTimeout)
+	req, err := newPost(address, "/v1/cancel", cancelBody{Request: id})
+	if err != nil {
+		return err
+	}
+	defer fasthttp.ReleaseRequest(req)
+	return c.exchange(ctx, address, req, nil, cancelTimeout)
 }
 
 type cancelBody struct {
@@ -120,59 +127,65 @@
 }
 
 type orderAnswer struct {
-	Order   fleet.OrderID      `json:"order"`
-	Outcome fleet.OrderOutcome `json:"outcome"`
-	Message string             `json:"message"`
+	Order fleet.OrderID `json:"order"`
+	// Outcome is nil in an answer that states none.
+	Outcome *fleet.OrderOutcome `json:"outcome"`
+	Message string              `json:"message"`
 }
 
 // Order sends an order to an engine and waits for its outcome, at most until the order's deadline. If the outcome is not
-// OrderDone, the error says why.
+// OrderDone, the error says why. An answer that does not state the outcome of this order leaves it in doubt, whatever its status.
 func (c *Client) Order(ctx context.Context, address string, o fleet.Order) (fleet.OrderOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.Deadline)
 	defer cancel()
-	var a orderAnswer
-	err := c.post(ctx, address, "/v1/orders", o, &a, o.Deadline)
-	switch {
-	case errorx.IsOfType(err, backend.ErrNotSent):
+	req, err := newPost(address, "/v1/orders", o)
+	if err != nil {
+		return fleet.OrderFailed, err
+	}
+	defer fasthttp.ReleaseRequest(req)
+	status, data, err := c.do(ctx, address, req, o.Deadline)
+	if errorx.IsOfType(err, backend.ErrNotSent) {
 		return fleet.OrderFailed, err
-	case errorx.IsOfType(err, ErrRefused):
-		return fleet.OrderRefused, err
-	case err != nil:
+	}
+	if err != nil {
 		return fleet.OrderInDoubt, err
+	}
+	var a orderAnswer
+	if err := json.Unmarshal(data, &a); err != nil || a.Outcome == nil {
+		return fleet.OrderInDoubt, ErrProtocol.New("engine at %s answered order %d with status %d and no outcome; check its version", address, o.ID, status)
+	}
+	switch {
 	case a.Order != o.ID:
 		return fleet.OrderInDoubt, ErrMisdelivered.New("engine at %s answered order %d with that of %d", address, o.ID, a.Order)
-	case a.Outcome != fleet.OrderDone:
-		return a.Outcome, ErrRefused.New("engine at %s: %s", address, a.Message)
+	case *a.Outcome == fleet.OrderDone && status == fasthttp.StatusOK:
+		return fleet.OrderDone, nil
+	case *a.Outcome == fleet.OrderDone:
+		return fleet.OrderInDoubt, ErrProtocol.New("engine at %s answered order %d with status %d and the outcome %s", address, o.ID, status, *a.Outcome)
 	}
-	return fleet.OrderDone, nil
+	return *a.Outcome, ErrRefused.New("engine at %s: %s", address, a.Message)
 }
 
-func (c *Client) post(ctx context.Context, address, path string, body, answer any, idleTimeout time.Duration) error {
+func newPost(address, path string, body any) (*fasthttp.Request, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetRequestURI("http://" + address + path)
 	req.SetBody(data)
-	return c.exchange(ctx, address, req, answer, idleTimeout)
+	return req, nil
 }
 
+// exchange sends a request and decodes its answer. Errors are those of do, ErrRefused, ErrFailed and ErrProtocol.
 func (c *Client) exchange(ctx context.Context, address string, req *fasthttp.Request, answer any, idleTimeout time.Duration) error {
-	x, err := c.pool.Do(ctx, address, req, backend.Options{IdleTimeout: idleTimeout})
+	status, data, err := c.do(ctx, address, req, idleTimeout)
 	if err != nil {
 		return err
 	}
-	defer x.Close()
-	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
-		return ErrRefused.New("engine at %s answered %d: %s", address, code, readErrorText(x))
-	}
-	data, err := io.ReadAll(io.LimitReader(x, maxInventoryBytes))
-	if err != nil {
-		return backend.ErrLost.Wrap(err, "answer of engine at %s ended early", address)
+	if status != fasthttp.StatusOK {
+		return answerError(address, status, string(data[:min(len(data), maxErrorBytes)]), "")
 	}
 	if answer == nil {
 		return nil
@@ -183,6 +196,37 @@
 	return nil
 }
 
+// do sends a request and returns the status and the body of its answer. Errors are backend.ErrNotSent and backend.ErrLost.
+func (c *Client) do(ctx context.Context, address string, req *fasthttp.Request, idleTimeout time.Duration) (int, []byte, error) {
+	x, err := c.pool.Do(ctx, address, req, backend.Options{IdleTimeout: idleTimeout})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer x.Close()
+	data, err := io.ReadAll(io.LimitReader(x, maxInventoryBytes))
+	if err != nil {
+		return 0, nil, backend.ErrLost.Wrap(err, "answer of engine at %s ended early", address)
+	}
+	return x.Response.StatusCode(), data, nil
+}
+
+// answerError returns ErrRefused if the body of an error answer states that the request was not run, and names the request if id is
+// set. Otherwise it returns ErrFailed: the status alone says nothing about execution, and an answer that does not name the request
+// may be the late answer to an earlier one on the same connection.
+func answerError(address string, status int, text string, id fleet.RequestID) error {
+	var body struct {
+		Error struct {
+			Execution fleet.Execution `json:"execution"`
+			RequestID fleet.RequestID `json:"request_id"`
+		} `json:"error"`
+	}
+	err := json.Unmarshal([]byte(text), &body)
+	if err == nil && body.Error.Execution == fleet.NotRun && (id == "" || body.Error.RequestID == id) {
+		return ErrRefused.New("engine at %s answered %d: %s", address, status, text)
+	}
+	return ErrFailed.New("engine at %s answered %d and the request may have run: %s", address, status, text)
+}
+
 // readErrorText returns the first maxErrorBytes of an error answer.
 func readErrorText(r io.Reader) string {
 	data, err := io.ReadAll(io.LimitReader(r, maxErrorBytes))
