io/backend, io/gateway, io/engines, controller: late answers, bytes without end, stops and permissions

Cause, each shown by a test that fails or deadlocks without the mechanism: - An answer without an id was taken for the answer to the request, also on a connection that had carried others; orders and reports checked no id at all. Reads had a deadline that began anew with each byte, so that a head, a rejection or a comment stream that drips held an exchange until its context ended, which a streamed completion does not have. - A request whose first byte arrived while a stopping gateway closed its idle connections was dropped without an answer: a kept connection counts as busy until that byte, and was then closed because the host drains. - The leader checked its permission before it opened the connection to an engine; a host that stood still meanwhile wrote the order with an old token (TestOrderPausedBeforeWrite). - The arrivals of a report that failed were lost to the demand. Ruled out: time bounds on whole answers, which would cut slow but sound streams; pooling connections whose answers name no request. Change: backend.Match and Permitted, a bound on the head and on the next token instead of the next byte, resumable streams go on elsewhere after half of the time after which callers leave, an event buffer that searches each byte once, orders and reports on connections of their own, drain that reads 100 ms longer, arrivals given back.

--- a/cmd/toucanway-lab/internal/controlscenario/engines.go
+++ b/cmd/toucanway-lab/internal/controlscenario/engines.go
@@ -26,6 +26,10 @@
 	mu sync.Mutex
 	// states are the states of the engines by id.
 	states map[fleet.BackendID]*engineState
+	// pause is the time for which a host stands still between the check of its permission and the write of an order, paused the
+	// number of orders that were held up so.
+	pause  time.Duration
+	paused int
 }
 
 // engineState is the state of one simulated engine. The fields holder, fence and orderedAt are those of its last order.
@@ -40,7 +44,19 @@
 
 // Order carries out an order. It records a violation if another host has sent one within the handover time, or if the fencing
 // token is stale.
-func (e *engines) Order(_ context.Context, o residency.Order, fence fleet.Fence, holder fleet.HostID) residency.Outcome {
+func (e *engines) Order(
+	_ context.Context, o residency.Order, fence fleet.Fence, holder fleet.HostID, permitted func() bool,
+) residency.Outcome {
+	e.mu.Lock()
+	pause := e.pause
+	if pause > 0 {
+		e.paused++
+	}
+	e.mu.Unlock()
+	time.Sleep(pause)
+	if !permitted() {
+		return residency.Unreachable
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.state(o.Engine)
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -29,6 +29,9 @@
 	ErrLost = Errors.NewType("lost")
 	// ErrStray means that only answers to other requests were received; Do returns it as the cause of an ErrLost.
 	ErrStray = Errors.NewType("stray")
+	// ErrNotPermitted means that the permission to send the request ended before it was written; Do returns it as the cause of an
+	// ErrNotSent.
+	ErrNotPermitted = Errors.NewType("not-permitted")
 )
 
 const (
@@ -55,13 +58,19 @@
 type conn struct {
 	net.Conn
 	idleTimeout time.Duration
-	r           *bufio.Reader
-	w           *bufio.Writer
+	// readBefore ends all reads, also those of a server that sends single bytes without end; zero means no such bound.
+	readBefore time.Time
+	r          *bufio.Reader
+	w          *bufio.Writer
 }
 
-// Read reads with the connection's timeout, which restarts with each read.
+// Read reads with the connection's timeout, which restarts with each read, but not past readBefore.
 func (c *conn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+	deadline := time.Now().Add(c.idleTimeout)
+	if !c.readBefore.IsZero() && c.readBefore.Before(deadline) {
+		deadline = c.readBefore
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(p)
@@ -80,6 +89,32 @@
 	return &Pool{network: n, idle: map[string][]idleConn{}}
 }
 
+// Match says to which request an answer belongs.
+type Match uint8
+
+// Results of a match.
+const (
+	// Unidentified means that the answer names no request. It is accepted only if no earlier request was sent on the connection,
+	// since it may else be a late answer to that one.
+	Unidentified Match = iota
+	// Own means that the answer names this request.
+	Own
+	// Other means that the answer names another request.
+	Other
+)
+
+// MatchID returns the match of an answer that names a request by id, which may be empty, with the request's own id.
+func MatchID[T ~string](id, own T) Match {
+	switch id {
+	case "":
+		return Unidentified
+	case own:
+		return Own
+	default:
+		return Other
+	}
+}
+
 // Exchange is one request with its answer; it owns a connection until Close.
 type Exchange struct {
 	// Response has the status and headers; the body is read with Read.
@@ -90,6 +125,11 @@
 	conn     *conn
 	body     io.Reader
 	complete bool
+	// reused is set if the connection has carried an earlier request.
+	reused bool
+	// ambiguous is set if an answer to another request was skipped, or if the answer names no request: a further one could not be
+	// told from the next request's answer.
+	ambiguous bool
 	// detachContext stops the context from closing the connection; it returns false if the context has ended.
 	detachContext func() bool
 	// written is closed once the request was written or writing it has failed; nil for a short request.
@@ -99,15 +139,19 @@
 
 // Options configure one exchange.
 type Options struct {
-	// IdleTimeout is the longest time without a byte before the exchange counts as lost.
+	// IdleTimeout is the longest time without a byte before the exchange counts as lost. It also bounds the time from the request
+	// to the end of the answer's headers.
 	IdleTimeout time.Duration
 	// NewConnection forbids the reuse of a connection, which the server may have closed already. It is set for requests that may
 	// not be repeated.
 	NewConnection bool
 	// NoRetry is set if the request must not be sent again on another connection after a reused one turns out to be closed.
 	NoRetry bool
-	// IsAnswer reports whether an answer belongs to this request; other answers are skipped. Nil accepts every answer.
-	IsAnswer func(*fasthttp.ResponseHeader) bool
+	// Match reports whether an answer belongs to this request; answers to others are skipped. Nil accepts every answer.
+	Match func(*fasthttp.ResponseHeader) Match
+	// Permitted is called when the connection is open, immediately before the request is written; the request is not sent if it
+	// returns false. Nil permits every request.
+	Permitted func() bool
 	// DialTimeout bounds the time for a new connection; 0 means network.DialTimeout.
 	DialTimeout time.Duration
 }
@@ -131,6 +175,11 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "cannot connect to backend server at %s; check that it runs and is reachable", address)
 	}
+	if o.Permitted != nil && !o.Permitted() {
+		c.Close()
+		return nil, ErrNotSent.Wrap(ErrNotPermitted.New("the permission ended before the request was sent"), "request to backend server at %s dropped", address)
+	}
+	c.readBefore = time.Now().Add(o.IdleTimeout)
 	x, err := p.send(ctx, address, c, req)
 	if err != nil && reused && !o.NoRetry && ctx.Err() == nil {
 		// The server has closed the idle connection meanwhile, as HTTP allows at any time.
@@ -140,10 +189,12 @@
 	if err != nil {
 		return nil, ErrLost.Wrap(err, "connection to backend server at %s ended before the answer began", address)
 	}
-	if err := x.readHeaders(o.IsAnswer); err != nil {
+	x.reused = reused
+	if err := x.readHeaders(o.Match); err != nil {
 		x.Abort()
 		return nil, ErrLost.Wrap(err, "backend server at %s sent invalid answer headers", address)
 	}
+	c.readBefore = time.Time{}
 	return x, nil
 }
 
@@ -179,7 +230,7 @@
 }
 
 // readHeaders reads the headers of the answer and skips answers to earlier requests.
-func (x *Exchange) readHeaders(isAnswer func(*fasthttp.ResponseHeader) bool) error {
+func (x *Exchange) readHeaders(match func(*fasthttp.ResponseHeader) Match) error {
 	for stray := 0; ; stray++ {
 		x.Response.Reset()
 		x.Response.StreamBody = true
@@ -189,9 +240,21 @@
 		}
 		x.body = x.Response.BodyStream()
 		x.complete = x.body == nil
-		if isAnswer == nil || isAnswer(&x.Response.Header) {
+		if match == nil {
+			return nil
+		}
+		switch match(&x.Response.Header) {
+		case Own:
+			return nil
+		case Unidentified:
+			if x.reused || x.ambiguous {
+				return ErrStray.New("the backend server sent an answer without the request's id on a connection with earlier requests")
+			}
+			x.ambiguous = true
 			return nil
+		case Other:
 		}
+		x.ambiguous = true
 		if stray == maxStrayAnswers {
 			return ErrStray.New("the backend server sent %d answers to other requests; the connection is closed", stray+1)
 		}
@@ -228,12 +291,29 @@
 	return n, err
 }
 
+// ReadWithin makes all reads of the body fail once d has passed, however many bytes arrive until then; 0 removes the bound.
+func (x *Exchange) ReadWithin(d time.Duration) {
+	x.conn.readBefore = time.Time{}
+	if d > 0 {
+		x.conn.readBefore = time.Now().Add(d)
+	}
+}
+
+// Discard reads the rest of the body, at most limit bytes within d. A longer body leaves the answer incomplete, so that Close
+// closes the connection.
+func (x *Exchange) Discard(limit int64, d time.Duration) {
+	x.ReadWithin(d)
+	// An error leaves the answer incomplete.
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, limit+1))
+	x.ReadWithin(0)
+}
+
 // Close returns the connection to the pool if the answer was read to its end and the connection can be reused. Otherwise it
 // closes the connection, which cancels an incomplete request.
 func (x *Exchange) Close() {
 	contextOpen := x.detachContext()
 	// A connection with bytes after the answer is closed, since they belong to no request.
-	if !contextOpen || !x.complete || !x.isWritten() || x.Response.ConnectionClose() || x.conn.r.Buffered() > 0 {
+	if !contextOpen || !x.complete || x.ambiguous || !x.isWritten() || x.Response.ConnectionClose() || x.conn.r.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
@@ -258,7 +338,7 @@
 func (p *Pool) getConn(ctx context.Context, address string, o Options) (c *conn, reused bool, err error) {
 	if !o.NewConnection {
 		if c := p.takeIdle(address); c != nil {
-			c.idleTimeout = o.IdleTimeout
+			c.idleTimeout, c.readBefore = o.IdleTimeout, time.Time{}
 			return c, true, nil
 		}
 	}
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -10,6 +10,7 @@
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
 	"toucanway/core/pause"
+	"toucanway/core/raft"
 	"toucanway/core/residency"
 )
 
@@ -130,12 +131,12 @@
 	}
 	began := c.cfg.Now()
 	out := residency.Unreachable
-	c.mu.Lock()
-	r := c.validLeadership()
-	c.mu.Unlock()
-	if r != nil && r.isOrderer {
+	if term, ok := c.orderTerm(); ok {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		out = c.cfg.Engines.Order(call, o, fleet.Fence(r.term), c.cfg.Self)
+		out = c.cfg.Engines.Order(call, o, fleet.Fence(term), c.cfg.Self, func() bool {
+			now, ok := c.orderTerm()
+			return ok && now == term
+		})
 		cancel()
 	}
 	now := c.cfg.Now()
@@ -152,6 +153,17 @@
 	}
 }
 
+// orderTerm returns the term under which this host may order engines now, or false if it may not.
+func (c *Controller) orderTerm() (raft.Term, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.validLeadership()
+	if r == nil || !r.isOrderer {
+		return 0, false
+	}
+	return r.term, true
+}
+
 func (c *Controller) sendProbe(ctx context.Context, p residency.Probe) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	rep, err := c.cfg.Engines.Report(call, p)
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -34,7 +34,8 @@
 
 // Engines calls model engines; the platform's adapter implements it. The context bounds each call.
 type Engines interface {
-	Order(ctx context.Context, o residency.Order, fence fleet.Fence, holder fleet.HostID) residency.Outcome
+	// Order sends an order if permitted, which is called immediately before the order is written, returns true.
+	Order(ctx context.Context, o residency.Order, fence fleet.Fence, holder fleet.HostID, permitted func() bool) residency.Outcome
 	Report(ctx context.Context, p residency.Probe) (residency.Report, error)
 }
 
--- a/io/engines/client.go
+++ b/io/engines/client.go
@@ -62,7 +62,7 @@
 	Chat       bool
 	// Body is an OpenAI-style request with streaming enabled.
 	Body []byte
-	// IdleTimeout is the longest time without an event before the stream counts as lost.
+	// IdleTimeout is the longest time without a token before the stream counts as lost.
 	IdleTimeout time.Duration
 }
 
@@ -93,7 +93,7 @@
 		defer x.Close()
 		return nil, answerError(call.Address, code, readErrorText(x), call.Request)
 	}
-	return newStream(x, call.Request, call.ResumeFrom), nil
+	return newStream(x, call.Request, call.ResumeFrom, call.IdleTimeout), nil
 }
 
 // Cancel asks an engine to cancel a request.
--- a/io/engines/stream.go
+++ b/io/engines/stream.go
@@ -6,13 +6,19 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"time"
 
 	"toucanway/core/fleet"
 	"toucanway/io/backend"
 )
 
-// maxEventBytes bounds one server-sent event; a token's event has a few hundred bytes.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes bounds one server-sent event; a token's event has a few hundred bytes.
+	maxEventBytes = 64 << 10
+	// maxTrailingBytes and trailingTimeout bound what an engine sends after the end of an answer.
+	maxTrailingBytes = 4 << 10
+	trailingTimeout  = 250 * time.Millisecond
+)
 
 // Token is one event of an engine's answer.
 type Token struct {
@@ -60,26 +66,27 @@
 	request   fleet.RequestID
 	nextIndex int
 	done      bool
+	// tokenTimeout bounds the time for the next token, whatever else the engine sends meanwhile.
+	tokenTimeout time.Duration
 }
 
-func newStream(x *backend.Exchange, id fleet.RequestID, next int) *Stream {
-	return &Stream{x: x, r: bufio.NewReaderSize(x, maxEventBytes), request: id, nextIndex: next}
+func newStream(x *backend.Exchange, id fleet.RequestID, next int, tokenTimeout time.Duration) *Stream {
+	return &Stream{x: x, r: bufio.NewReaderSize(x, maxEventBytes), request: id, nextIndex: next, tokenTimeout: tokenTimeout}
 }
 
 // Next returns the next token, or io.EOF once the answer is complete. Other errors are backend.ErrLost, ErrProtocol and
 // ErrMisdelivered; after them the answer may be resumed at Received.
 func (s *Stream) Next() (Token, error) {
+	if s.x != nil {
+		s.x.ReadWithin(s.tokenTimeout)
+	}
 	for {
 		data, err := s.nextData()
 		if err != nil {
 			return Token{}, err
 		}
 		if string(data) == "[DONE]" {
-			s.done = true
-			// The rest of the body is read, too, so that the connection can be reused.
-			if _, err := io.Copy(io.Discard, s.r); err != nil {
-				s.done = false
-			}
+			s.done = s.readTrailing()
 			return Token{}, io.EOF
 		}
 		var e event
@@ -99,7 +106,17 @@
 	}
 }
 
-// toToken returns the token of an event after checking its index; it returns false for an event that repeats an earlier token.
+// readTrailing reads the rest of the body, so that the connection can be reused, and reports whether it has ended.
+func (s *Stream) readTrailing() bool {
+	if s.x != nil {
+		s.x.ReadWithin(trailingTimeout)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(s.r, maxTrailingBytes+1))
+	return err == nil && n <= maxTrailingBytes
+}
+
+// toToken returns the token of an event after checking its index; it returns false for an event that repeats an earlier token or
+// carries nothing, which is no progress of the answer.
 func (s *Stream) toToken(e *event) (Token, bool, error) {
 	t := Token{Index: s.nextIndex}
 	if e.TokenIndex != nil {
@@ -129,8 +146,9 @@
 	}
 	if t.Text != "" || e.TokenIndex != nil {
 		s.nextIndex++
+		return t, true, nil
 	}
-	return t, true, nil
+	return t, t.Finish != "" || t.Usage != nil, nil
 }
 
 // nextData returns the data line of the next event; other lines are skipped.
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -64,6 +64,8 @@
 	// received holds the text of the requests that each backend server has read.
 	received map[string][]string
 	stop     func()
+	// servers counts the running scripts.
+	servers sync.WaitGroup
 	// shutDown makes the host cancel the requests in flight, as at the end of the grace period.
 	shutDown func()
 }
@@ -141,7 +143,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
+			f.servers.Go(func() {
 				defer c.Close()
 				r := bufio.NewReader(c)
 				for {
@@ -154,11 +156,23 @@
 					f.mu.Unlock()
 					s(&req, c)
 				}
-			}()
+			})
 		}
 	}()
 }
 
+// close ends the gateway and waits for the scripts of all backend servers.
+func (f *fixture) close() {
+	f.stop()
+	f.gateway.cfg.Pool.Close()
+	f.mu.Lock()
+	for _, l := range f.listeners {
+		l.Close()
+	}
+	f.mu.Unlock()
+	f.servers.Wait()
+}
+
 func (f *fixture) requests(name string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,6 +48,9 @@
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	stream     streamState
+	stall      stallWatch
+	// switchPaid is set if the retry budget was charged already for going on at another server.
+	switchPaid atomic.Bool
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
 	failedAnswer *answer
 	// waitTime is the time that the request has waited for a server that can take it.
@@ -122,7 +126,7 @@
 		if err != nil {
 			return x.fail(err)
 		}
-		if x.sends > 0 && !x.proxy.view.spendRetry(x.service) {
+		if x.sends > 0 && !x.switchPaid.Swap(false) && !x.proxy.view.spendRetry(x.service) {
 			x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
 			return x.fail(errBudget)
 		}
@@ -157,6 +161,7 @@
 	errUnsigned   = Errors.NewType("unsigned").New("the answer lacks the backend server's response stamp")
 	errTruncated  = Errors.NewType("cut").New("the answer was truncated")
 	errEventOrder = Errors.NewType("order").New("the events of the answer are out of order")
+	errStalled    = Errors.NewType("stalled").New("the stream made no event for too long")
 	errStopping   = Errors.NewType("stopping").New("this host is shutting down")
 	errNoServer   = Errors.NewType("no-server").New("no backend server can take the request")
 )
@@ -231,12 +236,16 @@
 	return nil
 }
 
-// maxWait returns how long a request may wait for a server. Callers abandon a stream that doesn't begin; if the request is
-// refused before that, the caller can send it again.
+// maxWait returns how long a request may wait for a server. If it is refused before its caller abandons it, the caller can send it
+// again.
 func maxWait(r *routes.Route) time.Duration {
 	if r.Kind != routes.Streaming {
 		return r.Timeout
 	}
-	p := max(minStreamWait, objectiveWaitFactor*r.Objective, gapWaitFactor*r.GapObjective)
-	return min(p-refusalMargin, r.Timeout)
+	return min(streamPatience(r)-refusalMargin, r.Timeout)
+}
+
+// streamPatience returns the time without an event after which callers abandon a stream, also one that has not begun.
+func streamPatience(r *routes.Route) time.Duration {
+	return max(minStreamWait, objectiveWaitFactor*r.Objective, gapWaitFactor*r.GapObjective)
 }
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -25,11 +25,12 @@
 		Instance: in.ID, Deadline: left, Priority: x.route.Priority, LastEvent: x.stream.lastEventID,
 	})
 	// When the context ends, the connection is closed, which makes the server cancel the request.
-	upstream, err := x.proxy.cfg.Pool.Do(x.ctx, in.Address, req, backend.Options{
+	ctx, stop := x.watchStall(in.ID)
+	defer stop()
+	upstream, err := x.proxy.cfg.Pool.Do(ctx, in.Address, req, backend.Options{
 		IdleTimeout: left + time.Second, NoRetry: !x.route.Idempotent(), DialTimeout: connectTimeout,
-		IsAnswer: func(h *fasthttp.ResponseHeader) bool {
-			id := x.proxy.cfg.Dialect.Answer(h).ID
-			return id == "" || id == x.info.ID
+		Match: func(h *fasthttp.ResponseHeader) backend.Match {
+			return backend.MatchID(x.proxy.cfg.Dialect.Answer(h).ID, x.info.ID)
 		},
 	})
 	if backend.IsNotSent(err) {
@@ -42,7 +43,11 @@
 		return 0, x.failureOutcome(balance.Lost), err
 	}
 	defer upstream.Close()
-	return x.receive(upstream, ticket)
+	status, out, err := x.receive(upstream, ticket)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = errStalled
+	}
+	return status, out, err
 }
 
 // callerDisconnected reports whether the caller has closed its connection.
@@ -64,8 +69,8 @@
 	head := x.proxy.cfg.Dialect.Answer(&upstream.Response.Header)
 	status := upstream.Response.StatusCode()
 	if head.NotRun || head.Misdirected {
-		// The body is read so that the connection can be reused. A read error is ignored; the next use of the connection reports it.
-		_, _ = io.Copy(io.Discard, io.LimitReader(upstream, maxAnswer))
+		// The body is read so that the connection can be reused.
+		upstream.Discard(maxRejectionBytes, rejectionTimeout)
 		if head.Misdirected && head.Instance != "" && head.Instance != ticket.Instance {
 			// Another server has the address now.
 			return status, balance.Unconnected, errNotRun
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -34,8 +34,11 @@
 	mu           sync.Mutex
 	conns        map[*conn]bool
 	draining     bool
-	closed       bool
 	connsChanged *sync.Cond
+	// closingIdle is set once connections without a request are closed after lastRequestTime.
+	closingIdle bool
+	// ended is set once all connections are to be closed.
+	ended bool
 }
 
 // conn is a caller's connection.
@@ -97,7 +100,7 @@
 func (s *server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxConnections {
+	if s.ended || len(s.conns) >= maxConnections {
 		return false
 	}
 	s.conns[c] = true
@@ -112,15 +115,25 @@
 	s.connsChanged.Broadcast()
 }
 
-// setBusy records the start or end of a request and reports whether the connection stays open.
-func (s *server) setBusy(c *conn, busy bool) bool {
+// beginRequest records that the first byte of a request has arrived, and reports whether the request may be read.
+func (s *server) beginRequest(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy = busy
-	if !busy {
-		s.connsChanged.Broadcast()
+	c.busy = true
+	return !s.ended
+}
+
+// awaitRequest records that a connection has no request, and sets the deadline for the first byte of the next one.
+func (s *server) awaitRequest(c *conn, idle time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.busy = false
+	now := time.Now()
+	deadline := now.Add(idle)
+	if s.closingIdle {
+		deadline = now.Add(min(idle, lastRequestTime))
 	}
-	return !s.closed && (busy || !s.draining)
+	return c.SetReadDeadline(deadline)
 }
 
 // isDraining reports whether connections end after their current request.
@@ -137,14 +150,16 @@
 	s.draining = true
 }
 
-// closeIdle closes the connections without a request and refuses new connections.
+// closeIdle ends the connections without a request, once callers have had lastRequestTime for a request that they sent before they
+// learned of the drain: a connection that is closed with unread bytes is reset, and its caller can't tell whether the request ran.
 func (s *server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
+	s.closingIdle = true
 	for c := range s.conns {
 		if !c.busy {
-			c.Close()
+			// An error means that the connection is closed already.
+			_ = c.SetReadDeadline(time.Now().Add(lastRequestTime))
 		}
 	}
 }
@@ -167,7 +182,7 @@
 func (s *server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
+	s.ended = true
 	for c := range s.conns {
 		c.Close()
 	}
@@ -178,14 +193,11 @@
 	lim := s.limits()
 	c.r = bufio.NewReaderSize(c.Conn, max(lim.HeaderBytes, 4<<10))
 	idle := lim.HeaderTimeout
+	if s.awaitRequest(c, idle) != nil {
+		return
+	}
 	for {
-		if c.SetReadDeadline(time.Now().Add(idle)) != nil {
-			return
-		}
-		if _, err := c.r.Peek(1); err != nil {
-			return
-		}
-		if !s.setBusy(c, true) {
+		if _, err := c.r.Peek(1); err != nil || !s.beginRequest(c) {
 			return
 		}
 		lim = s.limits()
@@ -193,18 +205,17 @@
 		req := fasthttp.AcquireRequest()
 		if err := c.read(req, lim); err != nil {
 			c.refuseUnreadable(err)
-			s.setBusy(c, false)
 			return
 		}
 		more := s.serveOne(stop, c, req, idle)
 		fasthttp.ReleaseRequest(req)
-		if !s.setBusy(c, false) || !more {
+		if !more {
 			return
 		}
 	}
 }
 
-// serveOne serves one request and reports whether the connection may take another one.
+// serveOne serves one request and waits for the first byte of the next one; it returns false if the connection ends instead.
 func (s *server) serveOne(stop context.Context, c *conn, req *fasthttp.Request, idle time.Duration) bool {
 	ctx, cancel := context.WithCancel(stop)
 	defer cancel()
@@ -217,11 +228,11 @@
 		defer close(done)
 		s.handle(ctx, c, req)
 		// The deadline ends the Peek below, which also returns any error of the connection.
-		deadline := time.Now().Add(idle)
-		if c.closing() {
-			deadline = time.Unix(1, 0)
+		if c.closeAfterAnswer {
+			_ = c.SetReadDeadline(time.Unix(1, 0))
+		} else {
+			_ = s.awaitRequest(c, idle)
 		}
-		_ = c.SetReadDeadline(deadline)
 	}()
 	_, err := c.r.Peek(1)
 	select {
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -65,19 +65,26 @@
 	configurationTimeout = 1500 * time.Millisecond
 	// retryAfter is the retry delay sent to refused callers.
 	retryAfter = 500 * time.Millisecond
-	// Callers abandon a stream without a first event after the longest of minStreamWait, objectiveWaitFactor times the route's
-	// Objective and gapWaitFactor times its GapObjective.
+	// Callers abandon a stream that makes no event for the longest of minStreamWait, objectiveWaitFactor times the route's
+	// Objective and gapWaitFactor times its GapObjective. A stream that can go on at another server does so after this time
+	// divided by stallShare.
 	minStreamWait       = 2 * time.Second
 	objectiveWaitFactor = 4
 	gapWaitFactor       = 8
+	stallShare          = 2
 	// refusalMargin is how long before that time a waiting request is refused.
 	refusalMargin = 250 * time.Millisecond
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 5 * time.Second
 	// drainAcceptTime is the time for which a draining host still accepts requests, since callers learn of the drain late.
 	drainAcceptTime = 2500 * time.Millisecond
+	// lastRequestTime is how long a draining host that accepts no more connections still reads from those without a request.
+	lastRequestTime = 100 * time.Millisecond
 	// drainReserve is the part of the grace period that is reserved for the last answers and the end of the process.
 	drainReserve = time.Second
+	// maxRejectionBytes and rejectionTimeout bound the body of an answer that rejects a request without running it.
+	maxRejectionBytes = 4 << 10
+	rejectionTimeout  = 100 * time.Millisecond
 	// maxAnswer bounds the size of an answer that is buffered until it is complete.
 	maxAnswer = 8 << 20
 )
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -37,58 +37,64 @@
 
 // forwardStream forwards the events of an answer as they arrive; an event is forwarded only once it is complete.
 func (x *exchange) forwardStream(upstream *backend.Exchange, ticket *balance.Ticket, status int) (int, balance.Outcome, error) {
-	var pending []byte
+	var pending eventBuffer
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := upstream.Read(buf)
 		if n > 0 {
-			pending = append(pending, buf[:n]...)
-			var perr error
-			if pending, perr = x.forwardEvents(upstream, ticket, pending); perr != nil {
+			pending.add(buf[:n])
+			if perr := x.forwardEvents(upstream, ticket, &pending); perr != nil {
 				upstream.Abort()
 				return status, x.failureOutcome(balance.Lost), perr
 			}
 		}
-		if err == io.EOF && len(bytes.TrimSpace(pending)) == 0 {
+		if err == io.EOF && pending.empty() {
 			x.proxy.view.firstByte(ticket)
 			return status, balance.Answered, x.endStream(upstream)
 		}
-		if err != nil || len(pending) > maxEvent {
+		if err != nil || pending.size() > maxEvent {
 			upstream.Abort()
 			return status, x.failureOutcome(balance.Lost), errTruncated
 		}
 	}
 }
 
-// forwardEvents forwards the complete events at the start of pending and returns the rest.
-func (x *exchange) forwardEvents(upstream *backend.Exchange, ticket *balance.Ticket, pending []byte) ([]byte, error) {
-	out := pending[:0:0]
-	for {
-		end := bytes.Index(pending, []byte("\n\n"))
-		if end < 0 {
-			break
-		}
-		event := pending[:end+2]
+// forwardEvents forwards the complete events in pending.
+func (x *exchange) forwardEvents(upstream *backend.Exchange, ticket *balance.Ticket, pending *eventBuffer) error {
+	var out []byte
+	progress := false
+	for event := pending.next(); event != nil; event = pending.next() {
 		if err := x.stream.checkEventID(event); err != nil {
-			return nil, err
+			return err
+		}
+		out = append(out, event...)
+		if !isProgress(event) {
+			continue
 		}
+		progress = true
 		if x.stream.eventCount == 0 {
 			x.stream.firstEventTime = time.Since(x.began)
 		}
 		x.stream.eventCount++
-		out = append(out, event...)
-		pending = pending[end+2:]
+	}
+	if progress {
+		x.recordProgress(ticket)
 	}
 	if len(out) == 0 {
-		return pending, nil
+		return nil
 	}
+	return x.writeEvents(upstream, out)
+}
+
+// recordProgress records that the answer has come forward by an event.
+func (x *exchange) recordProgress(ticket *balance.Ticket) {
 	x.proxy.view.firstByte(ticket)
+	x.stall.reset()
 	now := time.Now()
 	if !x.stream.lastEventAt.IsZero() {
 		x.stream.longestGap = max(x.stream.longestGap, now.Sub(x.stream.lastEventAt))
 	}
 	x.stream.lastEventAt = now
-	return pending, x.writeEvents(upstream, out)
 }
 
 // checkEventID records an event's id. It returns an error if the id is a number and doesn't follow the previous one.
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -231,6 +231,7 @@
 		controlapi.ProcedureReport, 0, req)
 	if err != nil {
 		// followLeader logs the lost contact. The next report contains the loads and waiting requests again.
+		v.restoreArrivals(req)
 		return reportRetryDelay
 	}
 	others, err := res.Loads.Unpack()
@@ -279,6 +280,20 @@
 	return req
 }
 
+// restoreArrivals adds the arrivals of a report that has failed to the next one. If the leader has received it all the same, the
+// demand is overstated for a few seconds, which costs less than demand that nobody hears of.
+func (v *View) restoreArrivals(req *controlapi.ReportRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, d := range req.Demands {
+		if d.Arrivals > 0 {
+			k := demandKey{d.Service, d.Target}
+			a := v.arrivals[k]
+			v.arrivals[k] = arrivals{a.count + d.Arrivals, a.prompt + d.Prompt}
+		}
+	}
+}
+
 // triggerReport makes the next report go out immediately.
 func (v *View) triggerReport() {
 	select {
--- a/io/services/client.go
+++ b/io/services/client.go
@@ -15,12 +15,8 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("services")
 
-var (
-	// ErrMisdelivered means that the answer has the id of another request.
-	ErrMisdelivered = Errors.NewType("misdelivered")
-	// ErrTooLarge means that the answer exceeds MaxAnswerBytes.
-	ErrTooLarge = Errors.NewType("too-large")
-)
+// ErrTooLarge means that the answer exceeds MaxAnswerBytes.
+var ErrTooLarge = Errors.NewType("too-large")
 
 // MaxAnswerBytes bounds the answer of a plain service.
 const MaxAnswerBytes = 8 << 20
@@ -57,7 +53,7 @@
 	Body        []byte
 }
 
-// Do sends a call and reads its complete answer. Errors are backend.ErrNotSent, backend.ErrLost, ErrMisdelivered and ErrTooLarge;
+// Do sends a call and reads its complete answer. Errors are backend.ErrNotSent, backend.ErrLost and ErrTooLarge;
 // after any of them except backend.ErrNotSent the call may have run.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	req := fasthttp.AcquireRequest()
@@ -67,14 +63,15 @@
 	req.Header.Set(headerRequestID, string(call.Request))
 	req.SetRequestURI("http://" + call.Address + call.Path)
 	req.SetBody(call.Body)
-	x, err := c.pool.Do(ctx, call.Address, req, backend.Options{IdleTimeout: call.IdleTimeout, NewConnection: call.NonIdempotent})
+	x, err := c.pool.Do(ctx, call.Address, req, backend.Options{
+		IdleTimeout: call.IdleTimeout, NewConnection: call.NonIdempotent,
+		Match: func(h *fasthttp.ResponseHeader) backend.Match {
+			return backend.MatchID(fleet.RequestID(h.Peek(headerRequestID)), call.Request)
+		},
+	})
 	if err != nil {
 		return Answer{}, err
 	}
-	if id := x.Response.Header.Peek(headerRequestID); len(id) > 0 && fleet.RequestID(id) != call.Request {
-		x.Abort()
-		return Answer{}, ErrMisdelivered.New("service at %s answered request %s with that of %s", call.Address, call.Request, id)
-	}
 	defer x.Close()
 	body, err := io.ReadAll(io.LimitReader(x, MaxAnswerBytes+1))
 	if err != nil {
