core/balance, core/residency: requests and replicas by what an engine can hold

On the model with 15 replicas the chosen server ran 6.0 requests, the mean replica 2.3. The planner gave a model another replica at ten requests in flight each (28 of 48 slots in use, four of six copies loaded), and four loads at a store that serves two at full speed took 15.6 s each. Ruled out: stale views (the number seen and the true one agree within 2 below 15); one priority for all requests (trial). Change: replicas are divided between short and long prompts by the slots' time that they hold, and only where both are seen; the cost of a running request is a share of the engine's slots or memory, and requests beyond them cost the wait for a slot; further replicas from a quarter of what an engine holds; the store's concurrency is measured from the duration of loads.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -29,6 +29,8 @@
 	Objective time.Duration
 	// Size is the number of bytes that are sent to the server.
 	Size fleet.Bytes
+	// KVCapacity is the number of tokens that the memory of an engine of the service holds; 0 means that it is not known.
+	KVCapacity fleet.Tokens
 	// Plain is set if the request goes to a server without a model.
 	Plain bool
 }
@@ -41,6 +43,9 @@
 	plainRequestTime = 20 * time.Millisecond
 	// activeRequestCost is the time that each running request adds to the time to first byte of the next one.
 	activeRequestCost = time.Millisecond
+	// occupancyCost is the cost of a server that runs as many requests as it can: its streams pause more often, and the next
+	// request waits for a slot.
+	occupancyCost = 100 * time.Millisecond
 	// dataCentreCost and regionCost are the round-trip costs of leaving the data centre or the region; regionCostPerKiB is the
 	// cost of each KiB sent to another region, where traffic is billed by volume.
 	dataCentreCost   = 4 * time.Millisecond
@@ -76,6 +81,7 @@
 	servers      map[fleet.BackendID]*server
 	sentPrefixes prefixes
 	otherHosts   OtherHostsLoad
+	work         work
 }
 
 // New returns a balancer for a host.
@@ -89,6 +95,9 @@
 	Instance      fleet.BackendID
 	Incarnation   fleet.Incarnation
 	target        fleet.Target
+	prompt        fleet.Tokens
+	shortPrompt   bool
+	plain         bool
 	uncached      fleet.Tokens
 	expected      time.Duration
 	start         time.Time
@@ -133,13 +142,13 @@
 // Begin begins a request at the server of a candidate.
 func (b *Balancer) Begin(now time.Time, r *Request, in *registry.Instance, o Candidate) (*Ticket, Choice) {
 	s := b.server(in)
-	others := o.otherHostsTime(s.otherHosts)
 	c := Choice{
-		Cost: o.Cost + others, Cached: o.cached, Active: s.active, OtherHostsActive: s.otherHosts.Active,
-		Avoided: o.avoided, Expected: o.expected + others,
+		Cost: o.costWith(s.otherHosts), Cached: o.cached, Active: s.active, OtherHostsActive: s.otherHosts.Active,
+		Avoided: o.avoided, Expected: o.timeWith(s.otherHosts),
 	}
 	t := &Ticket{
-		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, uncached: r.Prompt - c.Cached, expected: c.Expected, start: now,
+		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, prompt: r.Prompt, shortPrompt: r.shortPrompt(), plain: r.Plain,
+		uncached: r.Prompt - c.Cached, expected: c.Expected, start: now,
 	}
 	s.active++
 	s.pendingPrompt += t.uncached
@@ -186,13 +195,30 @@
 // LongPrompt reports whether the prompt is so long that the other prompts at its server affect the time to first byte.
 func (r *Request) LongPrompt() bool { return !r.Plain && !r.shortPrompt() }
 
-// shortPromptReplica returns the replica that is reserved for short prompts, since each long prompt interrupts the streams at its
-// replica. It returns nil if there is only one replica.
-func shortPromptReplica(r *Request, instances []*registry.Instance) *registry.Instance {
+// separateReplicas returns a function that reports whether a replica is kept for short prompts, since each long prompt interrupts
+// the streams at its replica. It returns nil if there is only one replica, or if only short or only long prompts have been seen.
+// The replicas are divided by the shares of the slots' time that both kinds hold, in the same way on all hosts with the same shares.
+func (b *Balancer) separateReplicas(now time.Time, r *Request, instances []*registry.Instance) func(*registry.Instance) bool {
 	if r.Plain || len(instances) < 2 {
 		return nil
 	}
-	return highestHash(string(r.Target.Model)+"/", instances)
+	share, ok := b.work.shortShare(now)
+	if !ok {
+		return nil
+	}
+	n := min(max(int(share*float64(len(instances))+0.5), 1), len(instances)-1)
+	key := string(r.Target.Model) + "/"
+	if n == 1 {
+		kept := highestHash(key, instances)
+		return func(in *registry.Instance) bool { return in == kept }
+	}
+	hashes := make([]uint64, len(instances))
+	for i, in := range instances {
+		hashes[i] = xxhash.Sum64String(key + string(in.ID))
+	}
+	slices.Sort(hashes)
+	least := hashes[len(hashes)-n]
+	return func(in *registry.Instance) bool { return xxhash.Sum64String(key+string(in.ID)) >= least }
 }
 
 // homeInstance returns the instance to which the common parts of a prompt hash, so that all hosts send such requests to the same
@@ -241,6 +267,9 @@
 		delete(s.targets, t.target)
 	}
 	s.observe(now, o)
+	if o == Answered && !t.plain {
+		b.work.observe(now, t.prompt, t.shortPrompt, now.Sub(t.start))
+	}
 }
 
 // Load is the load of the requests that this host has in flight at a server.
--- a/core/balance/candidate.go
+++ b/core/balance/candidate.go
@@ -20,27 +20,32 @@
 // Candidate is a server that can take a request, with the costs as one host sees them.
 type Candidate struct {
 	Instance fleet.BackendID
-	// Cost is the expected time to first byte with the requests that this host has in flight there, plus penalties for distance,
-	// failures and overdue requests.
+	// Cost is the expected time to first byte on an otherwise idle server, plus penalties for distance, failures and overdue
+	// requests.
 	Cost time.Duration
-	// PerActive is added for each request of other hosts, PerToken for each of their prompt tokens that is not processed yet.
-	PerActive, PerToken time.Duration
+	// Active is the number of requests that this host has in flight there, Capacity the number that the server runs at once; 0
+	// means that it is not known.
+	Active, Capacity int
+	// PerActive is added for each request in flight, PerQueued for each one beyond Capacity, PerToken for each prompt token of
+	// other hosts that is not processed yet.
+	PerActive, PerQueued, PerToken time.Duration
 	// Tokens is the number of prompt tokens that the server would have to process.
 	Tokens fleet.Tokens
 
-	cached   fleet.Tokens
-	avoided  bool
-	expected time.Duration
+	cached  fleet.Tokens
+	avoided bool
+	// expected is the expected time to first byte without other requests in flight, perRunning what each of those adds.
+	expected, perRunning time.Duration
 }
 
 // Candidates returns a candidate for each of the instances, in the same order.
 func (b *Balancer) Candidates(now time.Time, r *Request, instances []*registry.Instance) []Candidate {
 	home := homeInstance(r, instances)
-	reserved := shortPromptReplica(r, instances)
+	separate := b.separateReplicas(now, r, instances)
 	out := make([]Candidate, len(instances))
 	for i, in := range instances {
 		out[i] = b.candidate(now, r, in, in == home)
-		if reserved != nil && (in == reserved) != r.shortPrompt() {
+		if separate != nil && separate(in) != r.shortPrompt() {
 			out[i].Cost += mixedPromptsCost
 		}
 	}
@@ -49,22 +54,26 @@
 
 func (b *Balancer) candidate(now time.Time, r *Request, in *registry.Instance, home bool) Candidate {
 	s := b.server(in)
-	o := Candidate{Instance: in.ID}
-	var wait time.Duration
+	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * s.timeRatio) }
+	o := Candidate{Instance: in.ID, Active: s.active}
 	if r.Plain {
-		o.PerActive = plainRequestTime / time.Duration(max(in.Slots, 1))
-		wait = plainRequestTime + o.PerActive*time.Duration(s.active)
+		o.PerActive = scaled(plainRequestTime / time.Duration(max(in.Slots, 1)))
+		o.perRunning, o.expected = o.PerActive, scaled(plainRequestTime)
 	} else {
 		o.cached = b.sentPrefixes.cached(now, r, in.ID, in.Incarnation)
 		if home {
 			o.cached = max(o.cached, fleet.Tokens(homeCachedShare*float64(r.sharedTokens())))
 		}
 		o.Tokens = r.Prompt - o.cached
-		o.PerActive, o.PerToken = activeRequestCost, prefillTokenTime
-		wait = prefillTokenTime*time.Duration(o.Tokens+s.pendingPrompt) + activeRequestCost*time.Duration(s.active)
+		o.Capacity = b.work.capacity(in, r)
+		o.PerActive, o.PerQueued, o.PerToken = activeRequestCost, 0, scaled(prefillTokenTime)
+		if o.Capacity > 0 {
+			o.PerActive = max(occupancyCost/time.Duration(o.Capacity), activeRequestCost)
+			o.PerQueued = b.work.holdTime() / time.Duration(o.Capacity)
+		}
+		o.PerActive, o.perRunning = scaled(o.PerActive), scaled(activeRequestCost)
+		o.expected = scaled(prefillTokenTime * time.Duration(o.Tokens+s.pendingPrompt))
 	}
-	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * s.timeRatio) }
-	o.PerActive, o.PerToken, o.expected = scaled(o.PerActive), scaled(o.PerToken), scaled(wait)
 	o.Cost = o.expected + b.distanceCost(r, in) + time.Duration(s.failureRate(now)*float64(failureCost)) + s.overdueBy(now)
 	if now.Before(s.avoidedUntil) || in.Silent {
 		o.avoided = true
@@ -73,17 +82,31 @@
 	return o
 }
 
-// otherHostsTime returns the time that the load of other hosts adds.
-func (o Candidate) otherHostsTime(others TotalLoad) time.Duration {
-	return o.PerActive*time.Duration(others.Active) + o.PerToken*time.Duration(others.Prompt)
+// queueTime returns the time that the request would wait until one of those in flight ends.
+func (o *Candidate) queueTime(others TotalLoad) time.Duration {
+	if o.Capacity == 0 {
+		return 0
+	}
+	return o.PerQueued * time.Duration(max(o.Active+others.Active+1-o.Capacity, 0))
+}
+
+// costWith returns the cost of the candidate with the load of other hosts.
+func (o *Candidate) costWith(others TotalLoad) time.Duration {
+	return o.Cost + o.PerActive*time.Duration(o.Active+others.Active) + o.PerToken*time.Duration(others.Prompt) + o.queueTime(others)
+}
+
+// timeWith returns the expected time to first byte with the load of other hosts.
+func (o *Candidate) timeWith(others TotalLoad) time.Duration {
+	return o.expected + o.perRunning*time.Duration(o.Active+others.Active) + o.PerToken*time.Duration(others.Prompt) + o.queueTime(others)
 }
 
 // Best returns the index of the candidate with the lowest cost, given the load of other hosts. There must be at least one
 // candidate.
 func Best(candidates []Candidate, others OtherHostsLoad) int {
 	best, leastCost := 0, time.Duration(0)
-	for i, o := range candidates {
-		cost := o.Cost + o.otherHostsTime(others(o.Instance))
+	for i := range candidates {
+		o := &candidates[i]
+		cost := o.costWith(others(o.Instance))
 		if i == 0 || cost < leastCost || cost == leastCost && o.Instance < candidates[best].Instance {
 			best, leastCost = i, cost
 		}
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -50,6 +50,8 @@
 	// pending is the order for a model that the engine has accepted at pendingAt and not completed yet.
 	pending   *Order
 	pendingAt time.Time
+	// storeLoadsAtOnce is the largest number of loads from the weight store that were under way during the engine's own.
+	storeLoadsAtOnce int
 	// notBefore is the earliest time of the next order or probe.
 	notBefore time.Time
 	models    map[fleet.ModelID]*modelState
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"slices"
 	"time"
 
 	"toucanway/core/fleet"
@@ -76,7 +75,7 @@
 		if !p.storeAllowsLoad(now) {
 			return out
 		}
-		p.storeLoads = append(p.storeLoads, now)
+		p.recordStoreLoad(now, e)
 	}
 	h := p.modelSpecs(e.Service).newModelState(now, e.goal)
 	h.phase = loading
@@ -85,29 +84,3 @@
 	e.goal = ""
 	return append(out, o)
 }
-
-// storeAllowsLoad reports whether the limits of the weight store allow a load from it to start now.
-func (p *Planner) storeAllowsLoad(now time.Time) bool {
-	p.storeLoads = slices.DeleteFunc(p.storeLoads, func(t time.Time) bool { return now.Sub(t) >= p.cfg.StoreWindow })
-	active := 0
-	rate := 0.0
-	for _, e := range p.engines {
-		if e.spec != nil {
-			rate = max(rate, e.spec.StoreRate)
-		}
-		if e.pending != nil && e.pending.FromStore || e.callInFlight && e.pending == nil && e.loadingFromStore() {
-			active++
-		}
-	}
-	return active < p.cfg.ConcurrentStoreLoads && float64(len(p.storeLoads)+1) <= rate*p.cfg.StoreWindow.Seconds()*p.cfg.StoreShare
-}
-
-// loadingFromStore reports whether the engine is loading a model from the weight store because it has no copy of the weights.
-func (e *engine) loadingFromStore() bool {
-	for name, h := range e.models {
-		if h.phase == loading && !e.inMemory[name] && !e.onDisk[name] {
-			return true
-		}
-	}
-	return false
-}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -86,7 +86,7 @@
 		replicas, inFlight := p.replicaCounts[k].total, p.smoothedLoads[k].value
 		d := demands[k]
 		// missing is the number of further replicas that the demand would keep busy.
-		missing := max(inFlight/float64(p.cfg.RequestsPerReplica), d.prompt/p.cfg.PromptRatePerReplica) - float64(replicas)
+		missing := max(inFlight/p.requestsPerReplica(k.service, d), d.prompt/p.cfg.PromptRatePerReplica) - float64(replicas)
 		switch {
 		case replicas == 0 && d.waiting > 0:
 			p.setGoal(now, proposal{k, m, float64(d.waiting) + d.rate*arrivalHorizon, true, "requests wait for it", false}, demands)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -13,14 +13,16 @@
 
 // Defaults of Settings.
 const (
-	// DefaultConcurrentStoreLoads is the number of concurrent loads from the weight store.
-	DefaultConcurrentStoreLoads = 4
+	// DefaultConcurrentStoreLoads is the number of concurrent loads from the weight store until the first one has shown how many
+	// the store serves at full speed.
+	DefaultConcurrentStoreLoads = 3
 	DefaultStoreWindow          = 5 * time.Second
 	// DefaultStoreShare is the share of the weight store's rate that is used, so that loads that start late don't exceed the
 	// rate.
 	DefaultStoreShare = 0.7
-	// DefaultRequestsPerReplica is the number of requests in flight per replica above which a model gets another replica, and
-	// DefaultPromptRatePerReplica the number of prompt tokens per second per replica.
+	// DefaultRequestsPerReplica is the number of requests in flight per replica above which a model gets another replica, if the
+	// configuration doesn't tell how many an engine can hold, and DefaultPromptRatePerReplica the number of prompt tokens per
+	// second per replica.
 	DefaultRequestsPerReplica   = 10
 	DefaultPromptRatePerReplica = 12000.0
 )
@@ -50,6 +52,7 @@
 	smoothedLoads map[demandKey]smoothedLoad
 	// storeLoads holds the start times of the loads from the weight store within StoreWindow.
 	storeLoads []time.Time
+	store      storeSpeed
 }
 
 // New returns a planner without engines.
@@ -61,7 +64,7 @@
 	cfg.PromptRatePerReplica = cmp.Or(cfg.PromptRatePerReplica, DefaultPromptRatePerReplica)
 	return &Planner{
 		cfg: cfg, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{},
-		smoothedLoads: map[demandKey]smoothedLoad{},
+		smoothedLoads: map[demandKey]smoothedLoad{}, store: storeSpeed{limit: cfg.ConcurrentStoreLoads},
 	}
 }
 
@@ -175,6 +178,9 @@
 		if h != nil {
 			h.phase, h.version, h.loadedAt = loaded, models[i].Version, now
 		}
+		if m := p.table.Model(e.Service, e.pending.Target.Model); m != nil && e.pending.FromStore {
+			p.store.observe(now.Sub(e.pendingAt), m.StoreLoad, e.storeLoadsAtOnce)
+		}
 	case fleet.OrderUnload:
 		if i >= 0 {
 			return
--- a/core/residency/replicas.go
+++ b/core/residency/replicas.go
@@ -7,6 +7,24 @@
 	"toucanway/core/fleet"
 )
 
+// replicaUtilization is the share of an engine's capacity that the requests for one model may use before the model gets another
+// replica. Other models share the engine, and requests arrive in bursts.
+const replicaUtilization = 0.25
+
+// requestsPerReplica returns the number of requests in flight per replica above which a model gets another replica: a share of
+// what an engine can hold at once in slots, and in memory for requests with the recent mean prompt.
+func (p *Planner) requestsPerReplica(s fleet.ServiceID, d modelDemand) float64 {
+	spec := p.engineSpec(s)
+	if spec == nil || spec.Slots <= 0 {
+		return float64(p.cfg.RequestsPerReplica)
+	}
+	capacity := float64(spec.Slots)
+	if spec.KVCapacity > 0 && d.rate > 0 && d.prompt > 0 {
+		capacity = min(capacity, float64(spec.KVCapacity)*d.rate/d.prompt)
+	}
+	return max(replicaUtilization*capacity, 1)
+}
+
 type replicaCount struct {
 	// total is the number of all replicas, including those that are being loaded; ready is the number that take requests now.
 	total, ready int
--- a/core/routes/configuration.go
+++ b/core/routes/configuration.go
@@ -80,7 +80,11 @@
 	AdapterSlots int
 	// StoreRate is the number of loads per second that the weight store allows for all engines together.
 	StoreRate float64
-	Models    []Model
+	// Slots is the number of requests that an engine runs at once, KVCapacity the number of tokens that its memory holds for them
+	// together; 0 means that it is not known.
+	Slots      int
+	KVCapacity fleet.Tokens
+	Models     []Model
 }
 
 // Service is a group of backend servers that serve the same requests.
--- a/io/controlapi/place.go
+++ b/io/controlapi/place.go
@@ -19,6 +19,9 @@
 	PerActive time.Duration   `cbor:"3,keyasint"`
 	PerToken  time.Duration   `cbor:"4,keyasint"`
 	Tokens    fleet.Tokens    `cbor:"5,keyasint"`
+	Active    int             `cbor:"6,keyasint,omitempty"`
+	Capacity  int             `cbor:"7,keyasint,omitempty"`
+	PerQueued time.Duration   `cbor:"8,keyasint,omitempty"`
 }
 
 // PlaceResponse names the chosen server. The leader adds the request to the server's load until the host's next report.
@@ -35,6 +38,7 @@
 	for i, o := range candidates {
 		req.Candidates[i] = Candidate{
 			Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens,
+			Active: o.Active, Capacity: o.Capacity, PerQueued: o.PerQueued,
 		}
 	}
 	return req
@@ -44,7 +48,10 @@
 func (r *PlaceRequest) BalanceCandidates() []balance.Candidate {
 	out := make([]balance.Candidate, len(r.Candidates))
 	for i, o := range r.Candidates {
-		out[i] = balance.Candidate{Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens}
+		out[i] = balance.Candidate{
+			Instance: o.Instance, Cost: o.Cost, PerActive: o.PerActive, PerToken: o.PerToken, Tokens: o.Tokens,
+			Active: o.Active, Capacity: o.Capacity, PerQueued: o.PerQueued,
+		}
 	}
 	return out
 }
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -113,6 +113,8 @@
 	}
 	if x.req.Plain {
 		x.req.Target = fleet.Target{}
+	} else {
+		x.req.KVCapacity = svc.Engine.KVCapacity
 	}
 	x.proxy.view.recordArrival(x.service, &x.req)
 	removeHopHeaders(&x.callerRequest.Header)
