--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -57,6 +58,9 @@
 	mixedPromptsCost = 150 * time.Millisecond
 	// failureCost is the cost of a server that fails every request.
 	failureCost = 2 * time.Second
+	// unseenFactor is the mean uncertainty about the requests of other hosts at a server, as a multiple of those known there, for
+	// a view as old as a request lasts. It falls with the square of the view's age.
+	unseenFactor = 32
 	// avoidCost ranks avoided servers behind all others.
 	avoidCost = time.Minute
 	// homeCachedShare is the share of a prompt's common parts that is assumed to be cached at the server to which they hash.
@@ -81,13 +85,15 @@
 	servers      map[fleet.BackendID]*server
 	sentPrefixes prefixes
 	otherHosts   OtherHostsLoad
+	viewAge      time.Duration
 	work         work
+	rand         *rand.Rand
 }
 
-// New returns a balancer for a host.
-func New(p Location) *Balancer {
+// New returns a balancer for a host. Hosts must differ in the seed.
+func New(p Location, seed uint64) *Balancer {
 	none := func(fleet.BackendID) TotalLoad { return TotalLoad{} }
-	return &Balancer{location: p, servers: map[fleet.BackendID]*server{}, sentPrefixes: newPrefixes(), otherHosts: none}
+	return &Balancer{location: p, servers: map[fleet.BackendID]*server{}, sentPrefixes: newPrefixes(), otherHosts: none, rand: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Ticket is one request in flight at a server.
@@ -133,7 +139,7 @@
 		return nil, nil, Choice{}
 	}
 	candidates := b.Candidates(now, r, instances)
-	best := Best(candidates, func(id fleet.BackendID) TotalLoad { return b.servers[id].otherHosts })
+	best := b.sample(candidates, func(id fleet.BackendID) TotalLoad { return b.servers[id].otherHosts })
 	t, c := b.Begin(now, r, instances[best], candidates[best])
 	c.Candidates = len(instances)
 	return instances[best], t, c
@@ -294,9 +300,9 @@
 	return out
 }
 
-// SetOtherHostsLoad replaces the load of other hosts.
-func (b *Balancer) SetOtherHostsLoad(others OtherHostsLoad) {
-	b.otherHosts = others
+// SetOtherHostsLoad replaces the load of other hosts, which is of the given age on average until it is replaced again.
+func (b *Balancer) SetOtherHostsLoad(others OtherHostsLoad, age time.Duration) {
+	b.otherHosts, b.viewAge = others, age
 	for id, s := range b.servers {
 		s.otherHosts = others(id)
 	}
--- a/core/balance/balancer_test.go
+++ b/core/balance/balancer_test.go
@@ -18,7 +18,7 @@
 }
 
 func newBalancer() *Balancer {
-	return New(Location{DataCentre: "d1", Regions: map[fleet.DataCentre]fleet.Region{"d1": "r1", "d2": "r1", "d3": "r2"}})
+	return New(Location{DataCentre: "d1", Regions: map[fleet.DataCentre]fleet.Region{"d1": "r1", "d2": "r1", "d3": "r2"}}, 1)
 }
 
 func promptRequest(tokens fleet.Tokens, parts ...string) *Request {
@@ -68,7 +68,7 @@
 			return TotalLoad{3, 50000}
 		}
 		return TotalLoad{}
-	})
+	}, 0)
 	in, _, _ := b.Pick(start, promptRequest(100), instances)
 	require.Equal(t, fleet.BackendID("b"), in.ID)
 }
@@ -82,7 +82,7 @@
 			return TotalLoad{3, 50000}
 		}
 		return TotalLoad{}
-	})
+	}, 0)
 	in, _, choice := b.Pick(start, promptRequest(100), []*registry.Instance{instance("a", "d1"), instance("b", "d1")})
 	require.Equal(t, fleet.BackendID("b"), in.ID)
 	require.Zero(t, choice.OtherHostsActive)
--- a/core/balance/candidate.go
+++ b/core/balance/candidate.go
@@ -103,12 +103,28 @@
 // Best returns the index of the candidate with the lowest cost, given the load of other hosts. There must be at least one
 // candidate.
 func Best(candidates []Candidate, others OtherHostsLoad) int {
-	best, leastCost := 0, time.Duration(0)
+	return lowest(candidates, func(o *Candidate) time.Duration { return o.costWith(others(o.Instance)) })
+}
+
+// sample returns the index of a candidate that is drawn from those with a low cost. The older the view of the other hosts' load,
+// the wider it draws: hosts that all sent to the server that was the best one when they last heard would fill it.
+func (b *Balancer) sample(candidates []Candidate, others OtherHostsLoad) int {
+	ratio := float64(b.viewAge) / float64(b.work.holdTime())
+	stale := unseenFactor * ratio * ratio
+	return lowest(candidates, func(o *Candidate) time.Duration {
+		load := others(o.Instance)
+		unseen := stale * b.rand.ExpFloat64() * float64(load.Active+1)
+		return o.costWith(load) + time.Duration(unseen*float64(o.PerActive))
+	})
+}
+
+func lowest(candidates []Candidate, cost func(*Candidate) time.Duration) int {
+	best, least := 0, time.Duration(0)
 	for i := range candidates {
 		o := &candidates[i]
-		cost := o.costWith(others(o.Instance))
-		if i == 0 || cost < leastCost || cost == leastCost && o.Instance < candidates[best].Instance {
-			best, leastCost = i, cost
+		c := cost(o)
+		if i == 0 || c < least || c == least && o.Instance < candidates[best].Instance {
+			best, least = i, c
 		}
 	}
 	return best
--- a/core/residency/replicas.go
+++ b/core/residency/replicas.go
@@ -12,7 +12,8 @@
 const replicaUtilization = 0.25
 
 // requestsPerReplica returns the number of requests in flight per replica above which a model gets another replica: a share of
-// what an engine can hold at once in slots, and in memory for requests with the recent mean prompt.
+// what an engine can hold at once in slots, and in memory for requests with the recent mean prompt, but at most
+// Settings.RequestsPerReplica.
 func (p *Planner) requestsPerReplica(s fleet.ServiceID, d modelDemand) float64 {
 	spec := p.engineSpec(s)
 	if spec == nil || spec.Slots <= 0 {
@@ -22,7 +23,7 @@
 	if spec.KVCapacity > 0 && d.rate > 0 && d.prompt > 0 {
 		capacity = min(capacity, float64(spec.KVCapacity)*d.rate/d.prompt)
 	}
-	return max(replicaUtilization*capacity, 1)
+	return min(max(replicaUtilization*capacity, 1), float64(p.cfg.RequestsPerReplica))
 }
 
 type replicaCount struct {
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -69,7 +69,7 @@
 func newView(cfg Settings) *View {
 	return &View{
 		cfg: cfg, reportNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
-		balancer: balance.New(balance.Location{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}),
+		balancer: balance.New(balance.Location{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}, rand.Uint64()),
 		budget: retry.NewBudget(retry.Settings{
 			RetriesPerRequest: cfg.Budget.Ratio * budgetShare, MinRetriesPerSecond: 1, Burst: 1, Attempts: 1 << 20,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -243,7 +243,8 @@
 	slack := v.cfg.Budget.Slack * budgetShare / float64(max(res.Entries, 1))
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.balancer.SetOtherHostsLoad(others)
+	// Half of the interval has passed on average since the other hosts reported, and half of it will until this host's next report.
+	v.balancer.SetOtherHostsLoad(others, max(res.Interval, minReportInterval))
 	v.budget.SetLimits(slack/2/v.cfg.Budget.Window.Seconds(), max(slack/2, 1))
 	return max(res.Interval, minReportInterval)
 }
