settings, retry, residency: memory limit from the settings, first repeat at once, no demand of gone hosts

Change: setting memory, four fifths of it as the runtime's limit; Initial in retry.Settings; UpdateDemand keeps the targets that a host's requests wait for.

--- a/cmd/toucanway-lab/internal/controlscenario/backends_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/backends_test.go
@@ -267,3 +267,20 @@
 		time.Sleep(time.Until(held.Add(pause + time.Second)))
 	})
 }
+
+// Guards against an engine that is ordered to load a model for requests of an entry host that no longer exists.
+func TestRequestsOfSilentHostNoLongerWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startControllers(t)
+		defer closeAndCheck(t, w)
+		reportDemand(w, "m0")
+		time.Sleep(10 * time.Second)
+		for seq := uint64(1); seq <= 5; seq++ {
+			sendHeartbeat(t, w, heartbeat("a", 5, seq, "10.0.0.1:80"))
+			time.Sleep(time.Second)
+		}
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		require.Zero(t, w.engines.state("a").orderCount)
+	})
+}
--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -72,9 +72,12 @@
 
 // UpdateDemand processes a host's report; the host's waiting requests for targets that are not listed have ended.
 func (p *Planner) UpdateDemand(now time.Time, host fleet.HostID, list []Demand) {
-	for _, d := range p.demands {
-		delete(d.waiting, host)
+	for _, k := range p.waitingAt[host] {
+		if d := p.demands[k]; d != nil {
+			delete(d.waiting, host)
+		}
 	}
+	delete(p.waitingAt, host)
 	for _, in := range list {
 		k := demandKey{in.Service, in.Target}
 		d := p.demands[k]
@@ -91,6 +94,7 @@
 		d.lastSeen = now
 		if in.Waiting > 0 {
 			d.waiting[host] = in.Waiting
+			p.waitingAt[host] = append(p.waitingAt[host], k)
 			d.topPriority = in.TopPriority
 		}
 		p.touchAdapter(now, in)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -44,6 +44,8 @@
 	// ids caches the sorted ids of all engines; nil after an engine was added or removed.
 	ids     []fleet.BackendID
 	demands map[demandKey]*demand
+	// waitingAt lists the targets that requests of a host wait for, so that its next report doesn't have to visit all targets.
+	waitingAt map[fleet.HostID][]demandKey
 	// idleGoalsSetAt is the time of the last search for models without a replica.
 	idleGoalsSetAt time.Time
 	// replicaCounts holds the last count of the replicas of each model.
@@ -64,6 +66,7 @@
 	cfg.PromptRatePerReplica = cmp.Or(cfg.PromptRatePerReplica, DefaultPromptRatePerReplica)
 	return &Planner{
 		cfg: cfg, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{},
+		waitingAt:     map[fleet.HostID][]demandKey{},
 		smoothedLoads: map[demandKey]smoothedLoad{}, store: storeSpeed{limit: cfg.ConcurrentStoreLoads},
 	}
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -27,6 +27,8 @@
 	MinRetriesPerSecond float64
 	// Burst bounds the allowance that accumulates unused.
 	Burst float64
+	// Initial is the allowance with which a tenant starts; 0 means that of one second, MinRetriesPerSecond.
+	Initial float64
 	// Attempts bounds the attempts of one request, the first included.
 	Attempts int
 	// Backoff bounds the random backoff before the first retry; the mean is half of it. The bound doubles with each retry up to
@@ -50,7 +52,7 @@
 	updatedAt time.Time
 }
 
-// NewBudget returns a budget in which each tenant starts with the allowance of one second, MinRetriesPerSecond.
+// NewBudget returns a budget without tenants.
 func NewBudget(cfg Settings) *Budget {
 	cfg.RetriesPerRequest = cmp.Or(cfg.RetriesPerRequest, DefaultRetriesPerRequest)
 	cfg.MinRetriesPerSecond = cmp.Or(cfg.MinRetriesPerSecond, DefaultMinRetriesPerSecond)
@@ -112,7 +114,7 @@
 		if len(b.tenants) >= b.cfg.Tenants {
 			b.dropOldest()
 		}
-		a = &allowance{tokens: b.cfg.MinRetriesPerSecond, updatedAt: now}
+		a = &allowance{tokens: cmp.Or(b.cfg.Initial, b.cfg.MinRetriesPerSecond), updatedAt: now}
 		b.tenants[id] = a
 	}
 	if d := now.Sub(a.updatedAt); d > 0 {
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -132,6 +132,8 @@
 		if now.Sub(e.reportedAt) > lifetime {
 			c.addLoads(e.loads, -1)
 			delete(c.entries, h)
+			// Its requests no longer wait.
+			c.planner.UpdateDemand(now, h, nil)
 			c.entryRevision++
 			c.cfg.Log.Info(logEntry, zap.String("entry", string(h)), zap.Bool("ready", false), zap.Duration("silent-ms", now.Sub(e.reportedAt)))
 			c.notifyChanged()
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -71,7 +71,7 @@
 		cfg: cfg, reportNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
 		balancer: balance.New(balance.Location{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}, rand.Uint64()),
 		budget: retry.NewBudget(retry.Settings{
-			RetriesPerRequest: cfg.Budget.Ratio * budgetShare, MinRetriesPerSecond: 1, Burst: 1, Attempts: 1 << 20,
+			RetriesPerRequest: cfg.Budget.Ratio * budgetShare, MinRetriesPerSecond: 1, Burst: 1, Initial: 1, Attempts: 1 << 20,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 		arrivals: map[demandKey]arrivals{}, waiting: map[demandKey]*waitingRequests{}, rejections: map[rejectionKey]time.Time{},
--- a/io/routed/process.go
+++ b/io/routed/process.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -39,6 +40,9 @@
 	// maxControlBody bounds the request bodies of operators and backend servers.
 	maxControlBody     = 16 << 20
 	controlReadTimeout = 5 * time.Second
+	// heapShare is the share of the process's memory above which the runtime reclaims memory more often; the rest is for stacks
+	// of the C library, buffers of the system and peaks.
+	heapShare = 0.8
 )
 
 // process is the common part of gateways and controllers.
@@ -55,6 +59,9 @@
 
 func newProcess(s *settings.Routed, file string, out io.Writer) *process {
 	p := &process{settings: s, file: file, logWriter: logs.NewWriter(out), metrics: metrics.New(metrics.Options{})}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.Memory)))
+	}
 	p.network = network.TCP{Local: localAddress(s.IP)}
 	p.log = logs.New(p.logWriter, zapcore.InfoLevel, s.Host)
 	p.client = hosts.NewClient(s.IP, p.network, nil)
--- a/io/settings/routed.go
+++ b/io/settings/routed.go
@@ -20,6 +20,7 @@
 	Seeds           []Address          `key:"seeds,required" doc:"Addresses of a few hosts of the control group, through which the others are found. At the first start these are its first members."`
 	Bootstrap       bool               `key:"bootstrap" doc:"Whether the deployment starts for the first time, with empty disks everywhere."`
 	DataFolder      Folder             `key:"data-folder" pattern:".*" doc:"Folder for the log and snapshots of a member of the control group."`
+	Memory          fleet.Bytes        `key:"memory" doc:"Memory that the process may use; above four fifths of it memory is reclaimed more often. Without it there is no such limit."`
 	ToleratedLosses int                `key:"tolerated-losses" default:"1" min:"0" max:"4" doc:"Members of the control group that may be lost at once."`
 	Bounds          RoutedBounds       `key:"bounds" doc:"Times and limits that callers, backend servers and engines rely on."`
 }
--- a/io/settings/routed_test.go
+++ b/io/settings/routed_test.go
@@ -26,6 +26,7 @@
 seeds: ["10.1.0.40:8144","10.2.0.42:8144"]
 bootstrap: true
 data-folder: "/data/core"
+memory: "184MiB"
 tolerated-losses: 2
 bounds:
   grace: "8s"
@@ -46,6 +47,7 @@
 	require.Equal(t, map[fleet.DataCentre]fleet.Region{"z1": "r1", "z2": "r2"}, s.Regions())
 	require.True(t, s.Bootstrap)
 	require.Equal(t, 2, s.ToleratedLosses)
+	require.Equal(t, fleet.Bytes(184<<20), s.Memory)
 }
 
 // Guards against hosts that start with settings that cannot work.
