core/residency: loads wait for engines with a copy instead of going to the weight store

A further replica of a crowded model counted less than the eviction of an idle one with a request in flight. Ruled out: models without any copy (0 or 1 of 44, 2 of 209). Change: an engine that can be ordered soon is compared with its expected delay; the store is used when it is still cheaper or the requests have waited as long as its load takes; at most a quarter of the engines load from it at once; a crowded replica counts three.

--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -41,8 +41,14 @@
 	lastSeen    time.Time
 	waiting     map[fleet.HostID]int
 	topPriority int
+	// waitingSince is the time since which requests have waited without a break, waitedAt the time of the last report of one.
+	waitingSince, waitedAt time.Time
 }
 
+// waitingBreak is the time without waiting requests after which the next one begins a new wait; a host's report removes its
+// earlier one.
+const waitingBreak = 500 * time.Millisecond
+
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.decayedAt); dt > 0 {
 		f := math.Exp(-float64(dt) / float64(rateTimeConstant))
@@ -93,6 +99,10 @@
 		d.prompt += float64(in.Prompt)
 		d.lastSeen = now
 		if in.Waiting > 0 {
+			if len(d.waiting) == 0 && now.Sub(d.waitedAt) > waitingBreak {
+				d.waitingSince = now
+			}
+			d.waitedAt = now
 			d.waiting[host] = in.Waiting
 			p.waitingAt[host] = append(p.waitingAt[host], k)
 			d.topPriority = in.TopPriority
@@ -120,6 +130,8 @@
 	// rate is in requests per second, prompt in prompt tokens per second.
 	rate, prompt float64
 	waiting      int
+	// waitingSince is the time since which requests have waited; valid if any wait.
+	waitingSince time.Time
 }
 
 // modelDemands returns the demand for each model. It drops targets without a recent request.
@@ -135,7 +147,12 @@
 		sum := out[m]
 		sum.rate += rate
 		sum.prompt += prompt
-		sum.waiting += d.waitingRequests()
+		if n := d.waitingRequests(); n > 0 {
+			if sum.waiting == 0 || d.waitingSince.Before(sum.waitingSince) {
+				sum.waitingSince = d.waitingSince
+			}
+			sum.waiting += n
+		}
 		out[m] = sum
 	}
 	return out
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -18,38 +18,82 @@
 	reason   string
 	// additional is set if the model has a replica already.
 	additional bool
+	// waited is the time for which requests have waited for the model.
+	waited time.Duration
 }
 
 // setGoal chooses the engine at which a load is cheapest and makes the model its goal, if the load's benefit justifies the
-// evictions.
+// evictions. It sets no goal if the load is cheaper at an engine that can't be ordered yet: a load from the weight store would
+// keep another engine from carrying out orders for seconds. Requests that have waited as long as such a load takes wait no longer.
 func (p *Planner) setGoal(now time.Time, w proposal, demands map[demandKey]modelDemand) {
-	var best *engine
-	var bestCost float64
+	var best, soonest *engine
+	var bestCost, soonestCost float64
 	for _, id := range p.Engines() {
 		e := p.engines[id]
-		if e.Service != w.key.service || !e.canBeOrdered(now) || e.goal != "" || e.models[w.model.Name] != nil {
+		if e.Service != w.key.service || e.models[w.model.Name] != nil {
 			continue
 		}
-		d, store := e.loadTime(w.model)
-		if store && (!w.mayEvict || w.additional && w.benefit < 1 || !p.storeAllowsLoad(now)) {
+		orderable := e.canBeOrdered(now) && e.goal == ""
+		if !orderable && !e.orderableSoon() {
 			continue
 		}
-		victims, cost, ok := p.selectVictims(now, e, w.model, demands)
-		if !ok || len(victims) > 0 && (!w.mayEvict || cost > w.benefit*maxCostPerBenefit) {
-			continue
-		}
-		cost += d.Seconds() * max(w.benefit, 1)
-		if store {
-			cost += storeCost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		cost, ok := p.loadCost(now, e, w, demands)
+		switch {
+		case !ok:
+		case orderable:
+			if best == nil || cost < bestCost {
+				best, bestCost = e, cost
+			}
+		default:
+			cost += e.timeUntilOrder(now).Seconds() * max(w.benefit, 1)
+			if soonest == nil || cost < soonestCost {
+				soonest, soonestCost = e, cost
+			}
 		}
 	}
-	if best != nil {
-		best.goal, best.goalAt, best.goalReason = w.model.Name, now, w.reason
-		p.countGoal(best)
+	if best == nil || soonest != nil && soonestCost < bestCost && w.waited < w.model.StoreLoad {
+		return
+	}
+	best.goal, best.goalAt, best.goalReason = w.model.Name, now, w.reason
+	p.countGoal(best)
+}
+
+// loadCost returns the cost of a load at an engine, and false if the load is not possible or not worth its evictions.
+func (p *Planner) loadCost(now time.Time, e *engine, w proposal, demands map[demandKey]modelDemand) (float64, bool) {
+	d, store := e.loadTime(w.model)
+	if store && (!w.mayEvict || w.additional && w.benefit < 1 || !p.storeAllowsLoad(now)) {
+		return 0, false
+	}
+	victims, cost, ok := p.selectVictims(now, e, w.model, demands)
+	if !ok || len(victims) > 0 && (!w.mayEvict || cost > w.benefit*maxCostPerBenefit) {
+		return 0, false
+	}
+	cost += d.Seconds() * max(w.benefit, 1)
+	if store {
+		cost += storeCost
+	}
+	return cost, true
+}
+
+const (
+	// goalTime is the expected time until an engine with a goal can be ordered again.
+	goalTime = 1500 * time.Millisecond
+	// callTime is the expected time until an engine with a call in flight can be ordered again.
+	callTime = 100 * time.Millisecond
+)
+
+// orderableSoon reports whether the engine only waits for the end of an order or a call.
+func (e *engine) orderableSoon() bool {
+	return e.spec != nil && e.usable() && (e.stateKnown || e.callInFlight)
+}
+
+// timeUntilOrder returns the expected time until an engine can be ordered.
+func (e *engine) timeUntilOrder(now time.Time) time.Duration {
+	d := max(e.notBefore.Sub(now), callTime)
+	if e.goal != "" {
+		d += goalTime
 	}
+	return d
 }
 
 // advanceGoal appends the next order towards an engine's goal: the eviction of a victim, or the load itself.
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -89,9 +89,14 @@
 		missing := max(inFlight/p.requestsPerReplica(k.service, d), d.prompt/p.cfg.PromptRatePerReplica) - float64(replicas)
 		switch {
 		case replicas == 0 && d.waiting > 0:
-			p.setGoal(now, proposal{k, m, float64(d.waiting) + d.rate*arrivalHorizon, true, "requests wait for it", false}, demands)
+			p.setGoal(now, proposal{
+				key: k, model: m, benefit: float64(d.waiting) + d.rate*arrivalHorizon, mayEvict: true, reason: "requests wait for it",
+				waited: now.Sub(d.waitingSince),
+			}, demands)
 		case replicas > 0 && missing > 0:
-			p.setGoal(now, proposal{k, m, missing, true, "replicas are busy", true}, demands)
+			p.setGoal(now, proposal{
+				key: k, model: m, benefit: missing * crowdedReplicaBenefit, mayEvict: true, reason: "replicas are busy", additional: true,
+			}, demands)
 		}
 	}
 	if now.Sub(p.idleGoalsSetAt) >= idleGoalInterval {
@@ -115,7 +120,7 @@
 			m := &s.Engine.Models[j]
 			k := demandKey{s.Name, fleet.Target{Model: m.Name}}
 			if p.replicaCounts[k].total == 0 {
-				p.setGoal(now, proposal{k, m, 0, false, "no replica is loaded, and an engine has free memory", false}, demands)
+				p.setGoal(now, proposal{key: k, model: m, reason: "no replica is loaded, and an engine has free memory"}, demands)
 			}
 		}
 	}
--- a/core/residency/replicas.go
+++ b/core/residency/replicas.go
@@ -11,6 +11,10 @@
 // replica. Other models share the engine, and requests arrive in bursts.
 const replicaUtilization = 0.25
 
+// crowdedReplicaBenefit is the benefit of a further replica of a model for each replica that its demand would keep busy beyond
+// those that it has.
+const crowdedReplicaBenefit = 3.0
+
 // requestsPerReplica returns the number of requests in flight per replica above which a model gets another replica: a share of
 // what an engine can hold at once in slots, and in memory for requests with the recent mean prompt, but at most
 // Settings.RequestsPerReplica.
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -17,6 +17,9 @@
 	// fullSpeedRatio is the ratio of the duration of a load to the announced one up to which it ran at full speed. The end of a
 	// load is seen up to a probe and the age of a report late.
 	fullSpeedRatio = 1.2
+	// minEnginesPerStoreLoad is the number of engines for each load from the weight store, since an engine carries out no other
+	// order meanwhile, not even to load a model of which it has a copy.
+	minEnginesPerStoreLoad = 4
 	// maxConcurrentStoreLoads bounds the measured limit.
 	maxConcurrentStoreLoads = 32
 )
@@ -45,7 +48,8 @@
 			rate = max(rate, e.spec.StoreRate)
 		}
 	}
-	return p.activeStoreLoads() < p.store.limit && float64(len(p.storeLoads)+1) <= rate*p.cfg.StoreWindow.Seconds()*p.cfg.StoreShare
+	limit := min(p.store.limit, max(len(p.engines)/minEnginesPerStoreLoad, 1))
+	return p.activeStoreLoads() < limit && float64(len(p.storeLoads)+1) <= rate*p.cfg.StoreWindow.Seconds()*p.cfg.StoreShare
 }
 
 // activeStoreLoads returns the number of engines that load a model from the weight store.
