core/raft: the leader before a restart of all is elected without the wait for a lease

Ruled out: shorter timeouts, which would end the lease's bound. Change: a host keeps with its term whether it led in it, and says so in its vote requests for the next term. A lease that may still be valid can only be its own, so that voters need not wait; it asks 0.1 s after its start.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -37,7 +37,7 @@
 
 func (n *Node) becomeFollower(t Term, leader fleet.HostID) {
 	if t > n.state.Term {
-		n.state.Term, n.state.Vote, n.stateDirty = t, "", true
+		n.state.Term, n.state.Vote, n.state.Led, n.stateDirty = t, "", false, true
 	}
 	if n.role != Follower || leader != n.leader {
 		n.resetElectionTimeout()
@@ -50,26 +50,28 @@
 	n.becomeFollower(n.state.Term, "")
 	n.role = PreCandidate
 	n.scheduleElectionRetry()
-	n.requestVotes(MsgPreVote, n.state.Term+1)
+	n.requestVotes(MsgPreVote, n.state.Term+1, n.state.Led)
 }
 
 func (n *Node) campaign() {
 	n.role, n.leader = Candidate, ""
+	led := n.state.Led
 	n.state.Term++
-	n.state.Vote, n.stateDirty = n.cfg.Self, true
+	n.state.Vote, n.state.Led, n.stateDirty = n.cfg.Self, false, true
 	n.scheduleElectionRetry()
-	n.requestVotes(MsgVote, n.state.Term)
+	n.requestVotes(MsgVote, n.state.Term, led)
 }
 
-// requestVotes sends a vote request of the given kind to the other voters and counts this host's own vote.
-func (n *Node) requestVotes(k MessageKind, t Term) {
+// requestVotes sends a vote request of the given kind to the other voters and counts this host's own vote. led is set if this host
+// led the term before t.
+func (n *Node) requestVotes(k MessageKind, t Term, led bool) {
 	n.votes = map[fleet.HostID]StorageID{n.cfg.Self: n.cfg.Storage}
 	for _, m := range n.members() {
 		if m.Host == n.cfg.Self || m.Learner {
 			continue
 		}
 		n.sendAfterSave(Message{
-			Kind: k, To: m.Host, Term: t, Expect: m.Storage, Transfer: n.electionByTransfer,
+			Kind: k, To: m.Host, Term: t, Expect: m.Storage, Transfer: n.electionByTransfer, Led: led,
 			Index: n.log.last(), LogTerm: n.log.lastTerm(),
 		})
 	}
@@ -77,7 +79,7 @@
 }
 
 func (n *Node) stepPreVote(m *Message) {
-	ok := m.Term > n.state.Term && n.admittedByCandidate(m) && !n.leaderMayHoldLease() && n.log.upToDate(m.Index, m.LogTerm)
+	ok := m.Term > n.state.Term && n.admittedByCandidate(m) && (m.Led || !n.leaderMayHoldLease()) && n.log.upToDate(m.Index, m.LogTerm)
 	reply := Message{Kind: MsgPreVoteReply, To: m.From, Reject: !ok}
 	if ok {
 		reply.Term = m.Term
@@ -133,6 +135,7 @@
 	votes := n.votes
 	n.role, n.leader, n.votes, n.electionByTransfer = Leader, n.cfg.Self, nil, false
 	n.leaseRevoked = false
+	n.state.Led, n.stateDirty = true, true
 	n.peers = map[fleet.HostID]*progress{}
 	n.membersChanged()
 	for h, p := range n.peers {
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -41,6 +41,8 @@
 	Admitted bool `cbor:"3,keyasint,omitempty"`
 	// Known holds the first StorageID that each other voter sent in MsgHello.
 	Known []Member `cbor:"4,keyasint,omitempty"`
+	// Led is set if this host was elected leader of Term.
+	Led bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot is the state machine's state at an index.
@@ -153,4 +155,7 @@
 	Chunk *Chunk        `cbor:"17,keyasint,omitempty"`
 	// Transfer marks an election that the leader asked for with MsgTimeoutNow; the lease of that leader doesn't prevent it.
 	Transfer bool `cbor:"18,keyasint,omitempty"`
+	// Led is set in vote requests of a candidate that was the leader of the term before. Any lease that may still be valid is its
+	// own, and ended with its leadership, so that voters need not wait for its end.
+	Led bool `cbor:"19,keyasint,omitempty"`
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -194,6 +194,10 @@
 	n.updateAdmitted()
 	n.resetElectionTimeout()
 	n.electionDeadline = n.electionDeadline.Add(set.StartDelay)
+	if n.state.Led {
+		// The voters need not wait for the end of a lease of this host, which led before it stopped.
+		n.electionDeadline = now.Add(n.cfg.ElectionMin / 6)
+	}
 	return n, nil
 }
 
@@ -292,7 +296,7 @@
 			return true
 		}
 	case MsgVote:
-		if !n.admittedByCandidate(m) || !m.Transfer && n.leaderMayHoldLease() {
+		if !n.admittedByCandidate(m) || !m.Transfer && !m.Led && n.leaderMayHoldLease() {
 			return false
 		}
 	case MsgAppend, MsgSnapshot:
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -183,6 +183,8 @@
 		"immediately after the restart": {0, Message{Expect: 1}, false},
 		"after the election timeout":    {DefaultElectionMin, Message{Expect: 1}, true},
 		"leadership transfer":           {0, Message{Expect: 1, Transfer: true}, true},
+		"leader before the restart":     {0, Message{Expect: 1, Led: true}, true},
+		"leader before, other folder":   {0, Message{Expect: 5, Led: true}, false},
 		"other data folder":             {DefaultElectionMin, Message{Expect: 5}, false},
 		"never admitted":                {DefaultElectionMin, Message{}, false},
 	} {
@@ -198,6 +200,19 @@
 	}
 }
 
+// Guards against a voter that claims to have led the term before although it has not, or not in that term.
+func TestLedIsKeptForItsTermOnly(t *testing.T) {
+	n := newLeader(t, nil)
+	require.True(t, n.state.Led)
+	n.becomeFollower(n.state.Term, "")
+	require.True(t, n.state.Led, "the term is the same")
+	n.campaign()
+	require.False(t, n.state.Led, "the next term has no leader yet")
+	n = newLeader(t, nil)
+	n.becomeFollower(n.state.Term+1, "b")
+	require.False(t, n.state.Led, "another host leads the next term")
+}
+
 // Guards against a group in which no host can become leader. If only one host has the uncommitted entry of its own removal,
 // it must lead without its own vote, as the others can't win an election against its longer log.
 func TestRemovedHostLeadsUntilCommitted(t *testing.T) {
