core/directory: callers are told of few entry hosts of a data centre, more under load

Cause: with 291 entry hosts of which each has 2 requests a second, every view is 0.4 s old and every host keeps its own connections to the servers. Change: six hosts of a data centre, doubled while more than 20 requests are in flight for each of them; the same ones on every controller. Hosts without requests in flight report once a second and at once when the next request comes, so that the busy ones report up to ten times a second.

--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -84,6 +84,8 @@
 	Entries []Entry `cbor:"6,keyasint,omitempty"`
 	// Members lists the voters of the control group.
 	Members []fleet.HostID `cbor:"7,keyasint,omitempty"`
+	// EntriesPerDataCentre is the number of entry hosts of each data centre that callers are told of; it is sent with Entries.
+	EntriesPerDataCentre int `cbor:"8,keyasint,omitempty"`
 }
 
 func (r *FollowResponse) reply() Reply { return r.Reply }
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -10,6 +10,7 @@
 
 	"toucanway/core/balance"
 	"toucanway/core/catalog"
+	"toucanway/core/directory"
 	"toucanway/core/fleet"
 	"toucanway/core/raft"
 	"toucanway/core/registry"
@@ -25,6 +26,7 @@
 	logFollower      = "this host no longer leads"
 	logInstance      = "backend server changed"
 	logSilent        = "backend server is silent"
+	logDirectory     = "callers are told of another number of entry hosts"
 	logEntry         = "entry host changed"
 	logOrder         = "engine ordered"
 	logReport        = "engine reported"
@@ -57,8 +59,14 @@
 	entries map[fleet.HostID]*entry
 	// entryRevision is the number of changes to the list of ready entry hosts.
 	entryRevision uint64
-	// leaderEntries holds the ready entry hosts as received from the leader.
-	leaderEntries []controlapi.Entry
+	// busyEntries is the number of entries with requests in flight.
+	busyEntries int
+	// directorySize is the number of entry hosts of each data centre that callers are told of while this host leads.
+	directorySize directory.Size
+	// leaderEntries holds the ready entry hosts as received from the leader, leaderDirectorySize the number of them in each data
+	// centre that callers are told of.
+	leaderEntries       []controlapi.Entry
+	leaderDirectorySize int
 	// leaderAnsweredAt is the time of the leader's last answer to this host as a follower.
 	leaderAnsweredAt time.Time
 	relay            relay
@@ -83,7 +91,9 @@
 	controlapi.Entry
 	ready      bool
 	reportedAt time.Time
-	loads      []controlapi.Load
+	// interval is the time until its next report.
+	interval time.Duration
+	loads    []controlapi.Load
 }
 
 // New returns a controller; call Register and Run next.
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -61,7 +61,7 @@
 		res.Instances, changed = c.registry.ChangedAfter(at.Backends), true
 	}
 	if req.Entries && (changed || at.Entries != res.Position.Entries) {
-		res.Entries, changed = c.readyEntries(), true
+		res.Entries, res.EntriesPerDataCentre, changed = c.readyEntries(), c.directorySize.Hosts(), true
 	}
 	if state.Version > at.Configuration {
 		res.Configuration, changed = state.Data, true
@@ -103,19 +103,48 @@
 	}
 	c.addLoads(e.loads, -1)
 	c.addLoads(req.Loads, 1)
+	if (len(e.loads) > 0) != (len(req.Loads) > 0) {
+		if len(req.Loads) > 0 {
+			c.busyEntries++
+		} else {
+			c.busyEntries--
+		}
+	}
 	e.Entry, e.ready, e.reportedAt, e.loads = req.Entry, req.Ready, now, req.Loads
+	e.interval = c.reportInterval(e)
 	c.planner.UpdateDemand(now, from, req.Demands)
 	for _, d := range req.Demands {
 		if d.Waiting > 0 {
 			c.triggerPlanning()
 		}
 	}
-	return &controlapi.ReportResponse{Loads: c.otherHostsLoads(req.Loads), Entries: len(c.entries), Interval: c.reportInterval()}, nil
+	return &controlapi.ReportResponse{Loads: c.otherHostsLoads(req.Loads), Entries: len(c.entries), Interval: e.interval}, nil
 }
 
-// reportInterval returns the interval of an entry host's reports; c.mu is held.
-func (c *Controller) reportInterval() time.Duration {
-	return min(max(minReportInterval, reportIntervalPerHost*time.Duration(len(c.entries))), maxReportInterval)
+// reportInterval returns the interval of an entry host's reports; c.mu is held. Hosts without requests in flight report rarely, so
+// that the others can report often.
+func (c *Controller) reportInterval(e *entry) time.Duration {
+	if len(e.loads) == 0 {
+		return maxReportInterval
+	}
+	return min(max(minReportInterval, reportIntervalPerHost*time.Duration(c.busyEntries)), maxReportInterval)
+}
+
+// updateDirectorySize adapts the number of entry hosts that callers are told of to the load; c.mu is held.
+func (c *Controller) updateDirectorySize() {
+	inFlight := map[fleet.DataCentre]int{}
+	busiest := 0
+	for _, e := range c.entries {
+		for _, l := range e.loads {
+			inFlight[e.DataCentre] += l.Active
+		}
+		busiest = max(busiest, inFlight[e.DataCentre])
+	}
+	if c.directorySize.Update(busiest) {
+		c.entryRevision++
+		c.cfg.Log.Info(logDirectory, zap.Int("hosts-per-data-centre", c.directorySize.Hosts()), zap.Int("busiest-in-flight", busiest))
+		c.notifyChanged()
+	}
 }
 
 // collectTime returns the time for which changes are collected before they are sent to followers.
@@ -127,10 +156,12 @@
 
 // expireEntries drops entry hosts that no longer report; c.mu is held.
 func (c *Controller) expireEntries(now time.Time) {
-	lifetime := (1+maxMissedReports)*c.reportInterval() + reportSlack
 	for h, e := range c.entries {
-		if now.Sub(e.reportedAt) > lifetime {
+		if now.Sub(e.reportedAt) > (1+maxMissedReports)*e.interval+reportSlack {
 			c.addLoads(e.loads, -1)
+			if len(e.loads) > 0 {
+				c.busyEntries--
+			}
 			delete(c.entries, h)
 			// Its requests no longer wait.
 			c.planner.UpdateDemand(now, h, nil)
@@ -188,7 +219,7 @@
 	}
 	c.registry.Adopt(now, res.Instances)
 	if res.Entries != nil || res.Position.Entries != at.Entries || res.Position.Term != at.Term {
-		c.leaderEntries = res.Entries
+		c.leaderEntries, c.leaderDirectorySize = res.Entries, res.EntriesPerDataCentre
 	}
 	c.cfg.Client.SetMembers(res.Members)
 }
--- a/io/controller/loads.go
+++ b/io/controller/loads.go
@@ -22,6 +22,9 @@
 	candidates := req.BalanceCandidates()
 	// The costs already include the host's own requests.
 	c.addLoads(e.loads, -1)
+	if len(e.loads) == 0 {
+		c.busyEntries++
+	}
 	best := candidates[balance.Best(candidates, func(id fleet.BackendID) balance.TotalLoad { return c.loads[id] })]
 	e.loads = append(e.loads, controlapi.Load{Instance: best.Instance, Active: 1, Prompt: best.Tokens})
 	c.addLoads(e.loads, 1)
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -51,6 +51,7 @@
 		return nil
 	}
 	c.expireEntries(now)
+	c.updateDirectorySize()
 	for _, id := range c.registry.Tick(now) {
 		c.cfg.Log.Warn(logSilent, zap.String("instance", string(id)))
 		c.notifyChanged()
--- a/io/controller/resolve.go
+++ b/io/controller/resolve.go
@@ -3,28 +3,33 @@
 import (
 	"time"
 
+	"toucanway/core/directory"
 	"toucanway/core/fleet"
 	"toucanway/io/controlapi"
 )
 
-// Resolve returns the addresses of entry hosts for a caller and the time for which it may cache them. It returns the hosts of the
-// caller's data centre, or if there are none, those of its region, or else all. The list is empty while no entry host is known.
+// Resolve returns the addresses of entry hosts for a caller and the time for which it may cache them. It returns some hosts of the
+// caller's data centre, or if there are none, of its region, or else of all. The list is empty while no entry host is known.
 func (c *Controller) Resolve(region fleet.Region, dc fleet.DataCentre) ([]string, time.Duration) {
 	c.mu.Lock()
-	list := c.leaderEntries
+	list, size := c.leaderEntries, c.leaderDirectorySize
 	if c.leadership != nil {
 		if own := c.readyEntries(); len(own) > 0 {
-			list = own
+			list, size = own, c.directorySize.Hosts()
 		}
 	}
 	c.mu.Unlock()
 	addresses := func(match func(controlapi.Entry) bool) []string {
-		var out []string
+		var matching []controlapi.Entry
 		for _, e := range list {
 			if match(e) {
-				out = append(out, e.Address)
+				matching = append(matching, e)
 			}
 		}
+		var out []string
+		for _, e := range directory.Choose(matching, max(size, directory.MinHosts), func(e controlapi.Entry) fleet.HostID { return e.Host }) {
+			out = append(out, e.Address)
+		}
 		return out
 	}
 	out := addresses(func(e controlapi.Entry) bool { return e.DataCentre == dc })
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -18,6 +18,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.budget.AddRequest(now, fleet.TenantID(service))
+	if v.idleReports {
+		// The view of the other hosts' load is old.
+		v.idleReports = false
+		v.triggerReport()
+	}
 	if r.Target.Model != "" {
 		k := demandKey{service, r.Target}
 		a := v.arrivals[k]
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -47,6 +47,8 @@
 	// rejections maps the targets that servers have recently rejected to the end of the retry delay.
 	rejections map[rejectionKey]time.Time
 	ready      bool
+	// idleReports is set while the last report named no requests in flight, so that the next one is far off.
+	idleReports bool
 	// placeNotBefore is the time from which the leader may be asked again where to send a request, placeTimeout the timeout of
 	// the call.
 	placeNotBefore time.Time
@@ -245,6 +247,7 @@
 	defer v.mu.Unlock()
 	// Half of the interval has passed on average since the other hosts reported, and half of it will until this host's next report.
 	v.balancer.SetOtherHostsLoad(others, max(res.Interval, minReportInterval))
+	v.idleReports = len(req.Loads) == 0
 	v.budget.SetLimits(slack/2/v.cfg.Budget.Window.Seconds(), max(slack/2, 1))
 	return max(res.Interval, minReportInterval)
 }
