core/residency: evictions hold a place at the weight store, loads of an earlier leader count

After the loss of power the new leader began three loads beside four of the one before, which took 13.8 s in place of 7.8, and then measured that the store serves two at once. Change: a goal that needs the store counts as a load from it; an engine that is busy in three reports with an order of an earlier leader counts as well. Tests: TestEvictionHoldsPlaceAtStore, TestLoadsOfEarlierLeaderCount (the first fails without the change).

--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -52,6 +52,8 @@
 	pendingAt time.Time
 	// storeLoadsAtOnce is the largest number of loads from the weight store that were under way during the engine's own.
 	storeLoadsAtOnce int
+	// unknownBusyReports is the number of reports in a row in which the engine carried out an order that this host has not sent.
+	unknownBusyReports int
 	// notBefore is the earliest time of the next order or probe.
 	notBefore time.Time
 	models    map[fleet.ModelID]*modelState
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -56,12 +56,15 @@
 	}
 	best.goal, best.goalAt, best.goalReason = w.model.Name, now, w.reason
 	p.countGoal(best)
+	if _, store := best.loadTime(w.model); store {
+		p.storeTaken++
+	}
 }
 
 // loadCost returns the cost of a load at an engine, and false if the load is not possible or not worth its evictions.
 func (p *Planner) loadCost(now time.Time, e *engine, w proposal, demands map[demandKey]modelDemand) (float64, bool) {
 	d, store := e.loadTime(w.model)
-	if store && (!w.mayEvict || w.additional && w.benefit < 1 || !p.storeAllowsLoad(now)) {
+	if store && (!w.mayEvict || w.additional && w.benefit < 1 || !p.storeAllowsLoad(e)) {
 		return 0, false
 	}
 	victims, cost, ok := p.selectVictims(now, e, w.model, demands)
@@ -116,7 +119,7 @@
 	}
 	_, store := e.loadTime(m)
 	if store {
-		if !p.storeAllowsLoad(now) {
+		if !p.storeAllowsLoad(e) {
 			return out
 		}
 		p.recordStoreLoad(now, e)
--- a/core/residency/outcome.go
+++ b/core/residency/outcome.go
@@ -27,6 +27,11 @@
 		return
 	}
 	e.setWeightCopies(r.InMemory, r.OnDisk)
+	if r.Busy && e.pending == nil {
+		e.unknownBusyReports++
+	} else {
+		e.unknownBusyReports = 0
+	}
 	if r.Busy {
 		e.notBefore = now.Add(pollInterval)
 		p.completePending(now, e, r.Models)
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -69,6 +69,7 @@
 // without a replica where there is room.
 func (p *Planner) planModels(now time.Time, demands map[demandKey]modelDemand) {
 	p.countReplicas()
+	p.countStoreLoads(now)
 	p.updateSmoothedLoads(now)
 	var keys []demandKey
 	for k := range demands {
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -55,6 +55,10 @@
 	// storeLoads holds the start times of the loads from the weight store within StoreWindow.
 	storeLoads []time.Time
 	store      storeSpeed
+	// storeTaken is the number of engines that load from the weight store or are about to, storeRate the largest StoreRate of a
+	// service; both are from the last planning pass.
+	storeTaken int
+	storeRate  float64
 }
 
 // New returns a planner without engines.
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -426,3 +426,49 @@
 	require.Len(t, actions, 1)
 	require.IsType(t, Probe{}, actions[0])
 }
+
+// Guards against a load from the weight store whose engine has evicted a model for it and then finds the store taken by a load for
+// fewer requests, so that neither model can be served.
+func TestEvictionHoldsPlaceAtStore(t *testing.T) {
+	d := newDeployment(t, 1, 2, model("idle", 60), model("wanted", 90), model("rare", 45), model("small", 50))
+	d.loadModels(0, "idle")
+	d.loadModels(1, "small")
+	d.run(2 * time.Second)
+	for i := range 12 {
+		list := []Demand{{Service: "llm", Target: target("wanted"), Waiting: 20}, {Service: "llm", Target: target("small"), Arrivals: 40}}
+		if i > 0 {
+			list = append(list, Demand{Service: "llm", Target: target("rare"), Waiting: 1})
+		}
+		d.planner.UpdateDemand(d.now, "host", list)
+		d.run(250 * time.Millisecond)
+	}
+	var loads []fleet.ModelID
+	for _, o := range d.orders {
+		if o.Kind == fleet.OrderLoad {
+			loads = append(loads, o.Target.Model)
+		}
+	}
+	require.NotEmpty(t, loads)
+	require.Equal(t, fleet.ModelID("wanted"), loads[0])
+}
+
+// Guards against a new leader that adds loads from the weight store to those that the one before began, which slows all of them.
+func TestLoadsOfEarlierLeaderCount(t *testing.T) {
+	d := newDeployment(t, 1, 8, model("a", 90), model("b", 90), model("c", 90))
+	d.planner.MarkAllInDoubt()
+	d.run(100 * time.Millisecond)
+	for _, e := range d.ids[:2] {
+		d.engines[e].busyUntil = d.now.Add(6 * time.Second)
+	}
+	d.run(1100 * time.Millisecond)
+	d.planner.MarkAllInDoubt()
+	d.run(1500 * time.Millisecond)
+	require.Equal(t, 2, d.planner.activeStoreLoads())
+	d.addDemand(1, target("a"))
+	d.run(500 * time.Millisecond)
+	require.Empty(t, d.storeLoads, "two of eight engines load from the store already")
+	d.run(8 * time.Second)
+	d.addDemand(1, target("a"))
+	d.run(500 * time.Millisecond)
+	require.Len(t, d.storeLoads, 1)
+}
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -39,24 +39,60 @@
 	}
 }
 
-// storeAllowsLoad reports whether the limits of the weight store allow a load from it to start now.
-func (p *Planner) storeAllowsLoad(now time.Time) bool {
+// countStoreLoads updates what storeAllowsLoad depends on, once for each planning pass.
+func (p *Planner) countStoreLoads(now time.Time) {
 	p.storeLoads = slices.DeleteFunc(p.storeLoads, func(t time.Time) bool { return now.Sub(t) >= p.cfg.StoreWindow })
-	rate := 0.0
+	p.storeTaken, p.storeRate = 0, 0
 	for _, e := range p.engines {
 		if e.spec != nil {
-			rate = max(rate, e.spec.StoreRate)
+			p.storeRate = max(p.storeRate, e.spec.StoreRate)
 		}
+		if e.usesStore() || p.plansStoreLoad(e) {
+			p.storeTaken++
+		}
+	}
+}
+
+// storeAllowsLoad reports whether the limits of the weight store allow a load from it to start at an engine now. Other engines that
+// still evict models for such a load hold a place, since a load that takes it would leave them without the evicted models as well.
+func (p *Planner) storeAllowsLoad(at *engine) bool {
+	taken := p.storeTaken
+	if p.plansStoreLoad(at) {
+		taken--
 	}
 	limit := min(p.store.limit, max(len(p.engines)/minEnginesPerStoreLoad, 1))
-	return p.activeStoreLoads() < limit && float64(len(p.storeLoads)+1) <= rate*p.cfg.StoreWindow.Seconds()*p.cfg.StoreShare
+	return taken < limit && float64(len(p.storeLoads)+1) <= p.storeRate*p.cfg.StoreWindow.Seconds()*p.cfg.StoreShare
+}
+
+// usesStore reports whether an engine loads a model from the weight store, or carries out an order of an earlier leader that takes
+// as long as such a load.
+func (e *engine) usesStore() bool {
+	return e.pending != nil && e.pending.FromStore || e.callInFlight && e.pending == nil && e.loadingFromStore() ||
+		e.unknownBusyReports >= minUnknownBusyReports
+}
+
+// minUnknownBusyReports is the number of reports in a row in which an engine carries out an order of an earlier leader, from
+// which that order is a load from the weight store. Other orders for models take less time.
+const minUnknownBusyReports = 3
+
+// plansStoreLoad reports whether an engine's goal needs the weight store.
+func (p *Planner) plansStoreLoad(e *engine) bool {
+	if e.goal == "" || e.models[e.goal] != nil {
+		return false
+	}
+	m := p.table.Model(e.Service, e.goal)
+	if m == nil {
+		return false
+	}
+	_, store := e.loadTime(m)
+	return store
 }
 
 // activeStoreLoads returns the number of engines that load a model from the weight store.
 func (p *Planner) activeStoreLoads() int {
 	n := 0
 	for _, e := range p.engines {
-		if e.pending != nil && e.pending.FromStore || e.callInFlight && e.pending == nil && e.loadingFromStore() {
+		if e.usesStore() {
 			n++
 		}
 	}
