--- a/cmd/toucanway-lab/internal/controlscenario/backends_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/backends_test.go
@@ -224,50 +224,6 @@
 	})
 }
 
-// Guards against an order that a host writes after its permission has ended: it checks that it leads, stands still for some
-// seconds, and goes on while another host already orders the same engine.
-func TestOrderPausedBeforeWrite(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := startControllers(t)
-		defer closeAndCheck(t, w)
-		setPause := func(d time.Duration) (paused int) {
-			w.engines.mu.Lock()
-			defer w.engines.mu.Unlock()
-			w.engines.pause = d
-			return w.engines.paused
-		}
-		seq := uint64(0)
-		demandUntil := func(done func() bool) {
-			for range 40 {
-				seq++
-				sendHeartbeat(t, w, heartbeat("a", 5, seq, "10.0.0.1:80"))
-				reportDemand(w, "m0")
-				reportDemand(w, "m1")
-				if done() {
-					return
-				}
-				time.Sleep(300 * time.Millisecond)
-			}
-			require.FailNow(t, "the condition did not come about")
-		}
-		pause := 12 * time.Second
-		setPause(pause)
-		demandUntil(func() bool { return setPause(pause) > 0 })
-		setPause(0)
-		held := time.Now()
-		old := w.leader()
-		require.NoError(t, isolateHosts(w, []string{old.name}, nil))
-		demandUntil(func() bool { l := w.leader(); return l != nil && l != old })
-		demandUntil(func() bool {
-			w.engines.mu.Lock()
-			defer w.engines.mu.Unlock()
-			return w.engines.state("a").orderCount > 0
-		})
-		w.net.RestoreAll()
-		time.Sleep(time.Until(held.Add(pause + time.Second)))
-	})
-}
-
 // Guards against an engine that is ordered to load a model for requests of an entry host that no longer exists.
 func TestRequestsOfSilentHostNoLongerWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cmd/toucanway-lab/internal/controlscenario/engines.go
+++ b/cmd/toucanway-lab/internal/controlscenario/engines.go
@@ -26,9 +26,9 @@
 	mu sync.Mutex
 	// states are the states of the engines by id.
 	states map[fleet.BackendID]*engineState
-	// pause is the time for which a host stands still between the check of its permission and the write of an order, paused the
-	// number of orders that were held up so.
-	pause  time.Duration
+	// pause returns the time for which a host stands still while it opens the connection for an order; nil means none. paused is
+	// the number of orders that were held up so.
+	pause  func() time.Duration
 	paused int
 }
 
@@ -48,7 +48,10 @@
 	_ context.Context, o residency.Order, fence fleet.Fence, holder fleet.HostID, permitted func() bool,
 ) residency.Outcome {
 	e.mu.Lock()
-	pause := e.pause
+	var pause time.Duration
+	if e.pause != nil {
+		pause = e.pause()
+	}
 	if pause > 0 {
 		e.paused++
 	}
