core/store: a rate below one load per second is kept

Cause: loads-per-second was truncated to an integer, so that 0.5 became 0 and then the default of 3, six times as many. Shown by TestRateBelowOnePerSecond. Change: such a rate allows one load in a longer window.

--- a/core/store/budget.go
+++ b/core/store/budget.go
@@ -17,8 +17,10 @@
 
 // Settings configures a Budget; zero fields mean the defaults.
 type Settings struct {
-	// Rate is the number of loads that may start in any second.
+	// Rate is the number of loads that may start in any Window.
 	Rate int
+	// Window is the period of Rate; 0 means a second.
+	Window time.Duration
 	// Concurrency is the number of loads in flight at which each still runs at full speed.
 	Concurrency int
 	// SlowFactor is the ratio of measured to expected load time above which the store counts as slow.
@@ -48,15 +50,23 @@
 	slowdownAt time.Time
 }
 
-// rateWindow is the period in which at most Rate loads start.
-const rateWindow = time.Second
+// SettingsForRate returns settings for a number of loads per second, which may be below 1.
+func SettingsForRate(perSecond float64, concurrency int) Settings {
+	if perSecond > 0 && perSecond < 1 {
+		return Settings{Rate: 1, Window: time.Duration(float64(time.Second) / perSecond), Concurrency: concurrency}
+	}
+	return Settings{Rate: int(perSecond), Concurrency: concurrency}
+}
 
-// New returns a budget that admits nothing in its first second, since it does not know the loads that an earlier leader
+// New returns a budget that admits nothing in its first Window, since it does not know the loads that an earlier leader
 // started just before.
 func New(now time.Time, cfg Settings) *Budget {
 	if cfg.Rate <= 0 {
 		cfg.Rate = DefaultRate
 	}
+	if cfg.Window <= 0 {
+		cfg.Window = time.Second
+	}
 	if cfg.Concurrency <= 0 {
 		cfg.Concurrency = DefaultConcurrency
 	}
@@ -106,7 +116,7 @@
 
 // recentStarts returns the number of loads started in the window that ends now, and drops older starts.
 func (b *Budget) recentStarts(now time.Time) int {
-	for len(b.starts) > 0 && now.Sub(b.starts[0]) >= rateWindow {
+	for len(b.starts) > 0 && now.Sub(b.starts[0]) >= b.cfg.Window {
 		b.starts = b.starts[1:]
 	}
 	return len(b.starts)
@@ -120,7 +130,7 @@
 	if excess > 0 {
 		concurrencyWait = time.Duration(float64(excess) * float64(load) * b.Slowdown(now) / float64(b.Limit()))
 	}
-	rateWait := time.Duration(queued+b.recentStarts(now)-b.cfg.Rate+1) * rateWindow / time.Duration(b.cfg.Rate)
+	rateWait := time.Duration(queued+b.recentStarts(now)-b.cfg.Rate+1) * b.cfg.Window / time.Duration(b.cfg.Rate)
 	return max(0, concurrencyWait, rateWait)
 }
 
--- a/core/store/budget_test.go
+++ b/core/store/budget_test.go
@@ -77,3 +77,19 @@
 		})
 	}
 }
+
+// Guards against a rate below one load per second that is rounded to none and then replaced by the default, six times as many.
+func TestRateBelowOnePerSecond(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(now, SettingsForRate(0.5, 4))
+	starts := 0
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		b.SetActive(0)
+		if b.Admit(now, false) {
+			starts++
+		}
+	}
+	require.InDelta(t, 30, starts, 1)
+	require.Equal(t, 5, SettingsForRate(5.5, 4).Rate)
+}
--- a/io/planning/settings.go
+++ b/io/planning/settings.go
@@ -12,11 +12,8 @@
 func settingsOf(doc *config.Document, version fleet.DocumentVersion, seed uint64, p Policies) placement.Settings {
 	s := placement.Settings{
 		Catalogue: catalogueOf(doc, version),
-		Store: store.Settings{
-			Rate:        int(doc.Capacity.WeightStore.LoadsPerSecond),
-			Concurrency: doc.Capacity.WeightStore.ConcurrentLoads,
-		},
-		Seed: seed,
+		Store:     store.SettingsForRate(doc.Capacity.WeightStore.LoadsPerSecond, doc.Capacity.WeightStore.ConcurrentLoads),
+		Seed:      seed,
 	}
 	if p.KeepWarm > 0 {
 		s.Warm = warm.Settings{Policy: warm.PolicyFixed, KeepTime: p.KeepWarm}
