--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -1,14 +1,10 @@
 package balance
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"toucanway/core/fleet"
 	"toucanway/core/registry"
 )
@@ -195,55 +191,6 @@
 	return n
 }
 
-// shortPrompt reports whether the prompt is too short to interrupt running streams.
-func (r *Request) shortPrompt() bool { return r.Prompt < longPromptTokens }
-
-// LongPrompt reports whether the prompt is so long that the other prompts at its server affect the time to first byte.
-func (r *Request) LongPrompt() bool { return !r.Plain && !r.shortPrompt() }
-
-// separateReplicas returns a function that reports whether a replica is kept for short prompts, since each long prompt interrupts
-// the streams at its replica. It returns nil if there is only one replica, or if only short or only long prompts have been seen.
-// The replicas are divided by the shares of the slots' time that both kinds hold, in the same way on all hosts with the same shares.
-func (b *Balancer) separateReplicas(now time.Time, r *Request, instances []*registry.Instance) func(*registry.Instance) bool {
-	if r.Plain || len(instances) < 2 {
-		return nil
-	}
-	share, ok := b.work.shortShare(now)
-	if !ok {
-		return nil
-	}
-	n := min(max(int(share*float64(len(instances))+0.5), 1), len(instances)-1)
-	key := string(r.Target.Model) + "/"
-	if n == 1 {
-		kept := highestHash(key, instances)
-		return func(in *registry.Instance) bool { return in == kept }
-	}
-	hashes := make([]uint64, len(instances))
-	for i, in := range instances {
-		hashes[i] = xxhash.Sum64String(key + string(in.ID))
-	}
-	slices.Sort(hashes)
-	least := hashes[len(hashes)-n]
-	return func(in *registry.Instance) bool { return xxhash.Sum64String(key+string(in.ID)) >= least }
-}
-
-// homeInstance returns the instance to which the common parts of a prompt hash, so that all hosts send such requests to the same
-// instance without knowing of each other's requests. It returns nil if there are no common parts.
-func homeInstance(r *Request, instances []*registry.Instance) *registry.Instance {
-	if len(r.Parts) < 2 {
-		return nil
-	}
-	return highestHash(string(r.Target.Model)+"/"+string(r.Target.Adapter)+"/"+r.Parts[len(r.Parts)-2].ID+"/", instances)
-}
-
-// highestHash returns the instance with the highest hash of key and instance id (rendezvous hashing), which is the same on every
-// host.
-func highestHash(key string, instances []*registry.Instance) *registry.Instance {
-	return slices.MaxFunc(instances, func(a, b *registry.Instance) int {
-		return cmp.Compare(xxhash.Sum64String(key+string(a.ID)), xxhash.Sum64String(key+string(b.ID)))
-	})
-}
-
 // FirstByte records the arrival of the first byte of an answer.
 func (b *Balancer) FirstByte(now time.Time, t *Ticket) {
 	s := b.servers[t.Instance]
--- /dev/null
+++ b/io/backend/conn.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// conn is a connection with its buffers and a timeout for each read and each write.
+type conn struct {
+	net.Conn
+	idleTimeout time.Duration
+	// readBefore ends all reads, also those of a server that sends single bytes without end; zero means no such bound.
+	readBefore time.Time
+	r          *bufio.Reader
+	w          *bufio.Writer
+}
+
+// Read reads with the connection's timeout, which restarts with each read, but not past readBefore.
+func (c *conn) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(c.idleTimeout)
+	if !c.readBefore.IsZero() && c.readBefore.Before(deadline) {
+		deadline = c.readBefore
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write writes with the connection's timeout, which restarts with each write.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// isReusable reports whether an idle connection is open and has nothing to read: a byte that arrived meanwhile belongs to no
+// request. It returns true for connections that have no file descriptor.
+func isReusable(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
