Revert "core/residency: the wait for a busy engine with a copy is bounded by what it has taken so far"

A load from the weight store keeps its engine from all other orders for six seconds, which costs more on twelve engines than the wait.

--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -45,9 +45,7 @@
 				best, bestCost = e, cost
 			}
 		default:
-			// An engine that was busy all the while is expected to stay so.
-			delay := max(e.timeUntilOrder(now), deferralFactor*w.waited)
-			cost += delay.Seconds() * max(w.benefit, 1)
+			cost += e.timeUntilOrder(now).Seconds() * max(w.benefit, 1)
 			if soonest == nil || cost < soonestCost {
 				soonest, soonestCost = e, cost
 			}
@@ -81,9 +79,6 @@
 }
 
 const (
-	// deferralFactor is the expected further wait for an engine that can't be ordered, as a multiple of the time for which requests
-	// have waited in vain.
-	deferralFactor = 2
 	// goalTime is the expected time until an engine with a goal can be ordered again.
 	goalTime = 1500 * time.Millisecond
 	// callTime is the expected time until an engine with a call in flight can be ordered again.
