--- a/core/balance/load_test.go
+++ b/core/balance/load_test.go
@@ -15,7 +15,7 @@
 
 // load describes a load on engines that several hosts share, each with its own balancer and late reports of the others.
 type load struct {
-	hosts, servers, slots int
+	hosts, slots int
 	// replicas is the number of servers that hold the model.
 	replicas int
 	// rate is in requests per second. A share of longShare has long prompts.
