--- a/core/balance/work.go
+++ b/core/balance/work.go
@@ -73,7 +73,7 @@
 func (w *work) shortShare(now time.Time) (float64, bool) {
 	w.decay(now)
 	total := w.shortHeld + w.longHeld
-	if w.shortHeld < minMixShare*total || w.longHeld < minMixShare*total {
+	if total == 0 || w.shortHeld < minMixShare*total || w.longHeld < minMixShare*total {
 		return 0, false
 	}
 	return w.shortHeld / total, true
