io/operators: a read without an answer in time is unavailable, not of unknown outcome

Cause: every request that ran out of time was answered with outcome-unknown, also reads, which change nothing. Test: TestTimeoutOfReadsAndChanges.

--- a/io/operators/errors.go
+++ b/io/operators/errors.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// requestError converts an error of a request with the given method. A read that got no answer in time has changed nothing.
+func requestError(method string, err error) *Error {
+	e := apiError(err)
+	if e.Code == CodeOutcomeUnknown && method == fasthttp.MethodGet {
+		return &Error{Code: CodeUnavailable, Message: "the host did not get an answer in time; ask again, or ask another host"}
+	}
+	return e
+}
+
 // rejectionError converts a rejection by the control state into an error of the interface.
 func rejectionError(r control.Result) *Error {
 	switch r.Reason {
--- a/io/operators/server.go
+++ b/io/operators/server.go
@@ -211,7 +211,7 @@
 	defer cancel()
 	req, err := s.authenticate(reqCtx, r)
 	if err != nil {
-		answerError(r, apiError(err))
+		answerError(r, requestError(method, err))
 		return
 	}
 	switch {
@@ -229,7 +229,7 @@
 	}
 	body, err := answer(req)
 	if err != nil {
-		answerError(r, apiError(err))
+		answerError(r, requestError(method, err))
 		return
 	}
 	if body != nil {
