--- a/io/entry/system.go
+++ b/io/entry/system.go
@@ -193,10 +193,10 @@
 	return nil
 }
 
-// Watch calls each for the changes after a log index. An index of 0 stands for the current one.
+// Watch calls each for the changes after a log index. An index of 0 stands for all changes that are kept.
 func (s system) Watch(ctx context.Context, after fleet.Index, each func(operators.Event) error) error {
 	if after == 0 {
-		s.readState(func(c *control.State) { after = c.Applied() })
+		after = s.h.follower.OldestRecent()
 	}
 	for {
 		changed := s.h.follower.Changed()
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -279,6 +279,16 @@
 	return nil, false
 }
 
+// OldestRecent returns the log index after which RecentEntries returns all entries that are kept.
+func (f *Follower) OldestRecent() fleet.Index {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if len(f.recentEntries) == 0 {
+		return f.state.Applied()
+	}
+	return f.recentEntries[0].Index - 1
+}
+
 // refreshDocument puts the newest document in force. Documents are decoded before they are submitted, so if this one can't
 // be decoded, this host's version is older than the document's format.
 func (f *Follower) refreshDocument() {
