io/gateway: the timer of a stall watch starts after it is assigned

Cause: the function of the timer sets the timer again if no other server can take the request, and reads the variable that watchStall assigns from the result of time.AfterFunc. Nothing ordered the two, a data race by the memory model. The tests of stalled streams use synthetic time and run without the race detector, so that it was not reported.

Ruled out: a wrong result in service. The function runs one second or more after the assignment.

Change: the timer is created without an end and started by Reset, which orders the assignment before the call.

--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"time"
 
 	"toucanway/core/fleet"
@@ -26,7 +27,8 @@
 	}
 	timeout := streamPatience(x.route) / stallShare
 	var timer *time.Timer
-	timer = time.AfterFunc(timeout, func() {
+	// Started only once timer is assigned, since the function uses it.
+	timer = time.AfterFunc(math.MaxInt64, func() {
 		switch {
 		case ctx.Err() != nil:
 		case x.prepaySwitch(tried):
@@ -35,6 +37,7 @@
 			timer.Reset(timeout)
 		}
 	})
+	timer.Reset(timeout)
 	x.stall = stallWatch{timer, timeout}
 	return ctx, func() {
 		timer.Stop()
