core, io, lab: one copy of periodic calls, load updates, hashes and log buffers

Change, without a change of behaviour: - pause.Every serves five loops with a ticker (rejoin, ledger maintenance, sessions, renewals, the check for two leaders), with a test. - The controller's load sums and the number of busy entry hosts, kept in three places, are kept by setLoads. - directory.Choose hashes each host once instead of in each comparison. - separateReplicas needs no special case for one replica; it and highestHash use one hash function. - A ticket no longer stores whether its prompt is short, which the prompt's length tells. - modelDemands counts the waiting requests of a target once; setGoal calls plansStoreLoad. - logbuffer.Buffer replaces the two copies in scenario and controlscenario. The latter's test now reads it with the lock held.

Ruled out: the loops of members, voters and planning also react to wake-ups or set their timer from a state, so that they are not the same.

--- a/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/scenario_test.go
@@ -44,7 +44,7 @@
 	}
 	violations, err := w.close()
 	if len(violations) > 0 || err != nil || t.Failed() {
-		t.Log(w.log.text.String())
+		t.Log(w.log.String())
 	}
 	require.NoError(t, err)
 	require.Empty(t, violations)
--- a/cmd/toucanway-lab/internal/controlscenario/simulation.go
+++ b/cmd/toucanway-lab/internal/controlscenario/simulation.go
@@ -8,7 +8,6 @@
 	stdnet "net"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,9 +15,11 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/cmd/toucanway-lab/internal/logbuffer"
 	"toucanway/cmd/toucanway-lab/internal/memnet"
 	"toucanway/core/catalog"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/core/routes"
 	"toucanway/io/controlapi"
@@ -72,7 +73,7 @@
 	net           *memnet.Network
 	hosts         []*host
 	lastStorageID raft.StorageID
-	log           logBuffer
+	log           logbuffer.Buffer
 	// engines simulates the engines of the deployment.
 	engines *engines
 
@@ -84,22 +85,6 @@
 	checks       errgroup.Group
 }
 
-// logBuffer collects the log lines of all hosts. It is safe for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-// Write appends lines.
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-// Sync does nothing.
-func (l *logBuffer) Sync() error { return nil }
-
 func delay(from, to netip.Addr) time.Duration {
 	if from.As4()[1] == to.As4()[1] {
 		return sameRegionDelay
@@ -121,14 +106,7 @@
 
 // checkLeaders records a violation whenever several hosts lead at the same time, until the context ends.
 func (w *simulation) checkLeaders(ctx context.Context) {
-	t := time.NewTicker(checkInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Every(ctx, checkInterval, func() {
 		w.mu.Lock()
 		running := slices.Clone(w.hosts)
 		w.mu.Unlock()
@@ -141,7 +119,7 @@
 		if len(leading) > 1 {
 			w.addViolation("%v lead at the same time", leading)
 		}
-	}
+	})
 }
 
 func (w *simulation) groupOf(h *host) *formation.Group {
@@ -196,7 +174,7 @@
 	client := hosts.NewClient(h.ip, net, nil)
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(cfg), &w.log, zapcore.InfoLevel)).Named(h.name)
+	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(cfg), zapcore.AddSync(&w.log), zapcore.InfoLevel)).Named(h.name)
 	seeds := func() []fleet.HostID { return h.seeds }
 	group := formation.New(formation.Settings{
 		Self: h.ip, Port: port, Seeds: seeds, Bootstrap: bootstrap, ToleratedLosses: 1,
--- /dev/null
+++ b/cmd/toucanway-lab/internal/logbuffer/doc.go
@@ -0,0 +1,2 @@
+// Package logbuffer collects the log lines of simulated hosts in memory.
+package logbuffer
--- a/cmd/toucanway-lab/internal/scenario/simulation.go
+++ b/cmd/toucanway-lab/internal/scenario/simulation.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
@@ -16,6 +15,7 @@
 	"toucanway/cmd/toucanway-lab/internal/deployment"
 	"toucanway/cmd/toucanway-lab/internal/engine"
 	"toucanway/cmd/toucanway-lab/internal/history"
+	"toucanway/cmd/toucanway-lab/internal/logbuffer"
 	"toucanway/cmd/toucanway-lab/internal/memnet"
 	"toucanway/cmd/toucanway-lab/internal/service"
 	"toucanway/cmd/toucanway-lab/internal/store"
@@ -57,7 +57,7 @@
 	net     *memnet.Network
 	d       *deployment.Deployment
 	history *history.History
-	log     logBuffer
+	log     logbuffer.Buffer
 	spec    deploymentSpec
 	weights *store.Store
 	ctx     context.Context
@@ -76,25 +76,6 @@
 	result caller.Outcome
 }
 
-// logBuffer collects the log lines of several hosts. It is safe for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write appends to the buffer.
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 func address(region, kind, n int) string { return fmt.Sprintf("10.%d.%d.%d", region, kind, n) }
 
 // delay returns the one-way delay between two addresses.
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -98,7 +98,6 @@
 	Incarnation   fleet.Incarnation
 	target        fleet.Target
 	prompt        fleet.Tokens
-	shortPrompt   bool
 	plain         bool
 	uncached      fleet.Tokens
 	expected      time.Duration
@@ -149,7 +148,7 @@
 		Avoided: o.avoided, Expected: o.timeWith(s.otherHosts),
 	}
 	t := &Ticket{
-		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, prompt: r.Prompt, shortPrompt: r.shortPrompt(), plain: r.Plain,
+		Instance: in.ID, Incarnation: in.Incarnation, target: r.Target, prompt: r.Prompt, plain: r.Plain,
 		uncached: r.Prompt - c.Cached, expected: c.Expected, start: now,
 	}
 	s.active++
@@ -221,7 +220,7 @@
 	}
 	s.observe(now, o)
 	if o == Answered && !t.plain {
-		b.work.observe(now, t.prompt, t.shortPrompt, now.Sub(t.start))
+		b.work.observe(now, t.prompt, now.Sub(t.start))
 	}
 }
 
--- a/core/balance/candidate.go
+++ b/core/balance/candidate.go
@@ -45,7 +45,7 @@
 	out := make([]Candidate, len(instances))
 	for i, in := range instances {
 		out[i] = b.candidate(now, r, in, in == home)
-		if separate != nil && separate(in) != r.shortPrompt() {
+		if separate != nil && separate(in) != isShort(r.Prompt) {
 			out[i].Cost += mixedPromptsCost
 		}
 	}
--- a/core/balance/replicas.go
+++ b/core/balance/replicas.go
@@ -7,14 +7,15 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanway/core/fleet"
 	"toucanway/core/registry"
 )
 
-// shortPrompt reports whether the prompt is too short to interrupt running streams.
-func (r *Request) shortPrompt() bool { return r.Prompt < longPromptTokens }
+// isShort reports whether a prompt is too short to interrupt running streams.
+func isShort(prompt fleet.Tokens) bool { return prompt < longPromptTokens }
 
 // LongPrompt reports whether the prompt is so long that the other prompts at its server affect the time to first byte.
-func (r *Request) LongPrompt() bool { return !r.Plain && !r.shortPrompt() }
+func (r *Request) LongPrompt() bool { return !r.Plain && !isShort(r.Prompt) }
 
 // separateReplicas returns a function that reports whether a replica is kept for short prompts, since each long prompt interrupts
 // the streams at its replica. It returns nil if there is only one replica, or if only short or only long prompts have been seen.
@@ -29,17 +30,13 @@
 	}
 	n := min(max(int(share*float64(len(instances))+0.5), 1), len(instances)-1)
 	key := string(r.Target.Model) + "/"
-	if n == 1 {
-		kept := highestHash(key, instances)
-		return func(in *registry.Instance) bool { return in == kept }
-	}
 	hashes := make([]uint64, len(instances))
 	for i, in := range instances {
-		hashes[i] = xxhash.Sum64String(key + string(in.ID))
+		hashes[i] = hash(key, in)
 	}
 	slices.Sort(hashes)
 	least := hashes[len(hashes)-n]
-	return func(in *registry.Instance) bool { return xxhash.Sum64String(key+string(in.ID)) >= least }
+	return func(in *registry.Instance) bool { return hash(key, in) >= least }
 }
 
 // homeInstance returns the instance to which the common parts of a prompt hash, so that all hosts send such requests to the same
@@ -55,6 +52,8 @@
 // host.
 func highestHash(key string, instances []*registry.Instance) *registry.Instance {
 	return slices.MaxFunc(instances, func(a, b *registry.Instance) int {
-		return cmp.Compare(xxhash.Sum64String(key+string(a.ID)), xxhash.Sum64String(key+string(b.ID)))
+		return cmp.Compare(hash(key, a), hash(key, b))
 	})
 }
+
+func hash(key string, in *registry.Instance) uint64 { return xxhash.Sum64String(key + string(in.ID)) }
--- a/core/balance/work.go
+++ b/core/balance/work.go
@@ -29,14 +29,14 @@
 )
 
 // observe records the end of a request to an engine.
-func (w *work) observe(now time.Time, prompt fleet.Tokens, short bool, held time.Duration) {
+func (w *work) observe(now time.Time, prompt fleet.Tokens, held time.Duration) {
 	if w.hold == 0 {
 		w.hold, w.prompt = float64(held), float64(prompt)
 	}
 	w.hold += workWeight * (float64(held) - w.hold)
 	w.prompt += workWeight * (float64(prompt) - w.prompt)
 	w.decay(now)
-	if short {
+	if isShort(prompt) {
 		w.shortHeld += held.Seconds()
 	} else {
 		w.longHeld += held.Seconds()
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -50,9 +50,20 @@
 	if len(hosts) <= n {
 		return hosts
 	}
-	out := slices.Clone(hosts)
-	slices.SortFunc(out, func(a, b T) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(id(a))), xxhash.Sum64String(string(id(b)))), cmp.Compare(id(a), id(b)))
+	type ranked struct {
+		hash uint64
+		host T
+	}
+	list := make([]ranked, len(hosts))
+	for i, h := range hosts {
+		list[i] = ranked{xxhash.Sum64String(string(id(h))), h}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(id(a.host), id(b.host)))
 	})
-	return out[:n]
+	out := make([]T, n)
+	for i := range out {
+		out[i] = list[i].host
+	}
+	return out
 }
--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -139,7 +139,8 @@
 	out := map[demandKey]modelDemand{}
 	for k, d := range p.demands {
 		rate, prompt := d.rate(now)
-		if now.Sub(d.lastSeen) > 10*rateTimeConstant && d.waitingRequests() == 0 {
+		waiting := d.waitingRequests()
+		if now.Sub(d.lastSeen) > 10*rateTimeConstant && waiting == 0 {
 			delete(p.demands, k)
 			continue
 		}
@@ -147,11 +148,11 @@
 		sum := out[m]
 		sum.rate += rate
 		sum.prompt += prompt
-		if n := d.waitingRequests(); n > 0 {
+		if waiting > 0 {
 			if sum.waiting == 0 || d.waitingSince.Before(sum.waitingSince) {
 				sum.waitingSince = d.waitingSince
 			}
-			sum.waiting += n
+			sum.waiting += waiting
 		}
 		out[m] = sum
 	}
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -56,7 +56,7 @@
 	}
 	best.goal, best.goalAt, best.goalReason = w.model.Name, now, w.reason
 	p.countGoal(best)
-	if _, store := best.loadTime(w.model); store {
+	if p.plansStoreLoad(best) {
 		p.storeTaken++
 	}
 }
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -106,16 +106,8 @@
 		c.cfg.Log.Info(logEntry, zap.String("entry", string(from)), zap.Bool("ready", req.Ready), zap.String("address", req.Entry.Address))
 		defer c.notifyEntriesChanged()
 	}
-	c.addLoads(e.loads, -1)
-	c.addLoads(req.Loads, 1)
-	if (len(e.loads) > 0) != (len(req.Loads) > 0) {
-		if len(req.Loads) > 0 {
-			c.busyEntries++
-		} else {
-			c.busyEntries--
-		}
-	}
-	e.Entry, e.ready, e.reportedAt, e.loads = req.Entry, req.Ready, now, req.Loads
+	c.setLoads(e, req.Loads)
+	e.Entry, e.ready, e.reportedAt = req.Entry, req.Ready, now
 	e.interval = c.reportInterval(e)
 	c.planner.UpdateDemand(now, from, req.Demands)
 	for _, d := range req.Demands {
@@ -163,10 +155,7 @@
 func (c *Controller) expireEntries(now time.Time) {
 	for h, e := range c.entries {
 		if now.Sub(e.reportedAt) > (1+maxMissedReports)*e.interval+reportSlack {
-			c.addLoads(e.loads, -1)
-			if len(e.loads) > 0 {
-				c.busyEntries--
-			}
+			c.setLoads(e, nil)
 			delete(c.entries, h)
 			// Its requests no longer wait.
 			c.planner.UpdateDemand(now, h, nil)
--- a/io/controller/loads.go
+++ b/io/controller/loads.go
@@ -21,16 +21,26 @@
 	}
 	candidates := req.BalanceCandidates()
 	// The costs already include the host's own requests.
-	c.addLoads(e.loads, -1)
-	if len(e.loads) == 0 {
-		c.busyEntries++
-	}
+	loads := e.loads
+	c.setLoads(e, nil)
 	best := candidates[balance.Best(candidates, func(id fleet.BackendID) balance.TotalLoad { return c.loads[id] })]
-	e.loads = append(e.loads, controlapi.Load{Instance: best.Instance, Active: 1, Prompt: best.Tokens})
-	c.addLoads(e.loads, 1)
+	c.setLoads(e, append(loads, controlapi.Load{Instance: best.Instance, Active: 1, Prompt: best.Tokens}))
 	return &controlapi.PlaceResponse{Instance: best.Instance}, nil
 }
 
+// setLoads replaces an entry host's load; c.mu is held.
+func (c *Controller) setLoads(e *entry, loads []controlapi.Load) {
+	if len(e.loads) > 0 {
+		c.busyEntries--
+	}
+	if len(loads) > 0 {
+		c.busyEntries++
+	}
+	c.addLoads(e.loads, -1)
+	c.addLoads(loads, 1)
+	e.loads = loads
+}
+
 // addLoads adds an entry host's load to the totals, or subtracts it with a sign of -1; c.mu is held.
 func (c *Controller) addLoads(list []controlapi.Load, sign int) {
 	for _, l := range list {
--- a/io/controller/relay.go
+++ b/io/controller/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/registry"
 	"toucanway/io/controlapi"
 )
@@ -91,14 +92,7 @@
 
 // sendRenewals sends batches of unchanged heartbeats to the leader.
 func (c *Controller) sendRenewals(ctx context.Context) error {
-	t := time.NewTicker(renewInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	pause.Every(ctx, renewInterval, func() {
 		c.mu.Lock()
 		list := make([]controlapi.Renewal, 0, len(c.relay.renewals))
 		for _, r := range c.relay.renewals {
@@ -108,7 +102,7 @@
 		clear(c.relay.renewals)
 		c.mu.Unlock()
 		if len(list) == 0 || leading {
-			continue
+			return
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		res, err := controlapi.Call[controlapi.RenewRequest, controlapi.RenewResponse](call, c.cfg.Client,
@@ -117,14 +111,15 @@
 		if err != nil {
 			// The next heartbeats are forwarded to the leader completely.
 			c.forgetForwarded(list)
-			continue
+			return
 		}
 		c.mu.Lock()
 		for _, id := range res.Unknown {
 			delete(c.relay.forwarded, id)
 		}
 		c.mu.Unlock()
-	}
+	})
+	return nil
 }
 
 func (c *Controller) forgetForwarded(list []controlapi.Renewal) {
--- a/io/groups/rejoin.go
+++ b/io/groups/rejoin.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/io/hosts"
 	"toucanway/io/voters"
@@ -24,16 +25,9 @@
 // disk was lost. If so, it asks the leader to replace the voter.
 func (s *Set) rejoinWhenRefused(ctx context.Context, id raft.GroupID, g *voters.Group) {
 	client := hosts.NewGroupClient(s.cfg.Client, s.cfg.Members)
-	t := time.NewTicker(rejoinInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Every(ctx, rejoinInterval, func() {
 		if !g.Status().Refused {
-			continue
+			return
 		}
 		rejoinCtx, cancel := context.WithTimeout(ctx, replaceTimeout)
 		_, err := hosts.CallLeader[hosts.RejoinRequest, hosts.RejoinResponse](rejoinCtx, client, hosts.ProcedureRejoin,
@@ -42,7 +36,7 @@
 		if err == nil {
 			s.cfg.Log.Info(logReplaced, zap.Uint32("group", uint32(id)))
 		}
-	}
+	})
 }
 
 // handleRejoin makes the host that sent the request a voter again. Replacements are carried out one at a time, since a
--- a/io/ledgers/maintenance.go
+++ b/io/ledgers/maintenance.go
@@ -7,6 +7,7 @@
 	"toucanway/core/control"
 	"toucanway/core/fleet"
 	"toucanway/core/ledger"
+	"toucanway/core/pause"
 	"toucanway/io/voters"
 )
 
@@ -31,20 +32,13 @@
 
 // Run maintains the group until the context ends.
 func (k *Maintainer) Run(ctx context.Context) error {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
 	lastAdvance := time.Now()
 	wasLeader := false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	pause.Every(ctx, sweepInterval, func() {
 		now := time.Now()
 		if !k.Group.LeaseValid(now) {
 			wasLeader = false
-			continue
+			return
 		}
 		if !wasLeader {
 			// Time that the previous leader did not commit is not counted, so records may be kept longer than the retention.
@@ -57,7 +51,8 @@
 				lastAdvance = now
 			}
 		}
-	}
+	})
+	return nil
 }
 
 // closeHosts commits a CloseHost for each incarnation of a host whose session has ended and whose dispatched requests don't
--- a/io/sessions/service.go
+++ b/io/sessions/service.go
@@ -9,6 +9,7 @@
 
 	"toucanway/core/control"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/io/hosts"
 	"toucanway/io/voters"
@@ -328,19 +329,13 @@
 
 // Run closes sessions whose lease ended and removes silent backend servers while this host leads, until the context ends.
 func (s *Service) Run(ctx context.Context) error {
-	t := time.NewTicker(checkInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	pause.Every(ctx, checkInterval, func() {
 		if now := time.Now(); s.refreshLeadership(now) {
 			s.closeExpiredSessions(ctx, now)
 			s.removeSilentBackends(ctx, now)
 		}
-	}
+	})
+	return nil
 }
 
 // Log messages of closed sessions and removed backend servers.
