core/registry: one bounded table of values by incarnation

core/holdoff kept its own bounded map of records by server and incarnation, and what servers say about rate limits needs the same one. Incarnations is that map as a type of its own; core/holdoff uses it. No decision changes: its tests pass, of which one reads the number of records by Len in place of the map.

--- a/core/holdoff/table.go
+++ b/core/holdoff/table.go
@@ -55,22 +55,14 @@
 	resumeTime    = 500 * time.Millisecond
 )
 
-// maxServers bounds the records of a Table; the oldest one is dropped for a new one.
-const maxServers = registry.DefaultMaxInstances
-
 // Table holds the newest notices of servers. The zero value is empty. Notices outlive the record of the server in the registry: a
 // leader that has not heard of a server for some time registers the same incarnation again.
 type Table struct {
-	servers map[fleet.BackendID]*server
-	// added is the number of records added so far.
-	added uint64
+	servers registry.Incarnations[server]
 }
 
 // server is the record of one incarnation of a server.
 type server struct {
-	incarnation fleet.Incarnation
-	// number is the value of Table.added at the creation of the record.
-	number  uint64
 	leaving bool
 	// pausedUntil is the end of the last pause, returnedUntil the end that Observe returned last. Both are zero without a pause.
 	pausedUntil, returnedUntil time.Time
@@ -118,8 +110,8 @@
 
 // resume allows further requests to a server that has answered after its pause, and reports whether it took none before.
 func (t *Table) resume(now time.Time, id fleet.BackendID, inc fleet.Incarnation) bool {
-	s := t.servers[id]
-	if s == nil || s.incarnation != inc || s.openAt.IsZero() {
+	s := t.find(id, inc)
+	if s == nil || s.openAt.IsZero() {
 		return false
 	}
 	s.allowed += firstRequests
@@ -128,8 +120,8 @@
 
 // Begin records that a request is about to be sent to an incarnation, which must be Open.
 func (t *Table) Begin(now time.Time, id fleet.BackendID, inc fleet.Incarnation) {
-	s := t.servers[id]
-	if s == nil || s.incarnation != inc || s.pausedUntil.IsZero() {
+	s := t.find(id, inc)
+	if s == nil || s.pausedUntil.IsZero() {
 		return
 	}
 	switch {
@@ -143,43 +135,24 @@
 	}
 }
 
+// find returns the record of an incarnation, or nil.
+func (t *Table) find(id fleet.BackendID, inc fleet.Incarnation) *server {
+	return t.servers.Get(fleet.BackendIncarnation{Backend: id, Incarnation: inc})
+}
+
 // record returns the record of an incarnation and creates it if there is none, or returns nil if a later incarnation is on record.
 func (t *Table) record(id fleet.BackendID, inc fleet.Incarnation) *server {
-	s := t.servers[id]
-	switch {
-	case s != nil && s.incarnation == inc:
+	if s := t.find(id, inc); s != nil {
 		return s
-	case s != nil && s.incarnation > inc:
-		return nil
-	}
-	if t.servers == nil {
-		t.servers = map[fleet.BackendID]*server{}
-	}
-	if s == nil && len(t.servers) >= maxServers {
-		t.dropOldest()
-	}
-	t.added++
-	s = &server{incarnation: inc, number: t.added}
-	t.servers[id] = s
-	return s
-}
-
-func (t *Table) dropOldest() {
-	var oldest fleet.BackendID
-	first := t.added + 1
-	for id, s := range t.servers {
-		if s.number < first {
-			oldest, first = id, s.number
-		}
 	}
-	delete(t.servers, oldest)
+	return t.servers.Put(fleet.BackendIncarnation{Backend: id, Incarnation: inc}, server{})
 }
 
 // State returns the state of an incarnation, and the time at which Paused or Resuming ends.
 func (t *Table) State(now time.Time, id fleet.BackendID, inc fleet.Incarnation) (State, time.Time) {
-	s := t.servers[id]
+	s := t.find(id, inc)
 	switch {
-	case s == nil || s.incarnation != inc:
+	case s == nil:
 		return Open, time.Time{}
 	case s.leaving:
 		return Leaving, time.Time{}
@@ -195,8 +168,8 @@
 // Paused returns the incarnations that want no requests now, with the end of each pause.
 func (t *Table) Paused(now time.Time) iter.Seq2[fleet.BackendIncarnation, time.Time] {
 	return func(yield func(fleet.BackendIncarnation, time.Time) bool) {
-		for id, s := range t.servers {
-			if !s.leaving && now.Before(s.pausedUntil) && !yield(fleet.BackendIncarnation{Backend: id, Incarnation: s.incarnation}, s.pausedUntil) {
+		for b, s := range t.servers.All() {
+			if !s.leaving && now.Before(s.pausedUntil) && !yield(b, s.pausedUntil) {
 				return
 			}
 		}
--- a/core/holdoff/table_test.go
+++ b/core/holdoff/table_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanway/core/fleet"
+	"toucanway/core/registry"
 )
 
 // epoch is the time at which tests begin.
@@ -41,10 +42,10 @@
 // Guards against a table that grows with each server that ever left, and against one that forgets the newest notices.
 func TestTableIsBounded(t *testing.T) {
 	var table Table
-	for i := range maxServers + 2 {
+	for i := range registry.DefaultMaxInstances + 2 {
 		table.Observe(epoch, fleet.BackendID(strconv.Itoa(i)), 1, Notice{Leaving: true})
 	}
-	require.Len(t, table.servers, maxServers)
+	require.Equal(t, registry.DefaultMaxInstances, table.servers.Len())
 	require.Equal(t, Open, table.stateAt(0, "1", 1))
 	require.Equal(t, Leaving, table.stateAt(0, "2", 1))
 }
