io/gateway, platform: log the rate limits that backend servers name

Cause to be told apart: the logs could not say whether a gateway that sends too much to a server with a limit has heard of the limit. Added: the header is decoded into fleet.RateLimit, core/ratelimit.Notices holds what servers have said, with a log line and a counter for each change, and the steps of a request's log line name the limit of the server. No decision changes. The end of a limit counts only from an answer to a request that was sent after the limit was named.

--- a/cmd/toucanway-lab/internal/docs/observe.go
+++ b/cmd/toucanway-lab/internal/docs/observe.go
@@ -63,7 +63,7 @@
 		"crash-reports":           "Compare with `backend server changed`: more crashes than new incarnations are servers that do not come back.",
 		"crashing-contents":       "`listed`: look up the requests, see [operations](OPERATIONS.md), and tell their sender.",
 		"routed-requests":         "`refused` and `broken` by route: look up the cause in the gateway's log, see [operations](OPERATIONS.md).",
-		"backend-notices":         "`leaving` without planned work on the servers: look up `backend server says that it leaves` and the server's own log. `pause` from all servers of a service: they are overloaded; add servers.",
+		"backend-notices":         "`leaving` without planned work on the servers: look up `backend server says that it leaves` and the server's own log. `pause` from all servers of a service, or `rate-limit` from many: they are overloaded; add servers.",
 		"routed-request-duration": "Above the route's objective: compare the steps in the log of slow requests.",
 		"tls-reloads":             "With the result `failed`: write matching PEM files. The earlier certificates stay in use until they expire.",
 	}
@@ -102,6 +102,7 @@
 		"backend server known":                                                         {settings.LogControl, "The gateway has learned of a new incarnation or state of a backend server.", noAction},
 		"backend server says that it leaves":                                           {settings.LogControl, "An answer has said that the server is about to stop; this host sends no more requests to this incarnation.", noAction},
 		"backend server counts as draining, since it has said that it leaves":          {settings.LogControl, "The leader has heard from the host `told` that an answer of the server said so; all entry hosts are told, and an engine gets no more orders.", noAction},
+		"backend server has changed its rate limit":                                    {settings.LogControl, "An answer of the server names another limit `per-second` for the requests of all hosts than the one known `before`, or none any more.", "From one server: compare its load with the others'. From many of a service: add servers."},
 		"backend server wants no requests from this host for some time":                {settings.LogControl, "A rejection asked for a pause of `asked-ms`; this host sends the server nothing for `until-ms`. Written when a pause begins and when it has grown by a second.", "From one server: compare its load with the others'. From all of a service: add servers."},
 		"contact with the control group":                                               {settings.LogControl, "The gateway follows a leader again.", noAction},
 		"no contact with the control group; this host goes on with what it knows":      {settings.LogControl, "No leader answered for some seconds.", "Check that a majority of the controllers runs and is reachable."},
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -43,6 +43,8 @@
 	instance *registry.Instance
 	ticket   *balance.Ticket
 	choice   balance.Choice
+	// limit is the rate limit of the instance.
+	limit fleet.RateLimit
 	// changed is closed when another choice may be possible. retryAt is the time at which a rejecting server may be tried again;
 	// it is zero if there is none.
 	changed <-chan struct{}
@@ -65,7 +67,7 @@
 			now := time.Now()
 			c.instance = instances[i]
 			c.ticket, c.choice = v.balancer.Begin(now, r, c.instance, v.balancer.Candidates(now, r, instances)[i])
-			v.holdoffs.Begin(now, id, c.instance.Incarnation)
+			v.begin(now, &c)
 			c.choice.Candidates, c.choice.Placed = len(instances), true
 			return c
 		}
@@ -73,11 +75,17 @@
 	now := time.Now()
 	c.instance, c.ticket, c.choice = v.balancer.Pick(now, r, instances)
 	if c.instance != nil {
-		v.holdoffs.Begin(now, c.instance.ID, c.instance.Incarnation)
+		v.begin(now, &c)
 	}
 	return c
 }
 
+// begin records that a request is about to be sent to the server of a selection; v.mu is held.
+func (v *View) begin(now time.Time, c *selection) {
+	v.holdoffs.Begin(now, c.instance.ID, c.instance.Incarnation)
+	c.limit = v.rateLimit(c.instance)
+}
+
 // available returns the servers that can take a request now, and what to wait for if there is none; v.mu is held.
 func (v *View) available(service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) (selection, []*registry.Instance) {
 	now := time.Now()
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -46,6 +46,8 @@
 	Instance fleet.BackendID
 	// Notice is what the server says about further requests from this host.
 	Notice holdoff.Notice
+	// Limit is the rate limit that the server names.
+	Limit fleet.RateLimit
 }
 
 // Dialect translates the platform's HTTP headers and configuration format; the platform's adapter implements it.
--- a/io/gateway/holdoff.go
+++ b/io/gateway/holdoff.go
@@ -16,11 +16,13 @@
 const (
 	logLeaving = "backend server says that it leaves"
 	logPaused  = "backend server wants no requests from this host for some time"
+	logLimit   = "backend server has changed its rate limit"
 )
 
 // observe records what an answer of a server says about further requests. It is called for each answer whose headers arrive, also
 // those that are skipped because they belong to an earlier request.
 func (x *exchange) observe(in *registry.Instance, a AnswerInfo) {
+	x.observeLimit(in, a)
 	c := x.proxy.view.observeAnswer(in, a)
 	if c.Leaving {
 		x.proxy.metrics.notices.With("leaving").Inc(1)
@@ -35,11 +37,8 @@
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if a.Instance != "" && a.Instance != in.ID {
-		// Another server has the address now.
-		if in = v.instances[a.Instance]; in == nil {
-			return holdoff.Change{}
-		}
+	if in = v.instanceOf(in, a); in == nil {
+		return holdoff.Change{}
 	}
 	c := v.holdoffs.Observe(now, in.ID, in.Incarnation, a.Notice)
 	if c.Leaving {
@@ -56,13 +55,22 @@
 	return c
 }
 
+// instanceOf returns the server that has answered a request to in, or nil if this host doesn't know it; v.mu is held. Another server may
+// have taken over the address.
+func (v *View) instanceOf(in *registry.Instance, a AnswerInfo) *registry.Instance {
+	if a.Instance != "" && a.Instance != in.ID {
+		return v.instances[a.Instance]
+	}
+	return in
+}
+
 // unreportedLeaving returns the servers that have said that they leave and that the leader reports as ready; v.mu is held.
 func (v *View) unreportedLeaving() []fleet.BackendIncarnation {
 	var out []fleet.BackendIncarnation
 	now := time.Now()
 	for _, in := range v.instances {
 		if state, _ := v.holdoffs.State(now, in.ID, in.Incarnation); state == holdoff.Leaving && in.State == registry.Ready {
-			out = append(out, fleet.BackendIncarnation{Backend: in.ID, Incarnation: in.Incarnation})
+			out = append(out, incarnationOf(in))
 		}
 	}
 	return out
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -46,6 +46,8 @@
 	triedServers map[fleet.BackendID]bool
 	// sentTo holds the addresses to which the request was sent; two servers have one address if the later one took it over.
 	sentTo map[string]bool
+	// sentAt is the time at which the request was last about to be written to a server.
+	sentAt time.Time
 	// sends is the number of times that the request was written to a server; all but the first are charged to the retry budget.
 	sends int
 	// mayHaveRun is set once a server may have run the request.
@@ -77,6 +79,8 @@
 	outcome  balance.Outcome
 	status   int
 	choice   balance.Choice
+	// limit is the rate limit of the server when it was chosen.
+	limit    fleet.RateLimit
 	duration time.Duration
 	err      error
 }
@@ -168,7 +172,7 @@
 		status, out, err := x.send(c.instance, c.ticket)
 		x.proxy.view.endRequest(c.ticket, out)
 		x.recordEvidence(c.instance, status, out, err)
-		x.attempts = append(x.attempts, attempt{c.instance.ID, out, status, c.choice, time.Since(began), err})
+		x.attempts = append(x.attempts, attempt{c.instance.ID, out, status, c.choice, c.limit, time.Since(began), err})
 		if err == nil {
 			return status, "answered"
 		}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -38,7 +38,7 @@
 			return backend.MatchID(a.ID, x.info.ID)
 		},
 		Permitted: func() bool {
-			permitted = x.proxy.view.maySend(in)
+			permitted, x.sentAt = x.proxy.view.maySend(in), time.Now()
 			return permitted
 		},
 	})
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -228,6 +228,9 @@
 	enc.AddInt64("cached", int64(s.choice.Cached))
 	enc.AddBool("avoided", s.choice.Avoided)
 	enc.AddBool("placed", s.choice.Placed)
+	if s.limit.Named {
+		enc.AddFloat64("limit-per-second", s.limit.PerSecond)
+	}
 	if s.err != nil {
 		enc.AddString("error", s.err.Error())
 	}
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -15,6 +15,7 @@
 	"toucanway/core/fleet"
 	"toucanway/core/holdoff"
 	"toucanway/core/pause"
+	"toucanway/core/ratelimit"
 	"toucanway/core/registry"
 	"toucanway/core/residency"
 	"toucanway/core/retry"
@@ -61,6 +62,8 @@
 	rejections map[rejectionKey]time.Time
 	// holdoffs holds what servers have said about further requests.
 	holdoffs holdoff.Table
+	// limitNotices holds what servers have said about their rate limits and the leader hasn't confirmed.
+	limitNotices ratelimit.Notices
 	// evidence is what this host knows of content that crashes servers.
 	evidence crashes.Evidence
 	ready    bool
