controlscenario: failing test for rate limits of backend servers over all gateways

What servers see: more requests than they have said they take, as many as callers send. The test runs real controllers and gateways with synthetic time, a server that names a limit, and counts as the rule does.

--- a/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
@@ -32,7 +32,20 @@
 
 // startGateways starts entry hosts that follow the group, and returns their log and a function that stops them.
 func startGateways(t *testing.T, w *simulation, n int) (*observer.ObservedLogs, func()) {
+	log, _, stop := startGatewaysWith(t, w, n, gatewayDialect{})
+	return log, stop
+}
+
+// startRequestGateways starts entry hosts that take requests, and returns their addresses and a function that stops them.
+func startRequestGateways(t *testing.T, w *simulation, n int) ([]string, func()) {
+	_, addresses, stop := startGatewaysWith(t, w, n, requestDialect{})
+	return addresses, stop
+}
+
+// startGatewaysWith starts entry hosts with a dialect, and returns their log, their addresses and a function that stops them.
+func startGatewaysWith(t *testing.T, w *simulation, n int, d gateway.Dialect) (*observer.ObservedLogs, []string, func()) {
 	core, log := observer.New(zapcore.InfoLevel)
+	var addresses []string
 	seeds := func() []fleet.HostID { return w.hostIDs()[:3] }
 	ctx, cancel := context.WithCancel(context.Background())
 	var eg errgroup.Group
@@ -40,20 +53,23 @@
 		ip := fmt.Sprintf("10.%d.8.%d", i%3+1, i+1)
 		net := w.net.Host(ip)
 		client := hosts.NewClient(fleet.HostID(ip), net, nil)
+		pool := backend.NewPool(net)
 		g := gateway.New(gateway.Settings{
-			Self: fleet.HostID(ip), Address: ip + ":80", Dialect: gatewayDialect{}, Client: controlapi.NewClient(client, port, seeds),
-			Pool: backend.NewPool(net), Budget: gateway.Budget{Ratio: 1, Slack: 1, Window: time.Second}, GracePeriod: 2 * time.Second,
+			Self: fleet.HostID(ip), Address: ip + ":80", Dialect: d, Client: controlapi.NewClient(client, port, seeds),
+			Pool: pool, Budget: gateway.Budget{Ratio: 1, Slack: 1, Window: time.Second}, GracePeriod: 2 * time.Second,
 			Now: time.Now, ConfigurationTime: time.Second,
 			Log: zap.New(core).Named(ip), Metrics: metrics.New(metrics.Options{}),
 		})
 		l, err := net.Listen(ip + ":80")
 		require.NoError(t, err)
+		addresses = append(addresses, ip+":80")
 		eg.Go(func() error {
 			defer client.Close()
+			defer pool.Close()
 			return g.Run(ctx, l)
 		})
 	}
-	return log, func() {
+	return log, addresses, func() {
 		cancel()
 		require.NoError(t, eg.Wait())
 	}
--- /dev/null
+++ b/cmd/toucanway-lab/internal/controlscenario/limited_test.go
@@ -0,0 +1,316 @@
+package controlscenario
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"toucanway/core/fleet"
+	"toucanway/core/pause"
+	"toucanway/core/registry"
+	"toucanway/core/routes"
+	"toucanway/io/gateway"
+)
+
+// plainService is a service without models, which requestDialect has a route to.
+const plainService fleet.ServiceID = "plain"
+
+// requestTimeout is the timeout of the route to plainService.
+const requestTimeout = 3 * time.Second
+
+// requestDialect decodes requests and answers with short header names, and configurations with one route to plainService.
+type requestDialect struct{ gatewayDialect }
+
+func (requestDialect) Configuration(data []byte) (*routes.Configuration, error) {
+	c, err := versionParser{}.Configuration(data)
+	if err == nil {
+		c.Services = append(c.Services, routes.Service{Name: plainService})
+		c.Routes = []routes.Route{{
+			Name: "plain", Host: "h", Prefix: "/", Kind: routes.Unsafe, Timeout: requestTimeout, Objective: 500 * time.Millisecond, MaxAttempts: 1,
+			Services: []routes.WeightedService{{Service: plainService, Weight: 1}},
+		}}
+	}
+	return c, err
+}
+
+func (requestDialect) Request(h *fasthttp.RequestHeader) gateway.RequestInfo {
+	return gateway.RequestInfo{ID: fleet.RequestID(h.Peek("Id"))}
+}
+
+func (requestDialect) SetForwardHeaders(h *fasthttp.RequestHeader, f gateway.ForwardInfo) {
+	h.Set("Instance", string(f.Instance))
+}
+
+func (requestDialect) Answer(h *fasthttp.ResponseHeader) gateway.AnswerInfo {
+	a := gateway.AnswerInfo{ID: fleet.RequestID(h.Peek("Id")), Signed: true}
+	if rate, err := strconv.ParseFloat(string(h.Peek("Limit")), 64); err == nil {
+		a.Limit = fleet.NewRateLimit(rate)
+	}
+	return a
+}
+
+// startServerDate starts fasthttp's process-wide clock for the Date header, which must not belong to one test with synthetic time.
+var startServerDate = sync.OnceFunc(func() {
+	var h fasthttp.ResponseHeader
+	_, _ = h.WriteTo(io.Discard)
+})
+
+// arrival is a request that a server has read.
+type arrival struct {
+	at time.Time
+	// from is the gateway that sent it.
+	from string
+}
+
+// limitedServer is a backend server of plainService that may name a rate limit. It is safe for concurrent use.
+type limitedServer struct {
+	id      fleet.BackendID
+	address string
+	mu      sync.Mutex
+	limit   fleet.RateLimit
+	// limitedAt is the time from which the server has named its present limit.
+	limitedAt time.Time
+	arrivals  []arrival
+	// toldAt maps the gateways to the time of the first answer that named a limit.
+	toldAt map[string]time.Time
+	conns  sync.WaitGroup
+	// close ends the server.
+	close func()
+}
+
+// startServer starts a server and announces it.
+func startServer(t *testing.T, w *simulation, n int) *limitedServer {
+	ip := fmt.Sprintf("10.%d.9.%d", n%3+1, n+1)
+	s := &limitedServer{id: fleet.BackendID(fmt.Sprint("s", n)), address: ip + ":80", toldAt: map[string]time.Time{}}
+	host := w.net.Host(ip)
+	l, err := host.Listen(s.address)
+	require.NoError(t, err)
+	s.conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Go(func() { s.serve(c) })
+		}
+	})
+	s.close = func() {
+		host.Close()
+		s.conns.Wait()
+	}
+	s.announce(t, w, 1)
+	return s
+}
+
+func (s *limitedServer) announce(t *testing.T, w *simulation, seq uint64) {
+	sendHeartbeat(t, w, registry.Heartbeat{Instance: registry.Instance{ID: s.id, Incarnation: 1, Service: plainService, Address: s.address, Slots: 64}, Seq: seq})
+}
+
+// serve answers the requests of one connection, each after 50 ms.
+func (s *limitedServer) serve(c net.Conn) {
+	defer c.Close()
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	r := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			return
+		}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, arrival{time.Now(), from})
+		s.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		s.mu.Lock()
+		head := ""
+		if s.limit.Named {
+			head = fmt.Sprintf("Limit: %v\r\n", s.limit)
+			if _, told := s.toldAt[from]; !told {
+				s.toldAt[from] = time.Now()
+			}
+		}
+		s.mu.Unlock()
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 2\r\n\r\nok", req.Header.Peek("Id"), head); err != nil {
+			return
+		}
+	}
+}
+
+// setLimit makes the server name a limit, or none, from now on.
+func (s *limitedServer) setLimit(l fleet.RateLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.limitedAt = l, time.Now()
+}
+
+// Figures of the rule for servers that name a limit.
+const (
+	limitWindow  = 4 * time.Second
+	limitContact = 4 * time.Second
+	limitTold    = 500 * time.Millisecond
+	limitFactor  = 1.5
+	limitSlack   = 5
+)
+
+// worstWindow returns the largest number of requests in limitWindow from limitContact after the server named its present limit on, from
+// gateways that had heard of a limit limitTold before, and the number allowed.
+func (s *limitedServer) worstWindow() (most int, allowed float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var counted []time.Time
+	for _, a := range s.arrivals {
+		told, ok := s.toldAt[a.from]
+		if !ok || a.at.Sub(told) < limitTold || a.at.Sub(s.limitedAt) < limitContact {
+			continue
+		}
+		counted = append(counted, a.at)
+		first := 0
+		for a.at.Sub(counted[first]) > limitWindow {
+			first++
+		}
+		counted = counted[first:]
+		most = max(most, len(counted))
+	}
+	return most, limitFactor*s.limit.PerSecond*limitWindow.Seconds() + limitSlack
+}
+
+// arrivalsSince returns the number of requests since a time.
+func (s *limitedServer) arrivalsSince(t time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// callResult is the result of one request of a caller.
+type callResult struct {
+	at     time.Time
+	took   time.Duration
+	status int
+}
+
+// callers sends requests to gateways at a rate.
+type callers struct {
+	w       *simulation
+	mu      sync.Mutex
+	results []callResult
+	stop    func()
+}
+
+// startCallers starts callers that send a number of requests a second to gateways, until stop is called.
+func startCallers(t *testing.T, w *simulation, gateways []string, perSecond float64) *callers {
+	c := &callers{w: w}
+	random := rand.New(rand.NewPCG(1, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	var eg errgroup.Group
+	eg.Go(func() error {
+		for n := 0; pause.For(ctx, time.Duration(random.ExpFloat64()/perSecond*float64(time.Second))) == nil; n++ {
+			address := gateways[random.IntN(len(gateways))]
+			eg.Go(func() error {
+				c.call(n, address)
+				return nil
+			})
+		}
+		return nil
+	})
+	c.stop = func() {
+		cancel()
+		require.NoError(t, eg.Wait())
+	}
+	return c
+}
+
+func (c *callers) call(n int, address string) {
+	began := time.Now()
+	r := callResult{at: began}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*requestTimeout)
+	defer cancel()
+	if conn, err := c.w.net.Host("10.1.7.1").Dial(ctx, address); err == nil {
+		defer conn.Close()
+		var res fasthttp.Response
+		if _, err = fmt.Fprintf(conn, "GET /x HTTP/1.1\r\nHost: h\r\nId: %d\r\nConnection: close\r\n\r\n", n); err == nil && res.Read(bufio.NewReader(conn)) == nil {
+			r.status = res.StatusCode()
+		}
+	}
+	r.took = time.Since(began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+// since returns the share of the requests since a time that were answered, and the longest time that a refused one took.
+func (c *callers) since(t time.Time) (answered float64, slowestRefusal time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range c.results {
+		if r.at.Before(t) {
+			continue
+		}
+		n++
+		if r.status == fasthttp.StatusOK {
+			answered++
+		} else {
+			slowestRefusal = max(slowestRefusal, r.took)
+		}
+	}
+	return answered / math.Max(float64(n), 1), slowestRefusal
+}
+
+// Guards against a server in need that gets more requests from all gateways together than the limit that it has named (rule LIMIT),
+// and against callers that wait out their deadline for it.
+func TestServersRateLimitHoldsForAllGateways(t *testing.T) {
+	tests := map[string]struct {
+		gateways int
+		limit    float64
+		// perSecond is the rate of the callers' requests.
+		perSecond float64
+	}{
+		"few gateways":                 {3, 2, 20},
+		"less than one a second":       {3, 0.4, 20},
+		"less for each than the limit": {60, 5, 40},
+		"hundreds of gateways":         {200, 2, 60},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			startServerDate()
+			synctest.Test(t, func(t *testing.T) {
+				w := startControllers(t)
+				defer closeAndCheck(t, w)
+				addresses, stop := startRequestGateways(t, w, tt.gateways)
+				defer stop()
+				s := startServer(t, w, 0)
+				defer s.close()
+				time.Sleep(3 * time.Second)
+				c := startCallers(t, w, addresses, tt.perSecond)
+				time.Sleep(2 * time.Second)
+				s.setLimit(fleet.NewRateLimit(tt.limit))
+				limited := time.Now().Add(limitContact)
+				time.Sleep(15 * time.Second)
+				c.stop()
+				most, allowed := s.worstWindow()
+				require.LessOrEqual(t, float64(most), allowed)
+				// What the server takes is used, and the rest is refused early.
+				require.GreaterOrEqual(t, float64(s.arrivalsSince(limited)), tt.limit*10*0.7)
+				_, slowest := c.since(limited)
+				require.Less(t, slowest, requestTimeout/2)
+			})
+		})
+	}
+}
