core/ratelimit: the leader grants the requests to backend servers that name a rate limit

Class of fault: a limit on a sum that no host sees. A part of the limit for each gateway was ruled out: with hundreds of gateways it is far below one request a second for each, so that it either lets each have one at once or starves callers at the busy ones.

Change: a gateway that hears of a limit reports it; the leader puts it into the registry, which all gateways follow, and takes it out once an answer to a later request names none. If the best server for a request has a limit, the gateway asks the leader (Place), which chooses among all candidates with the wait for the limit as a cost, and counts the grant; a request whose wait would make it late everywhere is refused at once with the time to come back. A request that was chosen before the limit was known is not written any more.

Why it holds: every request that knows of the limit needs a grant, and the grants of 4 s are at most limit x 4.5 + 1.

Less is served, since the planner does not load models elsewhere for a limit yet.

--- a/cmd/toucanway-lab/internal/controlscenario/limited_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/limited_test.go
@@ -62,6 +62,12 @@
 	return a
 }
 
+// ipOf returns the IP address of an address with a port.
+func ipOf(address string) string {
+	ip, _, _ := net.SplitHostPort(address)
+	return ip
+}
+
 // startServerDate starts fasthttp's process-wide clock for the Date header, which must not belong to one test with synthetic time.
 var startServerDate = sync.OnceFunc(func() {
 	var h fasthttp.ResponseHeader
@@ -122,7 +128,7 @@
 // serve answers the requests of one connection, each after 50 ms.
 func (s *limitedServer) serve(c net.Conn) {
 	defer c.Close()
-	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	from := ipOf(c.RemoteAddr().String())
 	r := bufio.NewReader(c)
 	for {
 		var req fasthttp.Request
@@ -273,44 +279,144 @@
 	return answered / math.Max(float64(n), 1), slowestRefusal
 }
 
+// limitedRun is a run with a server that names a limit 5 s after the start, for 15 s.
+type limitedRun struct {
+	controllers, gateways int
+	// limit is the limit of the server, perSecond the rate of the callers' requests.
+	limit, perSecond float64
+	// during is called 4 s after the server has named its limit; nil does nothing.
+	during func(t *testing.T, w *simulation, s *limitedServer, gateways []string)
+	// others is the number of further servers without a limit.
+	others int
+}
+
+// play plays the run and calls check at its end, with the time from which the limit counts.
+func (r limitedRun) play(t *testing.T, check func(t *testing.T, s *limitedServer, c *callers, from time.Time)) {
+	startServerDate()
+	synctest.Test(t, func(t *testing.T) {
+		w := startControllersOf(t, r.controllers)
+		defer closeAndCheck(t, w)
+		addresses, stop := startRequestGateways(t, w, r.gateways)
+		defer stop()
+		s := startServer(t, w, 0)
+		defer s.close()
+		for i := range r.others {
+			defer startServer(t, w, i+1).close()
+		}
+		time.Sleep(3 * time.Second)
+		c := startCallers(t, w, addresses, r.perSecond)
+		time.Sleep(2 * time.Second)
+		s.setLimit(fleet.NewRateLimit(r.limit))
+		time.Sleep(limitContact)
+		from := time.Now()
+		if r.during != nil {
+			r.during(t, w, s, addresses)
+		}
+		time.Sleep(11 * time.Second)
+		c.stop()
+		check(t, s, c, from)
+	})
+}
+
 // Guards against a server in need that gets more requests from all gateways together than the limit that it has named (rule LIMIT),
 // and against callers that wait out their deadline for it.
 func TestServersRateLimitHoldsForAllGateways(t *testing.T) {
+	tests := map[string]limitedRun{
+		"few gateways":                 {controllers: 3, gateways: 3, limit: 2, perSecond: 20},
+		"less than one a second":       {controllers: 3, gateways: 3, limit: 0.4, perSecond: 20},
+		"less for each than the limit": {controllers: 3, gateways: 60, limit: 5, perSecond: 40},
+		"hundreds of gateways":         {controllers: 3, gateways: 200, limit: 2, perSecond: 60},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			r.play(t, func(t *testing.T, s *limitedServer, c *callers, from time.Time) {
+				most, allowed := s.worstWindow()
+				require.LessOrEqual(t, float64(most), allowed)
+				// What the server takes is used, and the rest is refused early.
+				require.GreaterOrEqual(t, float64(s.arrivalsSince(from)), r.limit*10*0.7)
+				_, slowest := c.since(from)
+				require.Less(t, slowest, requestTimeout/2)
+			})
+		})
+	}
+}
+
+// Guards against a limit that is exceeded, or that keeps everything from the server, while gateways or controllers are lost or cut off.
+func TestServersRateLimitHoldsUnderFailure(t *testing.T) {
+	killAll := func(t *testing.T, w *simulation, _ *limitedServer, _ []string) {
+		for _, h := range w.hosts {
+			require.NoError(t, w.kill(h))
+		}
+	}
 	tests := map[string]struct {
-		gateways int
-		limit    float64
-		// perSecond is the rate of the callers' requests.
-		perSecond float64
+		limitedRun
+		// used is the least share of the limit that is used.
+		used float64
 	}{
-		"few gateways":                 {3, 2, 20},
-		"less than one a second":       {3, 0.4, 20},
-		"less for each than the limit": {60, 5, 40},
-		"hundreds of gateways":         {200, 2, 60},
+		"leader killed": {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: func(t *testing.T, w *simulation, _ *limitedServer, _ []string) {
+			require.NoError(t, w.kill(w.leader()))
+		}}, 0.5},
+		"leader killed, hundreds of gateways": {limitedRun{controllers: 3, gateways: 200, limit: 20, perSecond: 80, during: func(t *testing.T, w *simulation, _ *limitedServer, _ []string) {
+			require.NoError(t, w.kill(w.leader()))
+		}}, 0.5},
+		"leader cut off": {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: func(_ *testing.T, w *simulation, _ *limitedServer, _ []string) {
+			w.net.Isolate(string(w.leader().ip))
+		}}, 0.5},
+		"gateways cut off from the controllers": {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: func(_ *testing.T, w *simulation, _ *limitedServer, gateways []string) {
+			for _, g := range gateways[:10] {
+				for _, h := range w.hosts {
+					w.net.Cut(ipOf(g), string(h.ip))
+				}
+			}
+		}}, 0.5},
+		"all controllers killed":                        {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: killAll}, 0.1},
+		"all controllers killed, hundreds of gateways":  {limitedRun{controllers: 3, gateways: 200, limit: 5, perSecond: 60, during: killAll}, 0.02},
+		"all controllers killed, less for each gateway": {limitedRun{controllers: 3, gateways: 60, limit: 0.4, perSecond: 60, during: killAll}, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			startServerDate()
-			synctest.Test(t, func(t *testing.T) {
-				w := startControllers(t)
-				defer closeAndCheck(t, w)
-				addresses, stop := startRequestGateways(t, w, tt.gateways)
-				defer stop()
-				s := startServer(t, w, 0)
-				defer s.close()
-				time.Sleep(3 * time.Second)
-				c := startCallers(t, w, addresses, tt.perSecond)
-				time.Sleep(2 * time.Second)
-				s.setLimit(fleet.NewRateLimit(tt.limit))
-				limited := time.Now().Add(limitContact)
-				time.Sleep(15 * time.Second)
-				c.stop()
+			tt.play(t, func(t *testing.T, s *limitedServer, c *callers, from time.Time) {
 				most, allowed := s.worstWindow()
 				require.LessOrEqual(t, float64(most), allowed)
-				// What the server takes is used, and the rest is refused early.
-				require.GreaterOrEqual(t, float64(s.arrivalsSince(limited)), tt.limit*10*0.7)
-				_, slowest := c.since(limited)
+				require.GreaterOrEqual(t, float64(s.arrivalsSince(from)), tt.limit*11*tt.used)
+				_, slowest := c.since(from)
 				require.Less(t, slowest, requestTimeout/2)
 			})
 		})
 	}
 }
+
+// Guards against requests that are refused although another server has no limit.
+func TestRequestsGoElsewhereThanToServerWithRateLimit(t *testing.T) {
+	limitedRun{controllers: 3, gateways: 9, limit: 0.4, perSecond: 20, others: 1}.play(t, func(t *testing.T, s *limitedServer, c *callers, from time.Time) {
+		most, allowed := s.worstWindow()
+		require.LessOrEqual(t, float64(most), allowed)
+		answered, _ := c.since(from)
+		require.Equal(t, 1.0, answered)
+	})
+}
+
+// Guards against a changed limit that is not kept, and against one that stays in force after the server has ceased to name it.
+func TestChangeOfServersRateLimit(t *testing.T) {
+	tests := map[string]struct {
+		before, after fleet.RateLimit
+		least         float64
+	}{
+		"lower":  {fleet.NewRateLimit(10), fleet.NewRateLimit(1), 0.7},
+		"higher": {fleet.NewRateLimit(1), fleet.NewRateLimit(10), 7},
+		"ended":  {fleet.NewRateLimit(1), fleet.RateLimit{}, 25},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			run := limitedRun{controllers: 3, gateways: 30, limit: tt.before.PerSecond, perSecond: 30}
+			run.during = func(_ *testing.T, _ *simulation, s *limitedServer, _ []string) { s.setLimit(tt.after) }
+			run.play(t, func(t *testing.T, s *limitedServer, _ *callers, from time.Time) {
+				if tt.after.Named {
+					most, allowed := s.worstWindow()
+					require.LessOrEqual(t, float64(most), allowed)
+				}
+				require.GreaterOrEqual(t, float64(s.arrivalsSince(from.Add(limitContact))), tt.least*7)
+			})
+		})
+	}
+}
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -24,6 +24,8 @@
 	Parts  []Part
 	// Objective is the largest time to first byte of an answer that is on time.
 	Objective time.Duration
+	// LatestStart is the time until which a server with a rate limit may make the request wait.
+	LatestStart time.Time
 	// Size is the number of bytes that are sent to the server.
 	Size fleet.Bytes
 	// KVCapacity is the number of tokens that the memory of an engine of the service holds; 0 means that it is not known.
@@ -134,12 +136,17 @@
 		return nil, nil, Choice{}
 	}
 	candidates := b.Candidates(now, r, instances)
-	best := b.sample(candidates, func(id fleet.BackendID) TotalLoad { return b.servers[id].otherHosts })
+	best := b.Draw(candidates)
 	t, c := b.Begin(now, r, instances[best], candidates[best])
 	c.Candidates = len(instances)
 	return instances[best], t, c
 }
 
+// Draw returns the index of one of the candidates, which must be those of the present instances. There must be at least one.
+func (b *Balancer) Draw(candidates []Candidate) int {
+	return b.sample(candidates, func(id fleet.BackendID) TotalLoad { return b.servers[id].otherHosts })
+}
+
 // Begin begins a request at the server of a candidate.
 func (b *Balancer) Begin(now time.Time, r *Request, in *registry.Instance, o Candidate) (*Ticket, Choice) {
 	s := b.server(in)
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -134,7 +134,7 @@
 func (r *Registry) applyRenewal(now time.Time, e *entry, h Heartbeat) Verdict {
 	in, previous := h.Instance, e.instance
 	in.State = max(in.State, previous.State)
-	in.Models, in.Revision = previous.Models, previous.Revision
+	in.Models, in.Limit, in.Revision = previous.Models, previous.Limit, previous.Revision
 	if in.Address != previous.Address {
 		if r.addresses[previous.Address] == in.ID {
 			delete(r.addresses, previous.Address)
@@ -196,6 +196,17 @@
 	return true
 }
 
+// SetLimit replaces the rate limit of an incarnation, and reports whether that changed the record.
+func (r *Registry) SetLimit(b fleet.BackendIncarnation, l fleet.RateLimit) bool {
+	e := r.entries[b.Backend]
+	if e == nil || e.instance.Incarnation != b.Incarnation || e.instance.Limit == l {
+		return false
+	}
+	e.instance.Limit = l
+	r.recordChange(e)
+	return true
+}
+
 // SetModels replaces the loaded models of an incarnation after orders, and reports whether that changed the record.
 func (r *Registry) SetModels(id fleet.BackendID, inc fleet.Incarnation, models []Model) bool {
 	e := r.entries[id]
@@ -241,12 +252,12 @@
 }
 
 // Adopt adds instances that another host knows, without their heartbeats. A known instance changes only if it is an older
-// incarnation, or if the same incarnation has a later state.
+// incarnation, or if the same incarnation has a later state or another rate limit.
 func (r *Registry) Adopt(now time.Time, list []Instance) {
 	for _, in := range list {
 		if e := r.entries[in.ID]; e != nil && e.instance.Incarnation >= in.Incarnation {
-			if e.instance.Incarnation == in.Incarnation && in.State > e.instance.State {
-				e.instance.State = in.State
+			if e.instance.Incarnation == in.Incarnation && (in.State > e.instance.State || in.Limit != e.instance.Limit) {
+				e.instance.State, e.instance.Limit = max(e.instance.State, in.State), in.Limit
 				r.recordChange(e)
 			}
 			continue
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -138,10 +138,21 @@
 	// Leaving lists the incarnations of backend servers that have told this host that they leave and that the leader has not
 	// reported as draining yet.
 	Leaving []fleet.BackendIncarnation `cbor:"8,keyasint,omitempty"`
+	// Limits lists what backend servers have told this host about their rate limits and the leader has not reported yet.
+	Limits []LimitNotice `cbor:"9,keyasint,omitempty"`
 	// Crashes tells of crashes of backend servers; nil if there is nothing to tell.
 	Crashes *crashes.Report `cbor:"5,keyasint,omitempty"`
 }
 
+// LimitNotice is what a backend server has said about its rate limit.
+type LimitNotice struct {
+	Backend     fleet.BackendID   `cbor:"1,keyasint"`
+	Incarnation fleet.Incarnation `cbor:"2,keyasint"`
+	Limit       fleet.RateLimit   `cbor:"3,keyasint,omitzero"`
+	// Age is the time since the answer that named the limit, or since the request was sent whose answer named none.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
 // ReportResponse contains the load of the other hosts.
 type ReportResponse struct {
 	Reply Reply `cbor:"1,keyasint,omitempty"`
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -15,6 +15,7 @@
 	"toucanway/core/fleet"
 	"toucanway/core/holdoff"
 	"toucanway/core/raft"
+	"toucanway/core/ratelimit"
 	"toucanway/core/registry"
 	"toucanway/core/residency"
 	"toucanway/core/routes"
@@ -29,6 +30,7 @@
 	logInstance      = "backend server changed"
 	logSilent        = "backend server is silent"
 	logPaused        = "backend server wants no requests from this host for some time"
+	logLimit         = "rate limit of a backend server in force on all hosts"
 	logLeaving       = "backend server counts as draining, since it has said that it leaves"
 	logDirectory     = "callers are told of another number of entry hosts"
 	logEntry         = "entry host changed"
@@ -84,6 +86,9 @@
 	mirrorRevision uint64
 	// followers is the number of hosts whose calls wait here for changes.
 	followers int
+	// limitsAt holds the time of the newest notice on each server's rate limit; limits grants the requests to those servers.
+	limitsAt registry.Incarnations[time.Time]
+	limits   ratelimit.Buckets
 	// loads holds the total load of all entry hosts by backend server.
 	loads map[fleet.BackendID]balance.TotalLoad
 	// detector finds the contents of requests that crash backend servers while this host leads.
@@ -184,6 +189,7 @@
 	defer c.mu.Unlock()
 	c.leadership = r
 	clear(c.mirrors)
+	c.limits, c.limitsAt = ratelimit.Buckets{}, registry.Incarnations[time.Time]{}
 	c.mirrorRevision++
 	c.planner = residency.New(c.cfg.Planner)
 	c.detector = crashes.NewDetector(uint64(term))
--- a/io/controller/loads.go
+++ b/io/controller/loads.go
@@ -1,34 +1,10 @@
 package controller
 
 import (
-	"context"
-
-	"toucanway/core/balance"
 	"toucanway/core/fleet"
 	"toucanway/io/controlapi"
 )
 
-// handlePlace chooses among the servers that can take a request of an entry host, and adds the request to the server's load.
-func (c *Controller) handlePlace(_ context.Context, from fleet.HostID, req *controlapi.PlaceRequest) (*controlapi.PlaceResponse, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.validLeadership() == nil {
-		return &controlapi.PlaceResponse{Reply: c.notLeader()}, nil
-	}
-	c.work.places++
-	e := c.entries[from]
-	if e == nil || len(req.Candidates) == 0 {
-		return &controlapi.PlaceResponse{}, nil
-	}
-	candidates := req.BalanceCandidates()
-	// The costs already include the host's own requests.
-	loads := e.loads
-	c.setLoads(e, nil)
-	best := candidates[balance.Best(candidates, func(id fleet.BackendID) balance.TotalLoad { return c.loads[id] })]
-	c.setLoads(e, append(loads, controlapi.Load{Instance: best.Instance, Active: 1, Prompt: best.Tokens}))
-	return &controlapi.PlaceResponse{Instance: best.Instance}, nil
-}
-
 // setLoads replaces an entry host's load; c.mu is held.
 func (c *Controller) setLoads(e *entry, loads []controlapi.Load) {
 	if len(e.loads) > 0 {
--- a/io/controller/reports.go
+++ b/io/controller/reports.go
@@ -30,6 +30,7 @@
 	}
 	c.setLoads(e, req.Loads)
 	c.recordLeaving(now, from, req.Leaving...)
+	c.recordLimits(now, from, req.Limits)
 	e.Entry, e.ready, e.reportedAt = req.Entry, req.Ready, now
 	e.interval = c.reportInterval(e)
 	c.planner.UpdateDemand(now, from, req.Demands)
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -45,45 +45,93 @@
 	choice   balance.Choice
 	// limit is the rate limit of the instance.
 	limit fleet.RateLimit
+	// isGranted is set if the request may be sent although the instance has a rate limit, after the time sendAt.
+	isGranted bool
+	sendAt    time.Time
 	// changed is closed when another choice may be possible. retryAt is the time at which a rejecting server may be tried again;
 	// it is zero if there is none.
 	changed <-chan struct{}
 	retryAt time.Time
 	// pausedUntil is the end of the first pause if all servers that could take the request have asked for one; else it is zero.
 	pausedUntil time.Time
+	// limitedUntil is the time at which the first server takes a request again if the rate limits of all those that could take it are
+	// used up; else it is zero.
+	limitedUntil time.Time
 }
 
-// pick chooses a server for a request, except the excluded ones. For a long prompt it asks the leader, since this host's
-// knowledge of the load of other hosts is older than the time that an engine needs to process such a prompt.
+// pick chooses a server for a request, except the excluded ones. It asks the leader for a long prompt, since this host's knowledge of the
+// load of other hosts is older than the time that an engine needs to process such a prompt, and if the best server has a rate limit.
 func (v *View) pick(ctx context.Context, service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) selection {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c, instances := v.available(service, r, excluded)
-	if id := v.askLeader(ctx, r, instances); id != "" {
+	if len(instances) == 0 {
+		return c
+	}
+	now := time.Now()
+	candidates := v.balancer.Candidates(now, r, instances)
+	best := v.balancer.Draw(candidates)
+	isLimited := v.rateLimit(instances[best]).Named
+	if !isLimited && (len(instances) < 2 || !r.LongPrompt()) {
+		v.begin(now, r, &c, instances, candidates, best)
+		return c
+	}
+	res := v.askLeader(ctx, now, r, instances, candidates)
+	if res != nil {
 		// The lock was released meanwhile.
+		now = time.Now()
 		c, instances = v.available(service, r, excluded)
-		i := slices.IndexFunc(instances, func(in *registry.Instance) bool { return in.ID == id })
+	}
+	if res != nil && res.Instance != "" {
+		i := slices.IndexFunc(instances, func(in *registry.Instance) bool { return in.ID == res.Instance })
 		if i >= 0 {
-			now := time.Now()
-			c.instance = instances[i]
-			c.ticket, c.choice = v.balancer.Begin(now, r, c.instance, v.balancer.Candidates(now, r, instances)[i])
-			v.begin(now, &c)
-			c.choice.Candidates, c.choice.Placed = len(instances), true
+			v.begin(now, r, &c, instances, v.balancer.Candidates(now, r, instances), i)
+			c.isGranted, c.sendAt, c.choice.Placed = c.limit.Named, now.Add(res.Delay), true
 			return c
 		}
 	}
-	now := time.Now()
-	c.instance, c.ticket, c.choice = v.balancer.Pick(now, r, instances)
-	if c.instance != nil {
-		v.begin(now, &c)
+	if res != nil && res.RetryIn > 0 {
+		c.limitedUntil = now.Add(res.RetryIn)
+		return c
 	}
+	v.pickAlone(now, r, &c, instances)
 	return c
 }
 
-// begin records that a request is about to be sent to the server of a selection; v.mu is held.
-func (v *View) begin(now time.Time, c *selection) {
-	v.holdoffs.Begin(now, c.instance.ID, c.instance.Incarnation)
+// pickAlone chooses a server without the leader; v.mu is held. Servers with a rate limit come last, in this host's turns.
+func (v *View) pickAlone(now time.Time, r *balance.Request, c *selection, instances []*registry.Instance) {
+	unlimited, limited := v.byRateLimit(instances)
+	if len(unlimited) > 0 {
+		candidates := v.balancer.Candidates(now, r, unlimited)
+		v.begin(now, r, c, unlimited, candidates, v.balancer.Draw(candidates))
+		c.choice.Candidates = len(instances)
+		return
+	}
+	for _, in := range limited {
+		next, ok := v.takeTurn(now, in)
+		if ok {
+			one := []*registry.Instance{in}
+			v.begin(now, r, c, one, v.balancer.Candidates(now, r, one), 0)
+			c.isGranted, c.choice.Candidates = true, len(instances)
+			return
+		}
+		if c.limitedUntil.IsZero() || next.Before(c.limitedUntil) {
+			c.limitedUntil = next
+		}
+	}
+	// The leader may answer earlier.
+	if !c.limitedUntil.IsZero() && v.placeNotBefore.After(now) && v.placeNotBefore.Before(c.limitedUntil) {
+		c.limitedUntil = v.placeNotBefore
+	}
+}
+
+// begin begins a request at one of several instances; v.mu is held.
+func (v *View) begin(now time.Time, r *balance.Request, c *selection, instances []*registry.Instance, candidates []balance.Candidate, i int) {
+	c.instance = instances[i]
+	c.ticket, c.choice = v.balancer.Begin(now, r, c.instance, candidates[i])
+	c.choice.Candidates = len(instances)
 	c.limit = v.rateLimit(c.instance)
+	v.holdoffs.Begin(now, c.instance.ID, c.instance.Incarnation)
 }
 
 // available returns the servers that can take a request now, and what to wait for if there is none; v.mu is held.
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+
+	"toucanway/core/holdoff"
 )
 
 // fail ends a request that no server has answered successfully. It writes an answer, or closes the connection if a stream has
@@ -38,6 +41,8 @@
 		return x.refuseFor(max(poisoned.listing.Left, poisonRetryAfter), poisonRequest, poisoned.Error()+"; it was not run")
 	case late:
 		return x.refuseForLackOfServers("deadline-exceeded", "no backend server could take the request before the deadline; it was not run")
+	case errors.Is(err, errLimited):
+		return x.refuseFor(holdoff.ReturnDelay(time.Until(x.limitedUntil), rand.Float64()), "rate-limited", "the request was not run: "+err.Error())
 	case errors.Is(err, errPaused):
 		return x.refuseForLackOfServers("servers-paused", "the request was not run: "+err.Error())
 	default:
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -158,6 +158,7 @@
 		return
 	}
 	v.instances[in.ID] = in
+	v.limitNotices.Told(incarnationOf(in), in.Limit)
 }
 
 // decodeConfiguration decodes a configuration; it returns nil if that fails.
--- a/io/gateway/holdoff.go
+++ b/io/gateway/holdoff.go
@@ -77,10 +77,13 @@
 }
 
 // maySend reports whether a request for which a server was chosen may be written to it.
-func (v *View) maySend(in *registry.Instance) bool {
+func (v *View) maySend(c *selection) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	state, _ := v.holdoffs.State(time.Now(), in.ID, in.Incarnation)
+	if !c.isGranted && v.rateLimit(c.instance).Named {
+		return false
+	}
+	state, _ := v.holdoffs.State(time.Now(), c.instance.ID, c.instance.Incarnation)
 	return state != holdoff.Leaving && state != holdoff.Paused
 }
 
--- a/io/gateway/place.go
+++ b/io/gateway/place.go
@@ -5,31 +5,36 @@
 	"time"
 
 	"toucanway/core/balance"
-	"toucanway/core/fleet"
 	"toucanway/core/registry"
 	"toucanway/io/controlapi"
 )
 
-// askLeader asks the leader to which of several servers a long prompt should go; it returns "" if this host has to choose. v.mu
-// is held, but released during the call.
-func (v *View) askLeader(ctx context.Context, r *balance.Request, instances []*registry.Instance) fleet.BackendID {
-	now := time.Now()
-	if len(instances) < 2 || !r.LongPrompt() || now.Before(v.placeNotBefore) || v.cfg.Client.Leader() == "" {
-		return ""
+// askLeader asks the leader to which of several servers a request should go; it returns nil if the leader doesn't answer. v.mu is held, but
+// released during the call.
+func (v *View) askLeader(
+	ctx context.Context, now time.Time, r *balance.Request, instances []*registry.Instance, candidates []balance.Candidate,
+) *controlapi.PlaceResponse {
+	if now.Before(v.placeNotBefore) || v.cfg.Client.Leader() == "" {
+		return nil
+	}
+	req := controlapi.NewPlaceRequest(candidates)
+	req.MaxDelay = max(r.LatestStart.Sub(now), 0)
+	for i, in := range instances {
+		if l := v.rateLimit(in); l.Named {
+			req.Candidates[i].Limit, req.Candidates[i].Incarnation = l, in.Incarnation
+		}
 	}
-	req := controlapi.NewPlaceRequest(v.balancer.Candidates(now, r, instances))
 	v.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, v.placeTimeout)
 	res, err := controlapi.Call[controlapi.PlaceRequest, controlapi.PlaceResponse](call, v.cfg.Client, controlapi.ProcedurePlace, 0, req)
 	cancel()
 	v.mu.Lock()
-	if ctx.Err() != nil {
-		return ""
-	}
 	if err != nil {
-		// followLeader logs the lost contact, and the log line of the request shows that this host has chosen.
-		v.placeNotBefore = time.Now().Add(placeRetryDelay)
-		return ""
+		if ctx.Err() == nil {
+			// followLeader logs the lost contact, and the log line of the request shows that this host has chosen.
+			v.placeNotBefore = time.Now().Add(placeRetryDelay)
+		}
+		return nil
 	}
-	return res.Instance
+	return res
 }
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -63,6 +63,8 @@
 	attempts []attempt
 	// isTrial is set if the request has listed content and runs as a trial.
 	isTrial bool
+	// limitedUntil is the time at which a server with a rate limit takes the request again, if it was refused for lack of one.
+	limitedUntil time.Time
 	// listed is the content because of which the request was refused, or nil.
 	listed *crashes.Content
 }
@@ -124,7 +126,8 @@
 	svc := t.Configuration.Service(x.service)
 	x.req = balance.Request{
 		Target: x.info.Target, Prompt: x.info.Prompt, Parts: x.info.Parts, Objective: x.route.Objective, Size: fleet.Bytes(len(x.callerRequest.Body())),
-		Plain: svc == nil || svc.Engine == nil || x.info.Target.Model == "",
+		LatestStart: x.latestStart(),
+		Plain:       svc == nil || svc.Engine == nil || x.info.Target.Model == "",
 	}
 	if x.req.Plain {
 		x.req.Target = fleet.Target{}
@@ -169,7 +172,7 @@
 			return x.fail(errBudget)
 		}
 		began := time.Now()
-		status, out, err := x.send(c.instance, c.ticket)
+		status, out, err := x.send(&c)
 		x.proxy.view.endRequest(c.ticket, out)
 		x.recordEvidence(c.instance, status, out, err)
 		x.attempts = append(x.attempts, attempt{c.instance.ID, out, status, c.choice, c.limit, time.Since(began), err})
@@ -208,6 +211,7 @@
 	errStalled       = Errors.NewType("stalled").New("the stream made no event for too long")
 	errStopping      = Errors.NewType("stopping").New("this host is shutting down")
 	errPaused        = Errors.NewType("paused").New("all backend servers that could take the request want none for longer than it can wait")
+	errLimited       = Errors.NewType("limited").New("the rate limits of all backend servers that could take the request are used up")
 	errNoServer      = Errors.NewType("no-server").New("no backend server can take the request")
 )
 
@@ -248,7 +252,11 @@
 		}
 		c := x.proxy.view.pick(x.ctx, x.service, &x.req, excluded)
 		if c.instance != nil {
-			return c, nil
+			return c, x.awaitGrant(&c)
+		}
+		if x.isLimited(&c) {
+			x.limitedUntil = c.limitedUntil
+			return c, errLimited
 		}
 		if x.mayHaveRun {
 			return c, errNoServer
@@ -268,8 +276,8 @@
 // wait returns nil once another choice may be possible, or an error once the timeout or the request's deadline has passed.
 func (x *exchange) wait(c selection, timeout <-chan time.Time) error {
 	var retry <-chan time.Time
-	if !c.retryAt.IsZero() {
-		t := time.NewTimer(time.Until(c.retryAt))
+	if at := c.nextTry(); !at.IsZero() {
+		t := time.NewTimer(time.Until(at))
 		defer t.Stop()
 		retry = t.C
 	}
--- a/io/gateway/ratelimit.go
+++ b/io/gateway/ratelimit.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"toucanway/core/balance"
 	"toucanway/core/fleet"
+	"toucanway/core/pause"
 	"toucanway/core/registry"
+	"toucanway/io/controlapi"
 )
 
 // observeLimit records what an answer of a server says about its rate limit. Only a signed answer to this request shows that a limit has
@@ -35,6 +40,7 @@
 	}
 	v.cfg.Log.Info(logLimit, zap.String("instance", string(in.ID)), zap.Uint64("incarnation", uint64(in.Incarnation)),
 		zap.Stringer("per-second", a.Limit), zap.Stringer("before", before), zap.Duration("sent-ms", now.Sub(sent)))
+	v.triggerReport()
 	return true
 }
 
@@ -54,3 +60,72 @@
 func incarnationOf(in *registry.Instance) fleet.BackendIncarnation {
 	return fleet.BackendIncarnation{Backend: in.ID, Incarnation: in.Incarnation}
 }
+
+// unreportedLimits returns what servers have said about their rate limits and the leader hasn't confirmed; v.mu is held.
+func (v *View) unreportedLimits(now time.Time) []controlapi.LimitNotice {
+	var out []controlapi.LimitNotice
+	for b, n := range v.limitNotices.All() {
+		if in := v.instances[b.Backend]; in != nil && in.Incarnation == b.Incarnation {
+			out = append(out, controlapi.LimitNotice{Backend: b.Backend, Incarnation: b.Incarnation, Limit: n.Limit, Age: now.Sub(n.At)})
+		}
+	}
+	return out
+}
+
+// byRateLimit returns the instances without a rate limit and those with one; v.mu is held.
+func (v *View) byRateLimit(instances []*registry.Instance) (unlimited, limited []*registry.Instance) {
+	for _, in := range instances {
+		if v.rateLimit(in).Named {
+			limited = append(limited, in)
+		} else {
+			unlimited = append(unlimited, in)
+		}
+	}
+	return unlimited, limited
+}
+
+// takeTurn reports whether it is this host's turn to send a request to a server with a rate limit, and returns the time of its next turn
+// otherwise; v.mu is held. A host that doesn't know how many others there are has no turns.
+func (v *View) takeTurn(now time.Time, in *registry.Instance) (time.Time, bool) {
+	if v.entryHosts == 0 {
+		return now.Add(placeRetryDelay), false
+	}
+	return v.turns.Take(now, incarnationOf(in), v.rateLimit(in), v.entryHosts, rand.Float64())
+}
+
+// nextTry returns the time at which another choice may be possible without a change; it is zero if there is none.
+func (c *selection) nextTry() time.Time {
+	if c.retryAt.IsZero() || !c.limitedUntil.IsZero() && c.limitedUntil.Before(c.retryAt) {
+		return c.limitedUntil
+	}
+	return c.retryAt
+}
+
+// latestStart returns the time until which a server with a rate limit may make the request wait, so that its answer can still be on time.
+func (x *exchange) latestStart() time.Time {
+	at := x.began.Add(cmp.Or(x.route.Objective, x.route.Timeout/2))
+	if x.deadline.Before(at) {
+		return x.deadline
+	}
+	return at
+}
+
+// isLimited reports whether the request should be refused now, since the servers that can take it have used up their rate limits for longer
+// than it should wait.
+func (x *exchange) isLimited(c *selection) bool {
+	return !c.limitedUntil.IsZero() && c.nextTry().After(x.req.LatestStart)
+}
+
+// awaitGrant waits until the request may be sent to a server with a rate limit.
+func (x *exchange) awaitGrant(c *selection) error {
+	d := time.Until(c.sendAt)
+	if c.sendAt.IsZero() || d <= 0 {
+		return nil
+	}
+	x.waitTime += d
+	if err := pause.For(x.ctx, d); err != nil {
+		x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
+		return x.ctx.Err()
+	}
+	return nil
+}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -9,13 +9,13 @@
 	"github.com/valyala/fasthttp"
 
 	"toucanway/core/balance"
-	"toucanway/core/registry"
 	"toucanway/core/routes"
 	"toucanway/io/backend"
 )
 
 // send sends the request to one server and forwards its answer. The caller has a complete answer if the error is nil.
-func (x *exchange) send(in *registry.Instance, ticket *balance.Ticket) (int, balance.Outcome, error) {
+func (x *exchange) send(c *selection) (int, balance.Outcome, error) {
+	in, ticket := c.instance, c.ticket
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	x.callerRequest.Header.CopyTo(&req.Header)
@@ -38,7 +38,7 @@
 			return backend.MatchID(a.ID, x.info.ID)
 		},
 		Permitted: func() bool {
-			permitted, x.sentAt = x.proxy.view.maySend(in), time.Now()
+			permitted, x.sentAt = x.proxy.view.maySend(c), time.Now()
 			return permitted
 		},
 	})
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -64,6 +64,10 @@
 	holdoffs holdoff.Table
 	// limitNotices holds what servers have said about their rate limits and the leader hasn't confirmed.
 	limitNotices ratelimit.Notices
+	// turns holds this host's turns at servers with a rate limit while the leader doesn't answer.
+	turns ratelimit.Slots
+	// entryHosts is the number of entry hosts that the leader counts; 0 before its first answer.
+	entryHosts int
 	// evidence is what this host knows of content that crashes servers.
 	evidence crashes.Evidence
 	ready    bool
@@ -196,6 +200,7 @@
 	if v.evidence.Apply(time.Now(), began, req.Crashes, res.Crashes) {
 		v.triggerReport()
 	}
+	v.entryHosts = res.Entries
 	v.budget.SetLimits(slack/2/v.cfg.Budget.Window.Seconds(), max(slack/2, 1))
 	return max(res.Interval, minReportInterval)
 }
@@ -228,7 +233,7 @@
 			req.Demands = append(req.Demands, residency.Demand{Service: k.service, Target: k.target, Waiting: w.count, TopPriority: w.topPriority})
 		}
 	}
-	req.Leaving = v.unreportedLeaving()
+	req.Leaving, req.Limits = v.unreportedLeaving(), v.unreportedLimits(time.Now())
 	clear(v.arrivals)
 	req.Crashes = v.evidence.Report(time.Now())
 	return req
