core/residency: models whose replicas all have rate limits are loaded elsewhere

Cause: the planner adds replicas by requests in flight and prompt tokens, both of which a limit keeps low. Change: the part of the demand that the limits of all replicas leave out asks for another replica, which goes to an engine without a limit.

--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -63,6 +63,10 @@
 
 // loadCost returns the cost of a load at an engine, and false if the load is not possible or not worth its evictions.
 func (p *Planner) loadCost(now time.Time, e *engine, w proposal, demands map[demandKey]modelDemand) (float64, bool) {
+	if w.additional && e.Limit.Named {
+		// It takes no more requests with a further model.
+		return 0, false
+	}
 	d, store := e.loadTime(w.model)
 	if store && (!w.mayEvict || w.additional && w.benefit < 1 || !p.storeAllowsLoad(e)) {
 		return 0, false
@@ -72,6 +76,9 @@
 		return 0, false
 	}
 	cost += d.Seconds() * max(w.benefit, 1)
+	if e.Limit.Named {
+		cost += limitedEngineCost
+	}
 	if store {
 		cost += storeCost
 	}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -70,6 +70,7 @@
 	p.countReplicas()
 	p.countStoreLoads(now)
 	p.updateSmoothedLoads(now)
+	unmet := p.unmetRates(demands)
 	var keys []demandKey
 	for k := range demands {
 		keys = append(keys, k)
@@ -87,6 +88,7 @@
 		d := demands[k]
 		// missing is the number of further replicas that the demand would keep busy.
 		missing := max(inFlight/p.requestsPerReplica(k.service, d), d.prompt/p.cfg.PromptRatePerReplica) - float64(replicas)
+		missing = max(missing, unmet[k])
 		switch {
 		case replicas == 0 && d.waiting > 0:
 			p.setGoal(now, proposal{
