platform, io/gateway: log software versions and what a request resumes

Cause to be told apart: the logs could not show a stream that holds events of two software versions of a backend server. No decision changes.

--- a/core/fleet/id.go
+++ b/core/fleet/id.go
@@ -20,6 +20,9 @@
 	Incarnation Incarnation `cbor:"2,keyasint"`
 }
 
+// SoftwareVersion is the version of a backend server's software, not of the weights that it holds.
+type SoftwareVersion string
+
 // ModelID names a base model, as declared in the configuration document.
 type ModelID string
 
--- a/core/registry/instance.go
+++ b/core/registry/instance.go
@@ -41,6 +41,8 @@
 	Models []Model `cbor:"8,keyasint,omitempty"`
 	// Silent is set if the instance has sent no heartbeat for Settings.SilenceTimeout.
 	Silent bool `cbor:"9,keyasint,omitempty"`
+	// Software is the version of the instance's software; empty if it names none.
+	Software fleet.SoftwareVersion `cbor:"12,keyasint,omitempty"`
 	// Limit is the rate limit that the instance names in its answers.
 	Limit fleet.RateLimit `cbor:"11,keyasint,omitzero"`
 	// Revision is the registry's revision at the instance's last change.
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -77,7 +77,7 @@
 func (c *Controller) logInstance(previous, in registry.Instance, seq uint64) {
 	c.cfg.Log.Info(logInstance, zap.String("instance", string(in.ID)), zap.Uint64("incarnation", uint64(in.Incarnation)),
 		zap.Uint64("incarnation-before", uint64(previous.Incarnation)), zap.String("service", string(in.Service)),
-		zap.String("address", in.Address), zap.Stringer("state", in.State), zap.Uint64("seq", seq))
+		zap.String("address", in.Address), zap.String("software", string(in.Software)), zap.Stringer("state", in.State), zap.Uint64("seq", seq))
 }
 
 func (c *Controller) handleLeave(_ context.Context, _ fleet.HostID, req *controlapi.LeaveRequest) (*controlapi.HeartbeatResponse, error) {
--- a/io/controller/relay.go
+++ b/io/controller/relay.go
@@ -46,6 +46,7 @@
 	writeString(string(in.Service))
 	writeString(in.Address)
 	writeString(string(in.DataCentre))
+	writeString(string(in.Software))
 	_, _ = d.Write([]byte{byte(in.State), byte(in.Slots), byte(in.Slots >> 8)})
 	for shift := 0; shift < 64; shift += 8 {
 		_, _ = d.Write([]byte{byte(uint64(in.Incarnation) >> shift)})
--- a/io/gateway/dialect.go
+++ b/io/gateway/dialect.go
@@ -22,6 +22,8 @@
 	Parts          []balance.Part
 	// LastEvent is the id of the last event that the caller of a resumed stream has received; empty for a new request.
 	LastEvent string
+	// Resumes is the id of the caller's attempt that brought the first event of the resumed stream; empty if it is not named.
+	Resumes fleet.RequestID
 }
 
 // ForwardInfo is the information that the gateway adds to the headers of a forwarded request.
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -88,6 +88,9 @@
 			zap.Int64("prompt", int64(x.info.Prompt)), zap.Int("events", x.stream.eventCount), zap.Duration("first-ms", x.stream.firstEventTime),
 			zap.Duration("gap-ms", x.stream.longestGap))
 	}
+	if x.info.LastEvent != "" {
+		fields = append(fields, zap.String("resumes", string(x.info.Resumes)), zap.String("last-event", x.info.LastEvent))
+	}
 	if status >= 400 {
 		version, age := x.proxy.view.configurationAge()
 		fields = append(fields, zap.Uint64("configuration", uint64(version)), zap.Duration("view-age-ms", age))
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -78,6 +78,7 @@
 // attempt is one attempt to serve the request at a server, for the log.
 type attempt struct {
 	instance fleet.BackendID
+	software fleet.SoftwareVersion
 	outcome  balance.Outcome
 	status   int
 	choice   balance.Choice
@@ -175,7 +176,7 @@
 		status, out, err := x.send(&c)
 		x.proxy.view.endRequest(c.ticket, out)
 		x.recordEvidence(c.instance, status, out, err)
-		x.attempts = append(x.attempts, attempt{c.instance.ID, out, status, c.choice, c.limit, time.Since(began), err})
+		x.attempts = append(x.attempts, attempt{c.instance.ID, c.instance.Software, out, status, c.choice, c.limit, time.Since(began), err})
 		if err == nil {
 			return status, "answered"
 		}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -218,6 +218,7 @@
 // MarshalLogObject adds the fields of an attempt.
 func (s attempt) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddString("instance", string(s.instance))
+	enc.AddString("software", string(s.software))
 	enc.AddString("outcome", s.outcome.String())
 	enc.AddInt("status", s.status)
 	enc.AddDuration("took-ms", s.duration)
