--- a/cmd/toucanway-lab/internal/controlscenario/limited_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/limited_test.go
@@ -92,7 +92,6 @@
 	arrivals  []arrival
 	// toldAt maps the gateways to the time of the first answer that named a limit.
 	toldAt map[string]time.Time
-	conns  sync.WaitGroup
 	// close ends the server.
 	close func()
 }
@@ -101,22 +100,7 @@
 func startServer(t *testing.T, w *simulation, n int) *limitedServer {
 	ip := fmt.Sprintf("10.%d.9.%d", n%3+1, n+1)
 	s := &limitedServer{id: fleet.BackendID(fmt.Sprint("s", n)), address: ip + ":80", toldAt: map[string]time.Time{}}
-	host := w.net.Host(ip)
-	l, err := host.Listen(s.address)
-	require.NoError(t, err)
-	s.conns.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Go(func() { s.serve(c) })
-		}
-	})
-	s.close = func() {
-		host.Close()
-		s.conns.Wait()
-	}
+	s.close = listen(t, w, ip, s.serve)
 	s.announce(t, w, 1)
 	return s
 }
@@ -127,7 +111,6 @@
 
 // serve answers the requests of one connection, each after 50 ms.
 func (s *limitedServer) serve(c net.Conn) {
-	defer c.Close()
 	from := ipOf(c.RemoteAddr().String())
 	r := bufio.NewReader(c)
 	for {
