core/affinity: streams go on only at the software version that began them

What callers saw: a stream whose first part one software version of a server has written and the rest another one, within one answer or over tries (TestStreamGoesOnAtItsSoftwareVersion, TestTakenUpStreamGoesOnAtItsSoftwareVersion: joined streams in all cases with two versions, also after all gateways were restarted and after the old version had left).

Cause: a choice knows models, not software versions, and a gateway that a stream is taken up at knows nothing of its beginning. Class of fault: a continuation that depends on state which only the process that began it has. Ruled out: a version drawn from the request's id (servers of a version come and go while streams run), the beginning at the leader only (lost with it), and records in the replicated log (a write to disk for each stream).

Change: a stream is bound to the version of the server of its first event. The gateway records it at three controllers, chosen by rendezvous hashing of the request's id; the gateway that a stream is taken up at asks these. Without a record it goes on only if the service has one version: the leader commits a version before any gateway hears of its first server, and removes it two minutes after the last one, so that this also holds after a loss of all processes. Otherwise, or if no server of the version is left, it is refused at once as not run. Streams that wait for their model at their version count as demand there, so that it is loaded at such a server.

Why it holds: a binding comes from a record or from a service that had no second version; without either the stream does not go on.

--- a/core/catalog/doc.go
+++ b/core/catalog/doc.go
@@ -1,5 +1,5 @@
 // Package catalog implements the replicated state of a deployment that forwards requests by routes: the configuration in force,
-// and the host that sends orders to backend servers.
+// the host that sends orders to backend servers, and the software versions of each service.
 //
 // Apply is deterministic and doesn't read the clock. A configuration is replaced only by one with a higher version.
 //
--- a/core/catalog/machine.go
+++ b/core/catalog/machine.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
@@ -19,6 +22,9 @@
 type Command struct {
 	Replace    *Replace    `cbor:"1,keyasint,omitempty"`
 	SetOrderer *SetOrderer `cbor:"2,keyasint,omitempty"`
+	// AddSoftware and RemoveSoftware change the software versions of a service.
+	AddSoftware    *Software `cbor:"3,keyasint,omitempty"`
+	RemoveSoftware *Software `cbor:"4,keyasint,omitempty"`
 }
 
 // Replace replaces the configuration in force if the new version is higher.
@@ -33,12 +39,21 @@
 	Host fleet.HostID `cbor:"1,keyasint"`
 }
 
+// Software is a software version of a service's backend servers.
+type Software struct {
+	Service fleet.ServiceID       `cbor:"1,keyasint"`
+	Version fleet.SoftwareVersion `cbor:"2,keyasint,omitempty"`
+}
+
 // State is the replicated state.
 type State struct {
 	Version routes.Version `cbor:"1,keyasint,omitempty"`
 	Data    []byte         `cbor:"2,keyasint,omitempty"`
 	// Orderer is the last host that was chosen to send orders to backend servers.
 	Orderer fleet.HostID `cbor:"3,keyasint,omitempty"`
+	// Software holds the sorted software versions of each service whose servers entry hosts may have used lately. It is replaced and never
+	// changed in place, since readers keep it.
+	Software map[fleet.ServiceID][]fleet.SoftwareVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // Machine applies the log; it implements raft.StateMachine and is not safe for concurrent use.
@@ -63,9 +78,33 @@
 	if o := c.SetOrderer; o != nil {
 		m.State.Orderer = o.Host
 	}
+	if s := c.AddSoftware; s != nil {
+		list := m.State.Software[s.Service]
+		if i, known := slices.BinarySearch(list, s.Version); !known {
+			m.setSoftware(s.Service, slices.Insert(slices.Clone(list), i, s.Version))
+		}
+	}
+	if s := c.RemoveSoftware; s != nil {
+		list := m.State.Software[s.Service]
+		if i, known := slices.BinarySearch(list, s.Version); known {
+			m.setSoftware(s.Service, slices.Delete(slices.Clone(list), i, i+1))
+		}
+	}
 	return nil
 }
 
+// setSoftware replaces the software versions of a service.
+func (m *Machine) setSoftware(s fleet.ServiceID, list []fleet.SoftwareVersion) {
+	all := maps.Clone(m.State.Software)
+	if all == nil {
+		all = map[fleet.ServiceID][]fleet.SoftwareVersion{}
+	}
+	if all[s] = list; len(list) == 0 {
+		delete(all, s)
+	}
+	m.State.Software = all
+}
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) { return cbor.Marshal(m.State) }
 
--- a/core/catalog/machine_test.go
+++ b/core/catalog/machine_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"toucanway/core/fleet"
 	"toucanway/core/routes"
 )
 
@@ -36,6 +37,7 @@
 	m := &Machine{}
 	apply(t, m, Command{Replace: &Replace{Version: 7, Data: []byte("seven")}})
 	apply(t, m, Command{SetOrderer: &SetOrderer{Host: "10.0.0.1"}})
+	apply(t, m, Command{AddSoftware: &Software{"s", "v1"}})
 	data, err := m.Snapshot()
 	require.NoError(t, err)
 	restored := &Machine{}
@@ -50,3 +52,23 @@
 	m.Apply(1, []byte{0xff, 0x00})
 	require.Equal(t, State{Version: 3}, m.State)
 }
+
+// Guards against a version that is lost while others come and go, and against lists that change while they are read.
+func TestSoftwareVersions(t *testing.T) {
+	m := &Machine{}
+	add := func(s fleet.ServiceID, v fleet.SoftwareVersion) { apply(t, m, Command{AddSoftware: &Software{s, v}}) }
+	remove := func(s fleet.ServiceID, v fleet.SoftwareVersion) {
+		apply(t, m, Command{RemoveSoftware: &Software{s, v}})
+	}
+	add("s", "v2")
+	add("t", "")
+	before := m.State.Software
+	add("s", "v1")
+	add("s", "v2")
+	require.Equal(t, map[fleet.ServiceID][]fleet.SoftwareVersion{"s": {"v1", "v2"}, "t": {""}}, m.State.Software)
+	remove("s", "v3")
+	remove("s", "v2")
+	remove("t", "")
+	require.Equal(t, map[fleet.ServiceID][]fleet.SoftwareVersion{"s": {"v1"}}, m.State.Software)
+	require.Equal(t, map[fleet.ServiceID][]fleet.SoftwareVersion{"s": {"v2"}, "t": {""}}, before)
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -135,6 +135,7 @@
 	in, previous := h.Instance, e.instance
 	in.State = max(in.State, previous.State)
 	in.Models, in.Limit, in.Revision = previous.Models, previous.Limit, previous.Revision
+	in.Software = previous.Software
 	if in.Address != previous.Address {
 		if r.addresses[previous.Address] == in.ID {
 			delete(r.addresses, previous.Address)
--- a/core/residency/demand.go
+++ b/core/residency/demand.go
@@ -15,9 +15,11 @@
 
 // Demand is one host's report of the requests for one target since its previous report.
 type Demand struct {
-	Service  fleet.ServiceID `cbor:"1,keyasint"`
-	Target   fleet.Target    `cbor:"2,keyasint"`
-	Arrivals int             `cbor:"3,keyasint,omitempty"`
+	Service fleet.ServiceID `cbor:"1,keyasint"`
+	Target  fleet.Target    `cbor:"2,keyasint"`
+	// Software is the software version that the waiting requests are bound to, since their streams have begun there; empty for none.
+	Software fleet.SoftwareVersion `cbor:"7,keyasint,omitempty"`
+	Arrivals int                   `cbor:"3,keyasint,omitempty"`
 	// Waiting is the number of requests that no backend server can take now.
 	Waiting int `cbor:"4,keyasint,omitempty"`
 	// TopPriority is the priority of the most urgent waiting request; 0 comes first.
@@ -84,7 +86,11 @@
 		}
 	}
 	delete(p.waitingAt, host)
+	p.bound.update(now, host, list)
 	for _, in := range list {
+		if in.Software != "" {
+			continue
+		}
 		k := demandKey{in.Service, in.Target}
 		d := p.demands[k]
 		if d == nil {
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -9,8 +9,10 @@
 
 // proposal is a load that the planner considers.
 type proposal struct {
-	key   demandKey
-	model *routes.Model
+	key demandKey
+	// software is the software version of the engines that the load helps at; empty for any.
+	software fleet.SoftwareVersion
+	model    *routes.Model
 	// benefit is the benefit of the load, in the unit of eviction costs.
 	benefit float64
 	// mayEvict is set if the load may evict other models or fetch from the weight store.
@@ -30,6 +32,9 @@
 	var bestCost, soonestCost float64
 	for _, id := range p.Engines() {
 		e := p.engines[id]
+		if w.software != "" && e.Software != w.software {
+			continue
+		}
 		if e.Service != w.key.service || e.models[w.model.Name] != nil {
 			continue
 		}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -71,6 +71,7 @@
 	p.countStoreLoads(now)
 	p.updateSmoothedLoads(now)
 	unmet := p.unmetRates(demands)
+	p.planBoundRequests(now, demands)
 	var keys []demandKey
 	for k := range demands {
 		keys = append(keys, k)
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -46,6 +46,7 @@
 	demands map[demandKey]*demand
 	// waitingAt lists the targets that requests of a host wait for, so that its next report doesn't have to visit all targets.
 	waitingAt map[fleet.HostID][]demandKey
+	bound     boundRequests
 	// idleGoalsSetAt is the time of the last search for models without a replica.
 	idleGoalsSetAt time.Time
 	// replicaCounts holds the last count of the replicas of each model.
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"toucanway/core/fleet"
@@ -89,3 +90,8 @@
 	}
 	return ""
 }
+
+// HasService reports whether the route may send requests to a service.
+func (r *Route) HasService(s fleet.ServiceID) bool {
+	return slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == s })
+}
--- a/io/controlapi/client.go
+++ b/io/controlapi/client.go
@@ -81,6 +81,13 @@
 	c.members = ms
 }
 
+// Members returns the current members of the group, as far as this host knows.
+func (c *Client) Members() []fleet.HostID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members
+}
+
 // SetSearchingHosts sets the number of hosts that search when the leader is lost.
 func (c *Client) SetSearchingHosts(n int) {
 	c.mu.Lock()
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -45,8 +45,11 @@
 	return nil
 }
 
-func (c *Controller) handleHeartbeat(_ context.Context, _ fleet.HostID, req *controlapi.HeartbeatRequest) (*controlapi.HeartbeatResponse, error) {
+func (c *Controller) handleHeartbeat(ctx context.Context, _ fleet.HostID, req *controlapi.HeartbeatRequest) (*controlapi.HeartbeatResponse, error) {
 	h := req.Heartbeat
+	if err := c.admitSoftware(ctx, &h.Instance); err != nil {
+		return nil, err
+	}
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -7,7 +7,9 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
+	"toucanway/core/affinity"
 	"toucanway/core/balance"
 	"toucanway/core/catalog"
 	"toucanway/core/crashes"
@@ -30,6 +32,8 @@
 	logInstance      = "backend server changed"
 	logSilent        = "backend server is silent"
 	logPaused        = "backend server wants no requests from this host for some time"
+	logSoftware      = "software version of a service on record"
+	logSoftwareGone  = "software version of a service that no server has any more"
 	logLimit         = "rate limit of a backend server in force on all hosts"
 	logLeaving       = "backend server counts as draining, since it has said that it leaves"
 	logDirectory     = "callers are told of another number of entry hosts"
@@ -89,6 +93,14 @@
 	// limitsAt holds the time of the newest notice on each server's rate limit; limits grants the requests to those servers.
 	limitsAt registry.Incarnations[time.Time]
 	limits   ratelimit.Buckets
+	// admissions unites the commits of one software version.
+	admissions singleflight.Group
+	// streams holds the origins of streams that entry hosts have recorded here.
+	streams affinity.Table
+	// softwareUnusedSince holds the software versions on record that no server has, with the time since which none has it;
+	// softwareCheckedAt is the time of the last check.
+	softwareUnusedSince map[catalog.Software]time.Time
+	softwareCheckedAt   time.Time
 	// loads holds the total load of all entry hosts by backend server.
 	loads map[fleet.BackendID]balance.TotalLoad
 	// detector finds the contents of requests that crash backend servers while this host leads.
@@ -138,6 +150,8 @@
 	hosts.Handle(srv, controlapi.ProcedureLeave, c.handleLeave)
 	hosts.Handle(srv, controlapi.ProcedureReplace, c.handleReplace)
 	hosts.Handle(srv, controlapi.ProcedureRead, c.handleRead)
+	hosts.Handle(srv, controlapi.ProcedureRecordStreams, c.handleRecordStreams)
+	hosts.Handle(srv, controlapi.ProcedureFindStream, c.handleFindStream)
 }
 
 // Run runs the controller until the context ends.
@@ -189,6 +203,7 @@
 	defer c.mu.Unlock()
 	c.leadership = r
 	clear(c.mirrors)
+	clear(c.softwareUnusedSince)
 	c.limits, c.limitsAt = ratelimit.Buckets{}, registry.Incarnations[time.Time]{}
 	c.mirrorRevision++
 	c.planner = residency.New(c.cfg.Planner)
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -28,7 +28,9 @@
 		case <-c.planNow:
 		}
 		began := time.Now()
-		for _, a := range c.nextActions(ctx) {
+		actions, unused := c.nextActions(ctx)
+		c.removeSoftware(ctx, unused)
+		for _, a := range actions {
 			eg.Go(func() error {
 				c.execute(ctx, a)
 				return nil
@@ -42,17 +44,19 @@
 	}
 }
 
-// nextActions returns the actions that are due: only probes before ordersFrom, and none while this host doesn't lead.
-func (c *Controller) nextActions(ctx context.Context) []residency.Action {
+// nextActions returns the actions that are due: only probes before ordersFrom, and none while this host doesn't lead. It also returns the
+// software versions that are to be removed from the record.
+func (c *Controller) nextActions(ctx context.Context) (actions []residency.Action, unused []catalog.Software) {
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.validLeadership()
 	if r == nil {
-		return nil
+		return nil, nil
 	}
 	c.work.planningPasses++
 	c.logWorkDone(now)
+	unused = c.unusedSoftware(now)
 	c.expireEntries(now)
 	c.expireMirrors(now)
 	c.updateDirectorySize()
@@ -69,21 +73,21 @@
 		c.publishModels()
 	}
 	if now.Before(r.ordersFrom) {
-		return c.planner.Probes(now)
+		return c.planner.Probes(now), unused
 	}
 	if !r.isOrderer {
 		c.becomeOrderer(ctx, r)
-		return nil
+		return nil, unused
 	}
 	loads := c.engineLoads()
 	for _, id := range c.planner.Engines() {
 		c.planner.UpdateLoad(id, loads[id].inFlight, loads[id].suspect)
 	}
-	actions := c.planner.Next(now)
+	actions = c.planner.Next(now)
 	for _, a := range actions {
 		c.publishModels(a.EngineID())
 	}
-	return actions
+	return actions, unused
 }
 
 // becomeOrderer records in the log that this host sends the orders to the engines; c.mu is held, but released meanwhile.
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -25,7 +25,7 @@
 		v.triggerReport()
 	}
 	if r.Target.Model != "" {
-		k := demandKey{service, r.Target}
+		k := demandKey{service: service, target: r.Target}
 		a := v.arrivals[k]
 		v.arrivals[k] = arrivals{a.count + 1, a.prompt + r.Prompt}
 	}
@@ -59,12 +59,12 @@
 	limitedUntil time.Time
 }
 
-// pick chooses a server for a request, except the excluded ones. It asks the leader for a long prompt, since this host's knowledge of the
+// pick chooses a server for a request within a constraint. It asks the leader for a long prompt, since this host's knowledge of the
 // load of other hosts is older than the time that an engine needs to process such a prompt, and if the best server has a rate limit.
-func (v *View) pick(ctx context.Context, service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) selection {
+func (v *View) pick(ctx context.Context, service fleet.ServiceID, r *balance.Request, k constraint) selection {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c, instances := v.available(service, r, excluded)
+	c, instances := v.available(service, r, k)
 	if len(instances) == 0 {
 		return c
 	}
@@ -80,7 +80,7 @@
 	if res != nil {
 		// The lock was released meanwhile.
 		now = time.Now()
-		c, instances = v.available(service, r, excluded)
+		c, instances = v.available(service, r, k)
 	}
 	if res != nil && res.Instance != "" {
 		i := slices.IndexFunc(instances, func(in *registry.Instance) bool { return in.ID == res.Instance })
@@ -135,10 +135,10 @@
 }
 
 // available returns the servers that can take a request now, and what to wait for if there is none; v.mu is held.
-func (v *View) available(service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) (selection, []*registry.Instance) {
+func (v *View) available(service fleet.ServiceID, r *balance.Request, k constraint) (selection, []*registry.Instance) {
 	now := time.Now()
 	c := selection{changed: v.changed}
-	eligible := v.eligible(now, service, r, excluded)
+	eligible := v.eligible(now, service, r, k)
 	c.pausedUntil = v.firstReopening(now, eligible)
 	instances := slices.DeleteFunc(eligible, func(in *registry.Instance) bool {
 		until, closed := v.closedUntil(now, in, r.Target)
@@ -182,21 +182,21 @@
 }
 
 // otherServerExists reports whether a server other than the excluded ones can take a request now, as far as its notices say.
-func (v *View) otherServerExists(service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) bool {
+func (v *View) otherServerExists(service fleet.ServiceID, r *balance.Request, k constraint) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	return slices.ContainsFunc(v.eligible(now, service, r, excluded), func(in *registry.Instance) bool {
+	return slices.ContainsFunc(v.eligible(now, service, r, k), func(in *registry.Instance) bool {
 		state, _ := v.holdoffs.State(now, in.ID, in.Incarnation)
 		return state == holdoff.Open
 	})
 }
 
 // eligible returns the servers that can take a request now or later; v.mu is held.
-func (v *View) eligible(now time.Time, service fleet.ServiceID, r *balance.Request, excluded map[fleet.BackendID]bool) []*registry.Instance {
+func (v *View) eligible(now time.Time, service fleet.ServiceID, r *balance.Request, k constraint) []*registry.Instance {
 	var out []*registry.Instance
 	for _, in := range v.instances {
-		if in.Service != service || in.State != registry.Ready || excluded[in.ID] || !r.Plain && !in.Serves(r.Target) {
+		if in.Service != service || in.State != registry.Ready || k.excluded[in.ID] || !k.allowsSoftware(in.Software) || !r.Plain && !in.Serves(r.Target) {
 			continue
 		}
 		if state, _ := v.holdoffs.State(now, in.ID, in.Incarnation); state != holdoff.Leaving {
@@ -207,8 +207,11 @@
 }
 
 // registerWaiting registers a request as waiting for a server until the returned function is called.
-func (v *View) registerWaiting(service fleet.ServiceID, route *routes.Route, t fleet.Target) func() {
-	k := demandKey{service, t}
+func (v *View) registerWaiting(service fleet.ServiceID, route *routes.Route, t fleet.Target, c constraint) func() {
+	k := demandKey{service: service, target: t}
+	if c.software != nil {
+		k.software = *c.software
+	}
 	v.mu.Lock()
 	w := v.waiting[k]
 	if w == nil {
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -41,6 +41,8 @@
 		return x.refuseFor(max(poisoned.listing.Left, poisonRetryAfter), poisonRequest, poisoned.Error()+"; it was not run")
 	case late:
 		return x.refuseForLackOfServers("deadline-exceeded", "no backend server could take the request before the deadline; it was not run")
+	case errors.Is(err, errUnknownOrigin), errors.Is(err, errNoSoftware):
+		return x.refuse(fasthttp.StatusServiceUnavailable, "stream-not-resumable", "the request was not run: "+err.Error())
 	case errors.Is(err, errLimited):
 		return x.refuseFor(holdoff.ReturnDelay(time.Until(x.limitedUntil), rand.Float64()), "rate-limited", "the request was not run: "+err.Error())
 	case errors.Is(err, errPaused):
@@ -61,7 +63,7 @@
 
 // refuseForLackOfServers answers the request, which was not run, with a refusal that says when a server can take it.
 func (x *exchange) refuseForLackOfServers(code, message string) (int, string) {
-	return x.refuseFor(x.proxy.view.returnDelay(x.service, &x.req), code, message)
+	return x.refuseFor(x.proxy.view.returnDelay(x.service, &x.req, x.constraint(nil)), code, message)
 }
 
 // refuseFor refuses a request that was not run, and asks the caller not to send it again before the delay is over.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -63,6 +63,7 @@
 	var eg errgroup.Group
 	eg.Go(func() error { return g.view.followGroup(serving) })
 	eg.Go(func() error { return g.view.reportLoop(serving) })
+	eg.Go(func() error { return g.view.recordLoop(serving) })
 	g.view.setReady(true)
 	eg.Go(func() error { return g.server.serve(l, serving) })
 	<-ctx.Done()
--- a/io/gateway/holdoff.go
+++ b/io/gateway/holdoff.go
@@ -104,11 +104,11 @@
 
 // returnDelay returns the delay after which a refused caller may come back: until the first pause ends if all servers that could take
 // the request have asked for one, else retryAfter.
-func (v *View) returnDelay(service fleet.ServiceID, r *balance.Request) time.Duration {
+func (v *View) returnDelay(service fleet.ServiceID, r *balance.Request, k constraint) time.Duration {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	first := v.firstReopening(now, v.eligible(now, service, r, nil))
+	first := v.firstReopening(now, v.eligible(now, service, r, k))
 	if first.IsZero() {
 		return retryAfter
 	}
--- a/io/gateway/leaving_test.go
+++ b/io/gateway/leaving_test.go
@@ -74,7 +74,7 @@
 			}
 			require.Len(t, f.requests("a"), 1)
 			// The server is not merely ranked behind the other one for a moment.
-			c := f.gateway.view.pick(t.Context(), "s", &balance.Request{Plain: true}, nil)
+			c := f.gateway.view.pick(t.Context(), "s", &balance.Request{Plain: true}, constraint{})
 			require.Equal(t, 1, c.choice.Candidates)
 		})
 	}
@@ -118,9 +118,9 @@
 			v := f.gateway.view
 			tried := map[fleet.BackendID]bool{"a": true}
 			r := &balance.Request{Plain: true}
-			require.True(t, v.otherServerExists("s", r, tried))
+			require.True(t, v.otherServerExists("s", r, constraint{excluded: tried}))
 			v.observeAnswer(v.instances["b"], AnswerInfo{Notice: n})
-			require.False(t, v.otherServerExists("s", r, tried))
+			require.False(t, v.otherServerExists("s", r, constraint{excluded: tried}))
 		})
 	}
 }
@@ -133,7 +133,7 @@
 	v := f.gateway.view
 	v.observeAnswer(v.instances["a"], AnswerInfo{Instance: "b", Notice: holdoff.Notice{Leaving: true}})
 	v.observeAnswer(v.instances["a"], AnswerInfo{Instance: "unknown", Notice: holdoff.Notice{Leaving: true}})
-	c := v.pick(t.Context(), "s", &balance.Request{Plain: true}, nil)
+	c := v.pick(t.Context(), "s", &balance.Request{Plain: true}, constraint{})
 	require.Equal(t, fleet.BackendID("a"), c.instance.ID)
 	require.Equal(t, 1, c.choice.Candidates)
 }
--- a/io/gateway/pause_test.go
+++ b/io/gateway/pause_test.go
@@ -27,19 +27,19 @@
 	v.mu.Unlock()
 	earliest := time.Now().Add(time.Minute)
 	v.observeAnswer(v.instances["a"], pauseNotice(time.Minute))
-	c := v.pick(t.Context(), "s", longPrompt(100), nil)
+	c := v.pick(t.Context(), "s", longPrompt(100), constraint{})
 	require.Equal(t, fleet.BackendID("b"), c.instance.ID)
 	other := &balance.Request{Target: fleet.Target{Model: "n"}}
-	c = v.pick(t.Context(), "s", other, nil)
+	c = v.pick(t.Context(), "s", other, constraint{})
 	require.Nil(t, c.instance)
 	require.True(t, c.pausedUntil.After(earliest))
 	require.Equal(t, c.pausedUntil, c.retryAt)
 	// A rejection that ends later than the pause still counts.
 	v.recordRejection(v.instances["a"], other.Target, time.Hour)
-	require.True(t, v.pick(t.Context(), "s", other, nil).retryAt.After(c.pausedUntil.Add(time.Minute)))
+	require.True(t, v.pick(t.Context(), "s", other, constraint{}).retryAt.After(c.pausedUntil.Add(time.Minute)))
 	v.mu.Lock()
 	v.instances["a"].Incarnation = 2
 	v.mu.Unlock()
-	c = v.pick(t.Context(), "s", other, nil)
+	c = v.pick(t.Context(), "s", other, constraint{})
 	require.Equal(t, fleet.BackendID("a"), c.instance.ID, "the restarted server has asked for nothing")
 }
--- a/io/gateway/place_test.go
+++ b/io/gateway/place_test.go
@@ -81,7 +81,7 @@
 			l := &leader{place: func() fleet.BackendID { return tt.answer }}
 			l.start(t, f.gateway.view)
 			f.gateway.view.placeTimeout = time.Minute
-			c := f.gateway.view.pick(t.Context(), "s", longPrompt(tt.prompt), nil)
+			c := f.gateway.view.pick(t.Context(), "s", longPrompt(tt.prompt), constraint{})
 			require.Contains(t, tt.servers, c.instance.ID)
 			require.Equal(t, tt.placed, c.choice.Placed)
 			if tt.placed {
@@ -106,7 +106,7 @@
 	t.Cleanup(func() { close(release) })
 	v := f.gateway.view
 	began := time.Now()
-	c := v.pick(t.Context(), "s", longPrompt(9000), nil)
+	c := v.pick(t.Context(), "s", longPrompt(9000), constraint{})
 	require.NotNil(t, c.instance)
 	require.False(t, c.choice.Placed)
 	asked := l.asked.Load()
@@ -114,7 +114,7 @@
 	require.True(t, v.placeNotBefore.After(began.Add(placeRetryDelay)))
 	v.placeNotBefore = began.Add(time.Hour)
 	v.mu.Unlock()
-	c = v.pick(t.Context(), "s", longPrompt(9000), nil)
+	c = v.pick(t.Context(), "s", longPrompt(9000), constraint{})
 	require.NotNil(t, c.instance)
 	require.Equal(t, asked, l.asked.Load())
 }
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -13,6 +13,7 @@
 	"toucanway/core/balance"
 	"toucanway/core/crashes"
 	"toucanway/core/fleet"
+	"toucanway/core/registry"
 	"toucanway/core/routes"
 	"toucanway/io/backend"
 )
@@ -53,7 +54,11 @@
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	stream     streamState
-	stall      stallWatch
+	// server is the server to which the request was sent last.
+	server *registry.Instance
+	// software is the software version of the servers that can go on with the stream, once that is settled.
+	software atomic.Pointer[fleet.SoftwareVersion]
+	stall    stallWatch
 	// switchPaid is set if the retry budget was charged already for going on at another server.
 	switchPaid atomic.Bool
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
@@ -124,6 +129,11 @@
 	x.ctx, cancel = context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	x.service = x.route.PickService(rand.Float64())
+	if x.isTakenUp() {
+		if err := x.bindToOrigin(); err != nil {
+			return x.fail(err)
+		}
+	}
 	svc := t.Configuration.Service(x.service)
 	x.req = balance.Request{
 		Target: x.info.Target, Prompt: x.info.Prompt, Parts: x.info.Parts, Objective: x.route.Objective, Size: fleet.Bytes(len(x.callerRequest.Body())),
@@ -251,7 +261,7 @@
 		if !x.mayHaveRun {
 			excluded = nil
 		}
-		c := x.proxy.view.pick(x.ctx, x.service, &x.req, excluded)
+		c := x.proxy.view.pick(x.ctx, x.service, &x.req, x.constraint(excluded))
 		if c.instance != nil {
 			return c, x.awaitGrant(&c)
 		}
@@ -266,7 +276,7 @@
 			return c, errPaused
 		}
 		if unregister == nil {
-			unregister = x.proxy.view.registerWaiting(x.service, x.route, x.req.Target)
+			unregister = x.proxy.view.registerWaiting(x.service, x.route, x.req.Target, x.constraint(nil))
 		}
 		if err := x.wait(c, timer.C); err != nil {
 			return c, err
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -16,6 +16,7 @@
 // send sends the request to one server and forwards its answer. The caller has a complete answer if the error is nil.
 func (x *exchange) send(c *selection) (int, balance.Outcome, error) {
 	in, ticket := c.instance, c.ticket
+	x.server = in
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	x.callerRequest.Header.CopyTo(&req.Header)
@@ -128,7 +129,7 @@
 	a.header.SetContentLength(len(body))
 	if status >= 500 {
 		out = balance.Failed
-		if x.mayRetry(errFailed) && x.proxy.view.otherServerExists(x.service, &x.req, x.triedServers) {
+		if x.mayRetry(errFailed) && x.proxy.view.otherServerExists(x.service, &x.req, x.constraint(x.triedServers)) {
 			x.failedAnswer = a
 			return status, out, errFailed
 		}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -98,6 +98,7 @@
 		x.stream.eventCount++
 	}
 	if progress {
+		x.bindToServer()
 		x.recordProgress(ticket)
 	}
 	if len(out) > 0 {
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
+	"toucanway/core/affinity"
 	"toucanway/core/balance"
 	"toucanway/core/crashes"
 	"toucanway/core/fanout"
@@ -39,6 +40,8 @@
 	cfg Settings
 	// reportNow makes the next report go out immediately.
 	reportNow chan struct{}
+	// recordNow makes the origins of new streams go to their holders.
+	recordNow chan struct{}
 
 	// jobs runs the checks of servers that may have crashed, crashChecks unites those of one server.
 	jobs        jobs.Group
@@ -64,6 +67,9 @@
 	holdoffs holdoff.Table
 	// limitNotices holds what servers have said about their rate limits and the leader hasn't confirmed.
 	limitNotices ratelimit.Notices
+	// origins holds the origins of the streams that this host has begun, unrecorded those that no holder has taken yet.
+	origins    affinity.Table
+	unrecorded []controlapi.Stream
 	// turns holds this host's turns at servers with a rate limit while the leader doesn't answer.
 	turns ratelimit.Slots
 	// entryHosts is the number of entry hosts that the leader counts; 0 before its first answer.
@@ -82,6 +88,8 @@
 type demandKey struct {
 	service fleet.ServiceID
 	target  fleet.Target
+	// software is the software version that the waiting requests are bound to; empty for none, and for arrivals.
+	software fleet.SoftwareVersion
 }
 
 type waitingRequests struct{ count, topPriority int }
@@ -94,7 +102,7 @@
 
 func newView(cfg Settings) *View {
 	return &View{
-		cfg: cfg, reportNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
+		cfg: cfg, reportNow: make(chan struct{}, 1), recordNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
 		balancer: balance.New(balance.Location{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}, rand.Uint64()),
 		budget: retry.NewBudget(retry.Settings{
 			RetriesPerRequest: cfg.Budget.Ratio * budgetShare, MinRetriesPerSecond: 1, Burst: 1, Initial: 1, Attempts: 1 << 20,
@@ -230,7 +238,7 @@
 	}
 	for k, w := range v.waiting {
 		if v.arrivals[k].count == 0 {
-			req.Demands = append(req.Demands, residency.Demand{Service: k.service, Target: k.target, Waiting: w.count, TopPriority: w.topPriority})
+			req.Demands = append(req.Demands, residency.Demand{Service: k.service, Target: k.target, Software: k.software, Waiting: w.count, TopPriority: w.topPriority})
 		}
 	}
 	req.Leaving, req.Limits = v.unreportedLeaving(), v.unreportedLimits(time.Now())
@@ -246,7 +254,7 @@
 	defer v.mu.Unlock()
 	for _, d := range req.Demands {
 		if d.Arrivals > 0 {
-			k := demandKey{d.Service, d.Target}
+			k := demandKey{service: d.Service, target: d.Target}
 			a := v.arrivals[k]
 			v.arrivals[k] = arrivals{a.count + d.Arrivals, a.prompt + d.Prompt}
 		}
