io/gateway: requests late in a planned stop are refused as not run

What callers saw (a report from another system; here with a slow body or a long wait for a server): a request reached a backend server near the end of the grace period and was cut or ended with a 502, although it may not be repeated.

Cause: only the listener and idle connections end a stop; a request that is read slowly, or that waits for a server, is passed on whenever that is over. Change: after the last moment at which a request sent in time can have been read, and in the second half of the time that is left for answers, a request that has not run is refused with host-draining.

--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -31,7 +31,7 @@
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
 	case errors.Is(context.Cause(x.ctx), errStopping) && !x.mayHaveRun:
-		return x.refuse(fasthttp.StatusServiceUnavailable, "host-draining", "this host is shutting down and did not run the request; use another host")
+		return x.refuseAsDraining()
 	case x.mayHaveRun && late:
 		return x.refuse(fasthttp.StatusGatewayTimeout, "deadline-exceeded", "no answer arrived before the deadline; the request may have run")
 	case x.mayHaveRun:
@@ -61,6 +61,11 @@
 	return status, code
 }
 
+// refuseAsDraining refuses a request, which was not run, since this host is shutting down.
+func (x *exchange) refuseAsDraining() (int, string) {
+	return x.refuse(fasthttp.StatusServiceUnavailable, "host-draining", "this host is shutting down and did not run the request; use another host")
+}
+
 // refuseForLackOfServers answers the request, which was not run, with a refusal that says when a server can take it.
 func (x *exchange) refuseForLackOfServers(code, message string) (int, string) {
 	return x.refuseFor(x.proxy.view.returnDelay(x.service, &x.req, x.constraint(nil)), code, message)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -25,13 +25,14 @@
 	cfg    Settings
 	view   *View
 	server *server
+	proxy  *proxy
 }
 
 // New returns a gateway; call Run next.
 func New(cfg Settings) *Gateway {
 	g := &Gateway{cfg: cfg, view: newView(cfg)}
-	p := &proxy{cfg: cfg, view: g.view, metrics: newCounters(cfg.Metrics)}
-	g.server = newServer(g.limits, p.handle)
+	g.proxy = &proxy{cfg: cfg, view: g.view, metrics: newCounters(cfg.Metrics)}
+	g.server = newServer(g.limits, g.proxy.handle)
 	return g
 }
 
@@ -79,10 +80,12 @@
 	g.cfg.Log.Info(logDraining, zap.Duration("grace-ms", g.cfg.GracePeriod))
 	g.view.setReady(false)
 	g.server.drain()
-	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.GracePeriod-drainReserve)
+	accept, end := min(drainAcceptTime, g.cfg.GracePeriod/3), g.cfg.GracePeriod-drainReserve
+	g.proxy.drain.Store(&drainTimes{readUntil: began.Add(accept + lateReadTime), sendUntil: began.Add((accept + end) / 2)})
+	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
 	// The wait ends early if the grace period is over.
-	_ = pause.For(ctx, min(drainAcceptTime, g.cfg.GracePeriod/3))
+	_ = pause.For(ctx, accept)
 	// The only possible error is that the listener is closed already.
 	_ = l.Close()
 	g.server.closeIdle()
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -26,6 +26,14 @@
 	cfg     Settings
 	view    *View
 	metrics counters
+	// drain is set once the host is asked to stop.
+	drain atomic.Pointer[drainTimes]
+}
+
+// drainTimes are the times of a stop after which requests are refused as not run, since their answers may come after its end.
+type drainTimes struct {
+	// readUntil is the time until which a request must have been read, sendUntil the one until which it must be sent to a server.
+	readUntil, sendUntil time.Time
 }
 
 // exchange is one request of a caller with its state.
@@ -105,6 +113,9 @@
 
 // serve serves the request and returns the status of its answer, or 0 if no answer was completed, and the cause.
 func (x *exchange) serve() (int, string) {
+	if d := x.proxy.drain.Load(); d != nil && x.began.After(d.readUntil) {
+		return x.refuseAsDraining()
+	}
 	t := x.proxy.view.awaitTable(x.ctx, configurationTimeout)
 	if t == nil {
 		return x.refuse(fasthttp.StatusServiceUnavailable, "configuration-unknown", "no configuration is in force yet; retry shortly")
@@ -178,6 +189,10 @@
 			x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
 			return x.fail(err)
 		}
+		if d := x.proxy.drain.Load(); d != nil && !x.mayHaveRun && time.Now().After(d.sendUntil) {
+			x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
+			return x.refuseAsDraining()
+		}
 		if x.sends > 0 && !x.switchPaid.Swap(false) && !x.proxy.view.spendRetry(x.service) {
 			x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
 			return x.fail(errBudget)
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -86,6 +86,8 @@
 	drainAcceptTime = 2500 * time.Millisecond
 	// lastRequestTime is how long a draining host that accepts no more connections still reads from those without a request.
 	lastRequestTime = 100 * time.Millisecond
+	// lateReadTime is how long after drainAcceptTime a request may still have been read completely.
+	lateReadTime = 500 * time.Millisecond
 	// drainReserve is the part of the grace period that is reserved for the last answers and the end of the process.
 	drainReserve = time.Second
 	// maxRejectionBytes and rejectionTimeout bound the body of an answer that rejects a request without running it.
