io/controlapi: a call that is given up early does not drop the leader

Cause: a call whose own short timeout ends (Place has 60 ms) counted as a leader that cannot be reached, so that the host's next call of any kind searched first. Change: the leader is dropped if an attempt fails before the call's own time is over. TestShortTimeoutKeepsLeader fails without it.

--- a/io/controlapi/client.go
+++ b/io/controlapi/client.go
@@ -232,7 +232,10 @@
 		res, err := CallMember[Req, Res](ctx, c, h, procedure, hold, req)
 		if err != nil {
 			lastErr = err
-			c.dropLeader(h, "")
+			// A call that was given up early says nothing of the leader.
+			if ctx.Err() == nil {
+				c.dropLeader(h, "")
+			}
 			continue
 		}
 		r := P(res).reply()
--- a/io/controlapi/client_test.go
+++ b/io/controlapi/client_test.go
@@ -26,6 +26,8 @@
 	leader atomic.Int32
 	// calls is the number of calls that have reached a member.
 	calls atomic.Int64
+	// stall keeps the members from answering Leave calls while it is locked.
+	stall sync.Mutex
 }
 
 func newGroup(t *testing.T) *group { return newGroupOf(t, 3) }
@@ -59,6 +61,8 @@
 			return &controlapi.LeadResponse{Reply: reply()}, nil
 		})
 		hosts.Handle(srv, controlapi.ProcedureLeave, func(context.Context, fleet.HostID, *controlapi.LeaveRequest) (*controlapi.HeartbeatResponse, error) {
+			g.stall.Lock()
+			defer g.stall.Unlock()
 			return &controlapi.HeartbeatResponse{Reply: reply()}, nil
 		})
 		wg.Go(func() { _ = srv.Run(ctx, l) })
@@ -138,3 +142,19 @@
 	require.NoError(t, leave(ctx, c))
 	assert.Equal(t, g.members[2], c.Leader())
 }
+
+// Guards against hosts that search for the leader, whose other calls it answers, since a call with a short timeout was given up.
+func TestShortTimeoutKeepsLeader(t *testing.T) {
+	g := newGroup(t)
+	g.leader.Store(1)
+	c := g.client(g.members...)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, leave(ctx, c))
+	g.stall.Lock()
+	short, cancelShort := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancelShort()
+	require.Error(t, leave(short, c))
+	g.stall.Unlock()
+	require.Equal(t, g.members[1], c.Leader())
+}
