--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -76,7 +76,7 @@
 		v.begin(now, r, &c, instances, candidates, best)
 		return c
 	}
-	res := v.askLeader(ctx, now, r, instances, candidates)
+	res := v.askLeader(ctx, now, r, instances, candidates, isLimited)
 	if res != nil {
 		// The lock was released meanwhile.
 		now = time.Now()
--- a/io/gateway/place.go
+++ b/io/gateway/place.go
@@ -9,10 +9,10 @@
 	"toucanway/io/controlapi"
 )
 
-// askLeader asks the leader to which of several servers a request should go; it returns nil if the leader doesn't answer. v.mu is held, but
-// released during the call.
+// askLeader asks the leader to which of several servers a request should go; it returns nil if the leader doesn't answer. It waits longer
+// if the request needs a grant, without which it may have to be refused. v.mu is held, but released during the call.
 func (v *View) askLeader(
-	ctx context.Context, now time.Time, r *balance.Request, instances []*registry.Instance, candidates []balance.Candidate,
+	ctx context.Context, now time.Time, r *balance.Request, instances []*registry.Instance, candidates []balance.Candidate, needsGrant bool,
 ) *controlapi.PlaceResponse {
 	if now.Before(v.placeNotBefore) || v.cfg.Client.Leader() == "" {
 		return nil
@@ -24,8 +24,12 @@
 			req.Candidates[i].Limit, req.Candidates[i].Incarnation = l, in.Incarnation
 		}
 	}
+	timeout := v.placeTimeout
+	if needsGrant {
+		timeout = max(timeout, min(req.MaxDelay, grantTimeout))
+	}
 	v.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, v.placeTimeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	res, err := controlapi.Call[controlapi.PlaceRequest, controlapi.PlaceResponse](call, v.cfg.Client, controlapi.ProcedurePlace, 0, req)
 	cancel()
 	v.mu.Lock()
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -57,6 +57,8 @@
 	// this host chooses by itself for placeRetryDelay.
 	placeTimeout    = 60 * time.Millisecond
 	placeRetryDelay = 500 * time.Millisecond
+	// grantTimeout bounds a call that asks the leader for the grant of a request to a server with a rate limit.
+	grantTimeout = 300 * time.Millisecond
 	// connectTimeout bounds a new connection to a backend server.
 	connectTimeout = 400 * time.Millisecond
 	// After a rejection, requests for the same target aren't sent to the server for busyRetryDelay if the server was busy, for
