io/hosts: connections that are opened after Close are closed

Cause: the HTTP library goes on with a dial whose call was given up; if it ends after Client.Close, which closes idle connections only, nothing closes the connection until a ping fails or it has been idle for a minute. Ruled out: a fault of the relay, which is not involved. Change: the client knows its connections, closes them all, and closes those whose dial began before Close. The test's cluster waits for such dials, as controlscenario does.

--- a/cmd/toucanway-lab/internal/relayload/cluster_test.go
+++ b/cmd/toucanway-lab/internal/relayload/cluster_test.go
@@ -16,6 +16,7 @@
 	"toucanway/core/fleet"
 	"toucanway/io/follow"
 	"toucanway/io/hosts"
+	"toucanway/io/network"
 	"toucanway/io/relay"
 	"toucanway/io/sessions"
 )
@@ -108,6 +109,8 @@
 		}
 	}
 	c.stop()
+	// The HTTP library continues dials that no call waits for any more.
+	time.Sleep(network.DialTimeout)
 }
 
 // hostsWithoutLease returns the addresses of the running hosts that have no lease.
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -35,6 +35,23 @@
 
 	mu      sync.Mutex
 	clients map[string]any
+	// conns holds the open connections. closes is the number of calls of Close.
+	conns  map[*clientConn]bool
+	closes int
+}
+
+// clientConn is a connection of a client.
+type clientConn struct {
+	net.Conn
+	client *Client
+}
+
+// Close closes the connection.
+func (c *clientConn) Close() error {
+	c.client.mu.Lock()
+	delete(c.client.conns, c)
+	c.client.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // NewClient returns a client that dials through n. tlsConfig returns the TLS configuration of the next connection; nil
@@ -48,49 +65,77 @@
 	} else {
 		protocols.SetUnencryptedHTTP2(true)
 	}
-	return &Client{
-		self:   self,
-		scheme: scheme,
-		transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				return n.Dial(ctx, address)
-			},
-			DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				return dialTLS(ctx, n, address, tlsConfig())
-			},
-			Protocols:       &protocols,
-			IdleConnTimeout: time.Minute,
-			HTTP2: &http.HTTP2Config{
-				SendPingTimeout:  HeartbeatInterval,
-				PingTimeout:      HeartbeatTimeout,
-				WriteByteTimeout: HeartbeatTimeout,
-			},
+	c := &Client{self: self, scheme: scheme, clients: map[string]any{}, conns: map[*clientConn]bool{}}
+	c.transport = &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return c.dial(ctx, n, address)
+		},
+		DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return c.dialTLS(ctx, n, address, tlsConfig())
 		},
-		clients: map[string]any{},
+		Protocols:       &protocols,
+		IdleConnTimeout: time.Minute,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  HeartbeatInterval,
+			PingTimeout:      HeartbeatTimeout,
+			WriteByteTimeout: HeartbeatTimeout,
+		},
+	}
+	return c
+}
+
+// dial opens a connection. It closes it at once if Close was called meanwhile: the HTTP library goes on with dials that no call waits for
+// any more.
+func (c *Client) dial(ctx context.Context, n network.Network, address string) (net.Conn, error) {
+	c.mu.Lock()
+	closes := c.closes
+	c.mu.Unlock()
+	conn, err := n.Dial(ctx, address)
+	if err != nil {
+		return nil, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closes != closes {
+		return nil, errors.Join(net.ErrClosed, conn.Close())
+	}
+	t := &clientConn{conn, c}
+	c.conns[t] = true
+	return t, nil
 }
 
 // dialTLS opens a TLS connection; the handshake has the same timeout as a dial.
-func dialTLS(ctx context.Context, n network.Network, address string, cfg *tls.Config) (net.Conn, error) {
-	c, err := n.Dial(ctx, address)
+func (c *Client) dialTLS(ctx context.Context, n network.Network, address string, cfg *tls.Config) (net.Conn, error) {
+	plain, err := c.dial(ctx, n, address)
 	if err != nil {
 		return nil, err
 	}
 	if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
-		return nil, errors.Join(err, c.Close())
+		return nil, errors.Join(err, plain.Close())
 	}
 	cfg.NextProtos = []string{"h2"}
 	ctx, cancel := context.WithTimeout(ctx, network.DialTimeout)
 	defer cancel()
-	conn := tls.Client(c, cfg)
+	conn := tls.Client(plain, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
-		return nil, errors.Join(err, c.Close())
+		return nil, errors.Join(err, plain.Close())
 	}
 	return conn, nil
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close closes all connections, also those that are being opened. Later calls open new ones.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+	c.mu.Lock()
+	conns := c.conns
+	c.conns = map[*clientConn]bool{}
+	c.closes++
+	c.mu.Unlock()
+	for t := range conns {
+		// An error means that the connection is closed already.
+		_ = t.Conn.Close()
+	}
+}
 
 // Call calls a procedure of the host at an address, IP:PORT; the context must have a deadline.
 func Call[Req, Res any](ctx context.Context, c *Client, address, procedure string, req *Req) (*Res, error) {
