--- a/cmd/toucanway-lab/internal/controlscenario/software_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/software_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -272,27 +271,3 @@
 	}
 	time.Sleep(3 * time.Second)
 }
-
-// listen accepts connections at port 80 of an address until the returned function is called, which also closes them.
-func listen(t *testing.T, w *simulation, ip string, serve func(net.Conn)) func() {
-	host := w.net.Host(ip)
-	l, err := host.Listen(ip + ":80")
-	require.NoError(t, err)
-	var conns sync.WaitGroup
-	conns.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conns.Go(func() {
-				defer c.Close()
-				serve(c)
-			})
-		}
-	})
-	return func() {
-		host.Close()
-		conns.Wait()
-	}
-}
--- a/core/ratelimit/buckets_test.go
+++ b/core/ratelimit/buckets_test.go
@@ -81,15 +81,15 @@
 		for _, perSecond := range []float64{0.4, 2, 20} {
 			t.Run(fmt.Sprint(hosts, " hosts, limit ", perSecond), func(t *testing.T) {
 				limit := fleet.NewRateLimit(perSecond)
-				slots := make([]Slots, hosts)
+				turns := make([]Turns, hosts)
 				var sent []time.Time
 				for ms := range 30_000 {
 					// No requests for 10 s, then as many as there are turns.
 					if 5_000 <= ms && ms < 15_000 {
 						continue
 					}
-					for h := range slots {
-						if _, ok := slots[h].Take(at(ms), server, limit, hosts, float64(h)/float64(hosts)); ok {
+					for h := range turns {
+						if _, ok := turns[h].Take(at(ms), server, limit, hosts, float64(h)/float64(hosts)); ok {
 							sent = append(sent, at(ms))
 						}
 					}
--- a/core/ratelimit/slots.go
+++ b/core/ratelimit/turns.go
@@ -11,21 +11,21 @@
 	// fallbackShare is the part of a limit that hosts use together which the leader doesn't answer. The others may use all of it at the
 	// same time.
 	fallbackShare = 0.4
-	// slotTime is the time for which a host may use its turn.
-	slotTime = 2 * time.Second
+	// turnTime is the time for which a host may use its turn.
+	turnTime = 2 * time.Second
 )
 
-// Slots gives a host that the leader doesn't answer its turns at servers with a rate limit. Hosts begin at random times, so that the sum of
+// Turns gives a host that the leader doesn't answer its turns at servers with a rate limit. Hosts begin at random times, so that the sum of
 // many hosts stays below the limit although each has a small part of a request a second. Turns that are not used expire. The zero value is
 // ready to use.
-type Slots struct {
+type Turns struct {
 	// next holds the time of the next turn at each server.
 	next registry.Incarnations[time.Time]
 }
 
 // Take reports whether the host may send a request to a server now, and returns the time of its next turn otherwise. The limit is divided
 // among a number of hosts. Hosts must differ in the random number, which is at least 0 and less than 1.
-func (s *Slots) Take(now time.Time, b fleet.BackendIncarnation, l fleet.RateLimit, hosts int, random float64) (time.Time, bool) {
+func (s *Turns) Take(now time.Time, b fleet.BackendIncarnation, l fleet.RateLimit, hosts int, random float64) (time.Time, bool) {
 	period := interval(l.PerSecond * fallbackShare / float64(max(hosts, 1)))
 	next := s.next.Get(b)
 	if next == nil {
@@ -34,7 +34,7 @@
 			return first, false
 		}
 	}
-	if missed := now.Sub(*next) - slotTime; missed > 0 {
+	if missed := now.Sub(*next) - turnTime; missed > 0 {
 		*next = next.Add((missed/period + 1) * period)
 	}
 	if now.Before(*next) {
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -71,7 +71,7 @@
 	origins    affinity.Table
 	unrecorded []controlapi.Stream
 	// turns holds this host's turns at servers with a rate limit while the leader doesn't answer.
-	turns ratelimit.Slots
+	turns ratelimit.Turns
 	// entryHosts is the number of entry hosts that the leader counts; 0 before its first answer.
 	entryHosts int
 	// evidence is what this host knows of content that crashes servers.
