standin, soak: backend servers that name a rate limit

Every other stand-in of the soak names a limit of 20 requests a second and checks it as the users' rule does, while gateways and controllers are killed, paused and cut off.

--- a/cmd/toucanway-lab/internal/soak/soak.go
+++ b/cmd/toucanway-lab/internal/soak/soak.go
@@ -41,6 +41,9 @@
 	stopTimeout = 6 * time.Second
 	// lossRate is the share of requests that a stand-in runs without an answer.
 	lossRate = 0.01
+	// rateLimit is the limit in requests a second that each limitedEvery-th stand-in names, which gets more than that otherwise.
+	rateLimit    = 20.0
+	limitedEvery = 2
 )
 
 // Result is the outcome of a run.
@@ -238,6 +241,9 @@
 			ID: fmt.Sprintf("b%d", i), Service: "plain", DataCentre: "z", Address: fmt.Sprintf("%s:%d", address(4, i+1), r.ports.callers),
 			Control: control, Record: r.record, LossRate: lossRate, Seed: r.cfg.Seed + uint64(i),
 		}
+		if i%limitedEvery == 0 {
+			cfg.RateLimit = rateLimit
+		}
 		if i >= plainServers {
 			cfg.Service, cfg.Engine, cfg.MaxModels = "engines", true, 2
 			cfg.InitialModels = []string{r.models[i-plainServers]}
