--- a/io/gateway/affinity.go
+++ b/io/gateway/affinity.go
@@ -47,6 +47,8 @@
 	excluded map[fleet.BackendID]bool
 	// software is the software version of the servers that can go on with the request's stream; nil for any.
 	software *fleet.SoftwareVersion
+	// unlimited is set if servers with a rate limit don't count, since none may be granted.
+	unlimited bool
 }
 
 // allowsSoftware reports whether a server of a software version can take the request.
@@ -56,7 +58,7 @@
 
 // constraint returns what limits the servers that can take the request, with the servers that it must not be sent to again.
 func (x *exchange) constraint(excluded map[fleet.BackendID]bool) constraint {
-	return constraint{excluded, x.software.Load()}
+	return constraint{excluded: excluded, software: x.software.Load()}
 }
 
 // isTakenUp reports whether the request takes up a stream of an earlier try of its caller.
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -77,11 +77,9 @@
 		return c
 	}
 	res := v.askLeader(ctx, now, r, instances, candidates, isLimited)
-	if res != nil {
-		// The lock was released meanwhile.
-		now = time.Now()
-		c, instances = v.available(service, r, k)
-	}
+	// The lock was released meanwhile.
+	now = time.Now()
+	c, instances = v.available(service, r, k)
 	if res != nil && res.Instance != "" {
 		i := slices.IndexFunc(instances, func(in *registry.Instance) bool { return in.ID == res.Instance })
 		if i >= 0 {
@@ -120,8 +118,12 @@
 		}
 	}
 	// The leader may answer earlier.
-	if !c.limitedUntil.IsZero() && v.placeNotBefore.After(now) && v.placeNotBefore.Before(c.limitedUntil) {
-		c.limitedUntil = v.placeNotBefore
+	askAgain := now.Add(placeRetryDelay)
+	if v.placeNotBefore.After(now) {
+		askAgain = v.placeNotBefore
+	}
+	if askAgain.Before(c.limitedUntil) {
+		c.limitedUntil = askAgain
 	}
 }
 
@@ -181,7 +183,7 @@
 	}
 }
 
-// otherServerExists reports whether a server other than the excluded ones can take a request now, as far as its notices say.
+// otherServerExists reports whether a server can take a request within a constraint now, as far as its notices say.
 func (v *View) otherServerExists(service fleet.ServiceID, r *balance.Request, k constraint) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -196,7 +198,8 @@
 func (v *View) eligible(now time.Time, service fleet.ServiceID, r *balance.Request, k constraint) []*registry.Instance {
 	var out []*registry.Instance
 	for _, in := range v.instances {
-		if in.Service != service || in.State != registry.Ready || k.excluded[in.ID] || !k.allowsSoftware(in.Software) || !r.Plain && !in.Serves(r.Target) {
+		if in.Service != service || in.State != registry.Ready || k.excluded[in.ID] || !k.allowsSoftware(in.Software) || !r.Plain && !in.Serves(r.Target) ||
+			k.unlimited && v.rateLimit(in).Named {
 			continue
 		}
 		if state, _ := v.holdoffs.State(now, in.ID, in.Incarnation); state != holdoff.Leaving {
--- a/io/gateway/ratelimit.go
+++ b/io/gateway/ratelimit.go
@@ -118,14 +118,9 @@
 
 // awaitGrant waits until the request may be sent to a server with a rate limit.
 func (x *exchange) awaitGrant(c *selection) error {
-	d := time.Until(c.sendAt)
-	if c.sendAt.IsZero() || d <= 0 {
+	if c.sendAt.IsZero() || pause.Until(x.ctx, c.sendAt) == nil {
 		return nil
 	}
-	x.waitTime += d
-	if err := pause.For(x.ctx, d); err != nil {
-		x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
-		return x.ctx.Err()
-	}
-	return nil
+	x.proxy.view.endRequest(c.ticket, balance.Withdrawn)
+	return x.ctx.Err()
 }
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -47,7 +47,9 @@
 
 // prepaySwitch reports whether another server than the tried ones can go on with the request, and pays for the repeat.
 func (x *exchange) prepaySwitch(tried map[fleet.BackendID]bool) bool {
-	if !x.proxy.view.otherServerExists(x.service, &x.req, x.constraint(tried)) || !x.proxy.view.spendRetry(x.service) {
+	k := x.constraint(tried)
+	k.unlimited = true
+	if !x.proxy.view.otherServerExists(x.service, &x.req, k) || !x.proxy.view.spendRetry(x.service) {
 		return false
 	}
 	x.switchPaid.Store(true)
--- a/io/gateway/wait.go
+++ b/io/gateway/wait.go
@@ -13,9 +13,12 @@
 	began := time.Now()
 	timer := time.NewTimer(time.Until(x.began.Add(maxWait(x.route))))
 	defer timer.Stop()
+	waited := false
 	defer func() {
 		if unregister != nil {
 			unregister()
+		}
+		if waited {
 			x.waitTime += time.Since(began)
 		}
 	}()
@@ -26,6 +29,7 @@
 		}
 		c := x.proxy.view.pick(x.ctx, x.service, &x.req, x.constraint(excluded))
 		if c.instance != nil {
+			waited = waited || time.Now().Before(c.sendAt)
 			return c, x.awaitGrant(&c)
 		}
 		if x.isLimited(&c) {
@@ -38,6 +42,7 @@
 		if x.waitIsFutile(c) {
 			return c, errPaused
 		}
+		waited = true
 		if unregister == nil {
 			unregister = x.proxy.view.registerWaiting(x.service, x.route, x.req.Target, x.constraint(nil))
 		}
