io/controller: a follower counts the software versions of servers that it has heard of

Found in the read-through: a follower hears of a server by Follow before its log may hold the server's version, and could call the version before the only one for that moment, so that a taken-up stream would go on at the wrong version. The versions of known servers now count as well.

--- a/io/controller/software.go
+++ b/io/controller/software.go
@@ -123,7 +123,19 @@
 		res.Origin = &o
 	}
 	if c.validLeadership() != nil || c.mirror.current(now, controlapi.Position{}) {
-		res.Software = c.state().Software[req.Service]
+		res.Software = knownSoftware(c.state().Software[req.Service], req.Service, c.registry.ChangedAfter(0))
 	}
 	return res, nil
 }
+
+// knownSoftware returns the software versions of a service: those on record, and those of servers that this host has heard of before the log
+// told it of their version.
+func knownSoftware(onRecord []fleet.SoftwareVersion, s fleet.ServiceID, instances []registry.Instance) []fleet.SoftwareVersion {
+	out := slices.Clone(onRecord)
+	for _, in := range instances {
+		if in.Service == s && !slices.Contains(out, in.Software) {
+			out = append(out, in.Software)
+		}
+	}
+	return out
+}
