core/config: hosts share the deployment's limit on bytes between regions

Change: the share is divided by the number of hosts with a session. TestCrossRegionRate guards the sum; before, a host's rate did not depend on the number of hosts. What a host does not use is not given to others.

--- a/io/dispatch/policy.go
+++ b/io/dispatch/policy.go
@@ -38,6 +38,8 @@
 	knownBackends map[fleet.BackendID]bool
 	readyModels   map[fleet.ModelID]bool
 	version       fleet.DocumentVersion
+	// hosts is the number of hosts with a session, which share the limits of the deployment.
+	hosts int
 }
 
 func newPolicy(cfg Settings) *policy {
@@ -56,28 +58,11 @@
 	return p
 }
 
-// regionBudget returns the bytes a second that a tenant may move between regions: its share by weight of the deployment's limit.
+// regionBudget returns the bytes a second that this host may move between regions for a tenant.
 func (p *policy) regionBudget(id fleet.TenantID) fleet.Bytes {
-	doc := p.document()
-	total := doc.Regions.CrossRegionPerHour
-	if total == 0 {
-		return unboundedTraffic
-	}
-	sum, own := 0, 0
-	for _, t := range doc.Callers.Tenants {
-		sum += t.Weight
-		if t.ID == id {
-			own = t.Weight
-		}
-	}
-	return total * fleet.Bytes(max(own, 1)) / fleet.Bytes(max(sum, 1)) / secondsPerHour
+	return p.document().CrossRegionRate(id, p.hosts)
 }
 
-const (
-	secondsPerHour   = 3600
-	unboundedTraffic = fleet.Bytes(1) << 50
-)
-
 // sync applies changes of the control state since the last call; mu must be held.
 func (p *policy) sync(now time.Time) {
 	p.follower.Read(func(s *control.State) {
@@ -87,6 +72,7 @@
 		p.applied = s.Applied()
 		p.syncBackends(s)
 		p.syncReplicas(s)
+		p.hosts = len(s.Sessions())
 		p.poison.SetCrashRecords(now, s.CrashRecords())
 	})
 	p.syncLimits()
