--- a/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
@@ -32,24 +32,25 @@
 
 // startGateways starts entry hosts that follow the group, and returns their log and a function that stops them.
 func startGateways(t *testing.T, w *simulation, n int) (*observer.ObservedLogs, func()) {
-	log, _, stop := startGatewaysWith(t, w, n, gatewayDialect{})
+	log, _, stop := startGatewaysWith(t, w, 0, n, gatewayDialect{})
 	return log, stop
 }
 
-// startRequestGateways starts entry hosts that take requests, and returns their addresses and a function that stops them.
-func startRequestGateways(t *testing.T, w *simulation, n int) ([]string, func()) {
-	_, addresses, stop := startGatewaysWith(t, w, n, requestDialect{})
+// startRequestGateways starts entry hosts that take requests, numbered from first on, and returns their addresses and a function that
+// stops them.
+func startRequestGateways(t *testing.T, w *simulation, first, n int) ([]string, func()) {
+	_, addresses, stop := startGatewaysWith(t, w, first, n, requestDialect{})
 	return addresses, stop
 }
 
-// startGatewaysWith starts entry hosts with a dialect, and returns their log, their addresses and a function that stops them.
-func startGatewaysWith(t *testing.T, w *simulation, n int, d gateway.Dialect) (*observer.ObservedLogs, []string, func()) {
+// startGatewaysWith starts entry hosts with a dialect, numbered from first on, and returns their log, their addresses and a function that stops them.
+func startGatewaysWith(t *testing.T, w *simulation, first, n int, d gateway.Dialect) (*observer.ObservedLogs, []string, func()) {
 	core, log := observer.New(zapcore.InfoLevel)
 	var addresses []string
 	seeds := func() []fleet.HostID { return w.hostIDs()[:3] }
 	ctx, cancel := context.WithCancel(context.Background())
 	var eg errgroup.Group
-	for i := range n {
+	for i := first; i < first+n; i++ {
 		ip := fmt.Sprintf("10.%d.8.%d", i%3+1, i+1)
 		net := w.net.Host(ip)
 		client := hosts.NewClient(fleet.HostID(ip), net, nil)
--- a/cmd/toucanway-lab/internal/controlscenario/limited_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/limited_test.go
@@ -136,6 +136,8 @@
 	limit, perSecond float64
 	// during is called 4 s after the server has named its limit; nil does nothing.
 	during func(t *testing.T, w *simulation, s *limitedServer, gateways []string)
+	// restarted is the number of further gateways that restart 4 s after the server has named its limit.
+	restarted int
 	// others is the number of further servers without a limit.
 	others int
 }
@@ -146,8 +148,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := startControllersOf(t, r.controllers)
 		defer closeAndCheck(t, w)
-		addresses, stop := startRequestGateways(t, w, r.gateways)
+		addresses, stop := startRequestGateways(t, w, 0, r.gateways)
 		defer stop()
+		more, stopMore := startRequestGateways(t, w, r.gateways, r.restarted)
+		defer func() { stopMore() }()
+		addresses = append(addresses, more...)
 		s := startServer(t, w, 0)
 		defer s.close()
 		for i := range r.others {
@@ -162,6 +167,11 @@
 		if r.during != nil {
 			r.during(t, w, s, addresses)
 		}
+		if r.restarted > 0 {
+			stopMore()
+			time.Sleep(500 * time.Millisecond)
+			_, stopMore = startRequestGateways(t, w, r.gateways, r.restarted)
+		}
 		time.Sleep(11 * time.Second)
 		c.stop()
 		check(t, s, c, from)
@@ -212,6 +222,10 @@
 		"leader cut off": {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: func(_ *testing.T, w *simulation, _ *limitedServer, _ []string) {
 			w.net.Isolate(string(w.leader().ip))
 		}}, 0.5},
+		"gateways restarted": {limitedRun{controllers: 3, gateways: 10, limit: 5, perSecond: 30, restarted: 10}, 0.5},
+		"gateways restarted, leader killed": {limitedRun{controllers: 3, gateways: 10, limit: 5, perSecond: 30, restarted: 10, during: func(t *testing.T, w *simulation, _ *limitedServer, _ []string) {
+			require.NoError(t, w.kill(w.leader()))
+		}}, 0.5},
 		"gateways cut off from the controllers": {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: func(_ *testing.T, w *simulation, _ *limitedServer, gateways []string) {
 			for _, g := range gateways[:10] {
 				for _, h := range w.hosts {
--- a/cmd/toucanway-lab/internal/controlscenario/software_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/software_test.go
@@ -257,7 +257,7 @@
 
 // startStreamGateways starts entry hosts that take requests for streams, and returns their addresses and a function that kills them.
 func startStreamGateways(t *testing.T, w *simulation) ([]string, func()) {
-	_, addresses, stop := startGatewaysWith(t, w, 3, streamDialect{})
+	_, addresses, stop := startGatewaysWith(t, w, 0, 3, streamDialect{})
 	return addresses, stop
 }
 
