--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -16,9 +16,11 @@
 	gateway *process
 	name    string
 	warmUp  bool
-	count   int
-	conn    net.Conn
-	r       *bufio.Reader
+	// model is sent as X-Model unless it is empty.
+	model string
+	count int
+	conn  net.Conn
+	r     *bufio.Reader
 }
 
 // outcome is how a request ended.
@@ -65,8 +67,12 @@
 	if !c.warmUp {
 		c.d.rec.logf("client %s sends %s to %s", c.name, out.id, c.gateway.name)
 	}
-	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: rig.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, out.id, limit.Milliseconds(), len(body), body)
+	more := ""
+	if c.model != "" {
+		more = fmt.Sprintf("X-Model: %s\r\nX-Token-Count: 200,20\r\nX-Prompt-Prefix: a1:100,b%d:100\r\n", c.model, c.count)
+	}
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: rig.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, out.id, limit.Milliseconds(), more, len(body), body)
 	out.written = err == nil
 	if err == nil {
 		err = c.read(&out)
--- a/review/_rig/deployment.go
+++ b/review/_rig/deployment.go
@@ -301,11 +301,11 @@
 }
 
 // awaitServed returns once a request through each gateway is answered.
-func (d *deployment) awaitServed(path string) error {
+func (d *deployment) awaitServed(path, model string) error {
 	end := time.Now().Add(20 * time.Second)
 	for _, g := range d.gateways {
 		for n := 0; ; n++ {
-			c := &client{d: d, gateway: g, name: "warm-" + g.name, warmUp: true}
+			c := &client{d: d, gateway: g, name: "warm-" + g.name, warmUp: true, model: model}
 			out := c.send(path, 5*time.Second)
 			c.close()
 			if out.complete && out.status == http.StatusOK {
--- a/review/_rig/left_server.go
+++ b/review/_rig/left_server.go
@@ -41,7 +41,7 @@
 	if err := d.submit(configuration(1, "streaming", "drafts", "/draft/", 6000, nil)); err != nil {
 		return nil, err
 	}
-	if err := d.awaitServed("/draft/warm"); err != nil {
+	if err := d.awaitServed("/draft/warm", ""); err != nil {
 		return nil, err
 	}
 	time.Sleep(contact + 500*time.Millisecond)
--- a/review/_rig/second_sigterm.go
+++ b/review/_rig/second_sigterm.go
@@ -30,7 +30,7 @@
 	if err := d.submit(configuration(1, "unsafe", "ledger", "/record/", 4000, nil)); err != nil {
 		return nil, err
 	}
-	if err := d.awaitServed("/record/warm"); err != nil {
+	if err := d.awaitServed("/record/warm", ""); err != nil {
 		return nil, err
 	}
 	time.Sleep(contact + 500*time.Millisecond)
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,14 +37,17 @@
 
 // server is one lifetime of a stand-in for a backend server of a plain service.
 type server struct {
-	d                *deployment
-	runs             *runs
-	id, service      string
-	address          string
-	born             int64
-	work             time.Duration
-	events           int
-	eventPause       time.Duration
+	d           *deployment
+	runs        *runs
+	id, service string
+	address     string
+	born        int64
+	work        time.Duration
+	events      int
+	eventPause  time.Duration
+	// announced is the address in check-ins, if it is not the server's own; engine is set for a model engine.
+	announced        string
+	engine           *engine
 	srv              *http.Server
 	cancelHeartbeats context.CancelFunc
 
@@ -73,10 +77,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seq++
-	data, _ := json.Marshal(obj{
-		"service": s.service, "addr": s.address, "zone": "z1", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0, "seq": s.seq,
-		"born": s.born,
-	})
+	body := obj{
+		"service": s.service, "addr": cmp.Or(s.announced, s.address), "zone": "z1", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
+		"seq": s.seq, "born": s.born,
+	}
+	if s.engine != nil {
+		body["stage"], body["models"], body["at_hand"] = "both", s.engine.loaded(), obj{"in_memory": []string{}, "on_disk": []string{}}
+	}
+	data, _ := json.Marshal(body)
 	return data, s.seq
 }
 
@@ -138,9 +146,21 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/healthz" {
+	switch {
+	case r.URL.Path == "/healthz":
 		w.Header().Set("X-Instance-Id", s.id)
 		return
+	case s.engine != nil && r.URL.Path == "/api/report":
+		s.serveReport(w)
+		return
+	case s.engine != nil && r.URL.Path == "/api/order":
+		s.serveOrder(w, r)
+		return
+	case s.engine != nil && !s.engine.has(r.Header.Get("X-Model")):
+		w.Header().Set("X-Request-Id", id)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
 	}
 	from, _, _ := net.SplitHostPort(r.RemoteAddr)
 	n := &run{id: id, server: s.id, from: from, at: time.Now()}
