--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,9 +19,11 @@
 	warmUp  bool
 	// model is sent as X-Model unless it is empty.
 	model string
-	count int
-	conn  net.Conn
-	r     *bufio.Reader
+	// prefix is sent as X-Prompt-Prefix unless it is empty.
+	prefix string
+	count  int
+	conn   net.Conn
+	r      *bufio.Reader
 }
 
 // outcome is how a request ended.
@@ -69,7 +72,7 @@
 	}
 	more := ""
 	if c.model != "" {
-		more = fmt.Sprintf("X-Model: %s\r\nX-Token-Count: 200,20\r\nX-Prompt-Prefix: a1:100,b%d:100\r\n", c.model, c.count)
+		more = fmt.Sprintf("X-Model: %s\r\nX-Token-Count: 200,20\r\nX-Prompt-Prefix: %s\r\n", c.model, cmp.Or(c.prefix, fmt.Sprintf("a1:100,b%d:100", c.count)))
 	}
 	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: rig.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
 		path, out.id, limit.Milliseconds(), more, len(body), body)
--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -28,6 +28,15 @@
 	accepted  int64
 	busyUntil time.Time
 	orders    []order
+	// onDisk lists the models whose weights are on the engine's disk.
+	onDisk []string
+}
+
+func (e *engine) copies() []string {
+	if e.onDisk == nil {
+		return []string{}
+	}
+	return e.onDisk
 }
 
 const engineLoadTime = 500 * time.Millisecond
@@ -56,7 +65,7 @@
 	defer e.mu.Unlock()
 	data, _ := json.Marshal(obj{
 		"stage": "both", "models": models, "busy": time.Now().Before(e.busyUntil), "seq": e.accepted, "queued": 0, "active": 0, "kv_used": 0,
-		"kv_total": 232000, "handles": 0, "born": s.born, "at_hand": obj{"in_memory": []string{}, "on_disk": []string{}},
+		"kv_total": 232000, "handles": 0, "born": s.born, "at_hand": obj{"in_memory": []string{}, "on_disk": e.copies()},
 	})
 	_, _ = w.Write(data)
 }
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -46,11 +46,21 @@
 	events      int
 	eventPause  time.Duration
 	// announced is the address in check-ins, if it is not the server's own; engine is set for a model engine.
-	announced        string
-	engine           *engine
+	announced string
+	engine    *engine
+	// crashesOn reports whether a request crashes the server when it begins to write the answer; crashed is called then.
+	crashesOn func(*http.Request) bool
+	crashed   func()
+	// untilClose makes answers end with their connections, without a length or chunks. A request that crashes the server does so after
+	// the first event then.
+	untilClose       bool
 	srv              *http.Server
 	cancelHeartbeats context.CancelFunc
 
+	// exited is closed once the server has exited; connections that it has taken over end then.
+	exited   chan struct{}
+	exitOnce sync.Once
+
 	mu      sync.Mutex
 	seq     int
 	leaving bool
@@ -58,7 +68,7 @@
 
 // startServer starts a server that checks in until it leaves.
 func startServer(d *deployment, rs *runs, n int, service string, configure func(*server)) (*server, error) {
-	s := &server{d: d, runs: rs, id: fmt.Sprintf("i-%d", n), service: service, born: time.Now().UnixMilli(), address: fmt.Sprintf("%s:%d", d.ip(3, n), d.ports["callers"])}
+	s := &server{exited: make(chan struct{}), d: d, runs: rs, id: fmt.Sprintf("i-%d", n), service: service, born: time.Now().UnixMilli(), address: fmt.Sprintf("%s:%d", d.ip(3, n), d.ports["callers"])}
 	configure(s)
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
@@ -82,7 +92,7 @@
 		"seq": s.seq, "born": s.born,
 	}
 	if s.engine != nil {
-		body["stage"], body["models"], body["at_hand"] = "both", s.engine.loaded(), obj{"in_memory": []string{}, "on_disk": []string{}}
+		body["stage"], body["models"], body["at_hand"] = "both", s.engine.loaded(), obj{"in_memory": []string{}, "on_disk": s.engine.copies()}
 	}
 	data, _ := json.Marshal(body)
 	return data, s.seq
@@ -129,6 +139,7 @@
 // exit ends the server at once.
 func (s *server) exit() {
 	s.cancelHeartbeats()
+	s.exitOnce.Do(func() { close(s.exited) })
 	_ = s.srv.Close()
 }
 
@@ -178,6 +189,16 @@
 		s.d.rec.logf("server %s: the connection of %s was closed while it ran", s.id, id)
 		return
 	}
+	if s.untilClose {
+		s.streamUntilClose(w, r, n)
+		return
+	}
+	if s.crashesOn != nil && s.crashesOn(r) {
+		s.d.rec.logf("server %s crashes on %s", s.id, id)
+		s.exit()
+		s.crashed()
+		return
+	}
 	if s.events == 0 {
 		fmt.Fprintf(w, "%s %s %d", s.id, id, len(body))
 		s.finish(n)
@@ -199,6 +220,35 @@
 	s.finish(n)
 }
 
+// streamUntilClose streams an answer that ends with its connection.
+func (s *server) streamUntilClose(w http.ResponseWriter, r *http.Request, n *run) {
+	deadly := s.crashesOn != nil && s.crashesOn(r)
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Request-Id: %s\r\nX-Response-Stamp: %s.%s\r\n\r\n", n.id, s.id, n.id)
+	for k := 1; k <= s.events; k++ {
+		if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", k, n.id); err != nil {
+			return
+		}
+		if deadly {
+			s.d.rec.logf("server %s crashes on %s", s.id, n.id)
+			s.exit()
+			_ = c.Close()
+			s.crashed()
+			return
+		}
+		select {
+		case <-time.After(s.eventPause):
+		case <-s.exited:
+			return
+		}
+	}
+	s.finish(n)
+}
+
 func (s *server) finish(n *run) {
 	s.runs.mu.Lock()
 	n.complete = true
