--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -64,7 +64,8 @@
 		}
 		c.conn, c.r = conn, bufio.NewReader(conn)
 	}
-	body := strings.Repeat("x", 200)
+	// No two requests are alike: the gateways take the same body for a repetition.
+	body := strings.Repeat(out.id+" ", 20)
 	_ = c.conn.SetDeadline(time.Now().Add(limit + 500*time.Millisecond))
 	out.sentAt = time.Now()
 	if !c.warmUp {
--- a/review/_rig/deadly_part.go
+++ b/review/_rig/deadly_part.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,14 +15,16 @@
 	cases["deadly-part-until-close"] = func(rec *record, trouble bool) ([]string, error) { return deadlyPart(rec, trouble, true) }
 }
 
-// Parts of prompts. All requests begin with firstPart; deadPart crashes each server that begins to write an answer on it.
+// Parts of prompts that servers can take.
 const (
 	firstPart  = "5c1e07a2"
 	soundPart  = "91bd3f06"
-	deadPart   = "dead0001"
 	commonPart = "e4402b7d"
 )
 
+// deadPart crashes each server that begins to write an answer on it. DEAD names another id, for comparison.
+var deadPart = cmp.Or(os.Getenv("DEAD"), "dead0001")
+
 // prefixOf returns the prompt of a request: parts that other requests share, and one of its own. The part behind the one that
 // differs is left out with SHORT=1, for comparison.
 func prefixOf(second, own string) string {
