--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -108,55 +104,3 @@
 	s.d.rec.logf("server %s gets an order: %s %s, expected %d, holder %s, fence %d: answers %d", s.id, o.Op, o.Model, o.Expected, o.Holder, o.Fence, status)
 	w.WriteHeader(status)
 }
-
-// orderProxy passes connections on to an engine. It calls held for the first order that it is to hold up, with the address of the caller,
-// and passes that connection's bytes on later.
-type orderProxy struct {
-	to     string
-	mu     sync.Mutex
-	holdUp time.Duration
-	held   func(caller string)
-}
-
-func (p *orderProxy) run(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go p.pass(c)
-	}
-}
-
-func (p *orderProxy) pass(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReader(c)
-	line, err := r.ReadString('\n')
-	if err != nil {
-		return
-	}
-	if strings.HasPrefix(line, "POST /api/order ") {
-		p.mu.Lock()
-		d, held := p.holdUp, p.held
-		p.holdUp = 0
-		p.mu.Unlock()
-		if d > 0 {
-			from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-			go held(from)
-			time.Sleep(d)
-		}
-	}
-	s, err := net.Dial("tcp", p.to)
-	if err != nil {
-		return
-	}
-	defer s.Close()
-	if _, err := io.WriteString(s, line); err != nil {
-		return
-	}
-	go func() {
-		// The caller may have ended its side: what it has sent is passed on all the same.
-		_, _ = io.Copy(s, r)
-	}()
-	_, _ = io.Copy(c, s)
-}
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,12 +44,13 @@
 	work        time.Duration
 	events      int
 	eventPause  time.Duration
-	// announced is the address in check-ins, if it is not the server's own; engine is set for a model engine.
-	announced string
-	engine    *engine
+	// engine is set for a model engine.
+	engine *engine
 	// crashesOn reports whether a request crashes the server when it begins to write the answer; crashed is called then.
 	crashesOn func(*http.Request) bool
 	crashed   func()
+	// endless writes bytes without end as the answer.
+	endless func(http.ResponseWriter, *http.Request)
 	// untilClose makes answers end with their connections, without a length or chunks. A request that crashes the server does so after
 	// the first event then.
 	untilClose       bool
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	body := obj{
-		"service": s.service, "addr": cmp.Or(s.announced, s.address), "zone": "z1", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
+		"service": s.service, "addr": s.address, "zone": "z1", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
 		"seq": s.seq, "born": s.born,
 	}
 	if s.engine != nil {
@@ -189,6 +189,10 @@
 		s.d.rec.logf("server %s: the connection of %s was closed while it ran", s.id, id)
 		return
 	}
+	if s.endless != nil {
+		s.endless(w, r)
+		return
+	}
 	if s.untilClose {
 		s.streamUntilClose(w, r, n)
 		return
