--- a/review/_rig/endless.go
+++ b/review/_rig/platform/endless.go
@@ -31,7 +31,7 @@
 // endlessAnswers lets the servers of one service send bodies without end, beside a sound service on the same gateway.
 func endlessAnswers(rec *record, trouble bool) ([]string, error) {
 	const (
-		soundClients = 8
+		soundClients = 16
 		// bytesPerWrite are sent every 10 ms on each connection; all of them together stay below the gateway's link of 1,000 Mbit/s.
 		bytesPerWrite = 30 << 10
 		lasts         = 20 * time.Second
@@ -57,7 +57,7 @@
 			service = "papers"
 		}
 		s, err := startServer(d, rs, n, service, func(s *server) {
-			s.work = 300 * time.Millisecond
+			s.work = time.Duration(250+20*n) * time.Millisecond
 			if n > 3 || !trouble {
 				return
 			}
@@ -123,6 +123,8 @@
 	}
 	for n := range soundClients {
 		start(fmt.Sprintf("sound%d", n), "/read/x")
+		// Their requests don't come at the same moments.
+		time.Sleep(23 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
 	for n := range troubledClients {
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-rig ./review/_rig
+go build -o target/review-rig ./review/_rig/platform
