--- a/review/_rig/platform/endless.go
+++ b/review/_rig/platform/endless.go
@@ -31,12 +31,12 @@
 // endlessAnswers lets the servers of one service send bodies without end, beside a sound service on the same gateway.
 func endlessAnswers(rec *record, trouble bool) ([]string, error) {
 	const (
-		soundClients = 16
+		soundClients = 10
 		// bytesPerWrite are sent every 10 ms on each connection; all of them together stay below the gateway's link of 1,000 Mbit/s.
 		bytesPerWrite = 30 << 10
 		lasts         = 20 * time.Second
 	)
-	troubledClients := 23
+	troubledClients := 36
 	if n, err := strconv.Atoi(os.Getenv("CLIENTS")); err == nil {
 		// For comparison.
 		troubledClients = n
