review: run.sh names the record that it writes, line by line

The stand-ins wrote record.txt into the folder that run.sh gave them, so that no file of a case named it. run.sh now passes the file.

--- a/review/_rig/platform/deployment.go
+++ b/review/_rig/platform/deployment.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -26,32 +25,30 @@
 	configApply = 2500 * time.Millisecond
 )
 
-// record writes what was sent, answered and run to record.txt.
+// record writes what was sent, answered and run to a file, each line at once, so that a run that is cut off leaves what it has seen.
 type record struct {
 	mu    sync.Mutex
-	w     *bufio.Writer
 	file  *os.File
 	began time.Time
 }
 
-func newRecord(folder string) (*record, error) {
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+func newRecord(file string) (*record, error) {
+	f, err := os.Create(file)
 	if err != nil {
 		return nil, err
 	}
-	return &record{w: bufio.NewWriter(f), file: f, began: time.Now()}, nil
+	return &record{file: f, began: time.Now()}, nil
 }
 
 func (r *record) logf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.w, "%9.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%9.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.w.Flush()
 	_ = r.file.Close()
 }
 
--- a/review/_rig/platform/main.go
+++ b/review/_rig/platform/main.go
@@ -19,7 +19,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-rig CASE RECORD-FILE")
 		os.Exit(cannot)
 	}
 	rec, err := newRecord(os.Args[2])
