--- a/review/_rig/platform/deployment.go
+++ b/review/_rig/platform/deployment.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -74,7 +75,8 @@
 	ports       map[string]int
 	controllers []*process
 	gateways    []*process
-	regions     int
+	// starting is held while a process is started, and for good once the case is stopped.
+	starting sync.Mutex
 }
 
 // newDeployment chooses a free block of loopback addresses and free ports.
@@ -99,9 +101,24 @@
 	for i := 1; i <= gateways; i++ {
 		d.gateways = append(d.gateways, &process{d: d, role: "gateway", name: fmt.Sprintf("front-%d", i), ip: d.ip(2, i), bootstrap: true})
 	}
+	go d.endWhenStopped()
 	return d, nil
 }
 
+// endWhenStopped ends all processes and this one if the case is stopped before its end.
+func (d *deployment) endWhenStopped() {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	s := <-stopped
+	d.starting.Lock()
+	d.rec.logf("the case could not run to its end: %v", s)
+	for _, p := range d.all() {
+		p.signal(syscall.SIGKILL)
+	}
+	_ = os.RemoveAll(d.folder)
+	os.Exit(cannot)
+}
+
 func (d *deployment) ip(kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", d.block, kind, n) }
 
 func (d *deployment) choosePorts() error {
@@ -186,6 +203,8 @@
 	cmd := exec.Command("target/toucanway", p.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1", "GOGC=100", "TOUCANWAY_NODE_FILE=" + p.file}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	p.d.starting.Lock()
+	defer p.d.starting.Unlock()
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -208,6 +227,9 @@
 	p.mu.Lock()
 	cmd, exited := p.cmd, p.exited
 	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
 	select {
 	case <-exited:
 		return
