controller: departures are in the log before they are acknowledged

Cause: only the leader's registry and its mirrors held a departure. A leader that starts with nothing takes a late heartbeat of such a server for that of a new one, and acknowledged a Leave of a server that it didn't know without keeping anything, so that gateways went on with it as ready.

Change: the replicated log holds the newest incarnation of each server that drains or has left. The leader tells gateways at once and acknowledges once the record is committed; a new leader puts the records into its registry before it answers.

Registry.Leave is replaced by Registry.Depart; the tests that called it name the incarnation, which Leave with 0 looked up.

--- a/core/catalog/machine.go
+++ b/core/catalog/machine.go
@@ -9,6 +9,7 @@
 
 	"toucanway/core/fleet"
 	"toucanway/core/raft"
+	"toucanway/core/registry"
 	"toucanway/core/routes"
 )
 
@@ -25,6 +26,9 @@
 	// AddSoftware and RemoveSoftware change the software versions of a service.
 	AddSoftware    *Software `cbor:"3,keyasint,omitempty"`
 	RemoveSoftware *Software `cbor:"4,keyasint,omitempty"`
+	// AddDeparture adds a departure, RemoveDepartures removes those of the given incarnations.
+	AddDeparture     *registry.Instance         `cbor:"5,keyasint,omitempty"`
+	RemoveDepartures []fleet.BackendIncarnation `cbor:"6,keyasint,omitempty"`
 }
 
 // Replace replaces the configuration in force if the new version is higher.
@@ -54,6 +58,15 @@
 	// Software holds the sorted software versions of each service whose servers entry hosts may have used lately. It is replaced and never
 	// changed in place, since readers keep it.
 	Software map[fleet.ServiceID][]fleet.SoftwareVersion `cbor:"4,keyasint,omitempty"`
+	// Departures holds, for each backend server that has told that it drains or leaves, the newest incarnation that has done so. It is
+	// replaced and never changed in place, since readers keep it.
+	Departures map[fleet.BackendID]registry.Instance `cbor:"5,keyasint,omitempty"`
+}
+
+// HasDeparture reports whether it is on record that an incarnation of a backend server has the state or a later one.
+func (s *State) HasDeparture(b fleet.BackendIncarnation, state registry.State) bool {
+	d, ok := s.Departures[b.Backend]
+	return ok && (d.Incarnation > b.Incarnation || d.Incarnation == b.Incarnation && d.State >= state)
 }
 
 // Machine applies the log; it implements raft.StateMachine and is not safe for concurrent use.
@@ -90,6 +103,21 @@
 			m.setSoftware(s.Service, slices.Delete(slices.Clone(list), i, i+1))
 		}
 	}
+	if d := c.AddDeparture; d != nil && !m.State.HasDeparture(fleet.BackendIncarnation{Backend: d.ID, Incarnation: d.Incarnation}, d.State) {
+		m.State.Departures = maps.Clone(m.State.Departures)
+		if m.State.Departures == nil {
+			m.State.Departures = map[fleet.BackendID]registry.Instance{}
+		}
+		m.State.Departures[d.ID] = *d
+	}
+	if len(c.RemoveDepartures) > 0 {
+		m.State.Departures = maps.Clone(m.State.Departures)
+		for _, b := range c.RemoveDepartures {
+			if m.State.Departures[b.Backend].Incarnation == b.Incarnation {
+				delete(m.State.Departures, b.Backend)
+			}
+		}
+	}
 	return nil
 }
 
--- a/core/catalog/machine_test.go
+++ b/core/catalog/machine_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"toucanway/core/fleet"
+	"toucanway/core/registry"
 	"toucanway/core/routes"
 )
 
@@ -38,6 +39,7 @@
 	apply(t, m, Command{Replace: &Replace{Version: 7, Data: []byte("seven")}})
 	apply(t, m, Command{SetOrderer: &SetOrderer{Host: "10.0.0.1"}})
 	apply(t, m, Command{AddSoftware: &Software{"s", "v1"}})
+	apply(t, m, Command{AddDeparture: &registry.Instance{ID: "a", Incarnation: 5, Service: "s", Address: "10.0.0.1:80", State: registry.Draining}})
 	data, err := m.Snapshot()
 	require.NoError(t, err)
 	restored := &Machine{}
@@ -72,3 +74,39 @@
 	require.Equal(t, map[fleet.ServiceID][]fleet.SoftwareVersion{"s": {"v1"}}, m.State.Software)
 	require.Equal(t, map[fleet.ServiceID][]fleet.SoftwareVersion{"s": {"v2"}, "t": {""}}, before)
 }
+
+// Guards against a departure that gives way to an earlier state or process of its server, and against one whose removal takes away a later
+// one.
+func TestDepartures(t *testing.T) {
+	m := &Machine{}
+	depart := func(inc fleet.Incarnation, s registry.State) {
+		apply(t, m, Command{AddDeparture: &registry.Instance{ID: "a", Incarnation: inc, State: s}})
+	}
+	require.False(t, m.State.HasDeparture(fleet.BackendIncarnation{Backend: "a", Incarnation: 1}, registry.Draining))
+	tests := []struct {
+		inc       fleet.Incarnation
+		state     registry.State
+		wantInc   fleet.Incarnation
+		wantState registry.State
+	}{
+		{5, registry.Draining, 5, registry.Draining},
+		{5, registry.Gone, 5, registry.Gone},
+		{5, registry.Draining, 5, registry.Gone},
+		{4, registry.Gone, 5, registry.Gone},
+		{6, registry.Draining, 6, registry.Draining},
+	}
+	for _, tt := range tests {
+		before := m.State.Departures
+		had := before["a"]
+		depart(tt.inc, tt.state)
+		require.Equal(t, tt.wantInc, m.State.Departures["a"].Incarnation)
+		require.Equal(t, tt.wantState, m.State.Departures["a"].State)
+		require.Equal(t, had, before["a"], "a state that a reader holds has changed")
+		require.True(t, m.State.HasDeparture(fleet.BackendIncarnation{Backend: "a", Incarnation: tt.inc}, tt.state))
+	}
+	require.False(t, m.State.HasDeparture(fleet.BackendIncarnation{Backend: "a", Incarnation: 6}, registry.Gone))
+	apply(t, m, Command{RemoveDepartures: []fleet.BackendIncarnation{{Backend: "a", Incarnation: 5}}})
+	require.Contains(t, m.State.Departures, fleet.BackendID("a"))
+	apply(t, m, Command{RemoveDepartures: []fleet.BackendIncarnation{{Backend: "a", Incarnation: 6}}})
+	require.Empty(t, m.State.Departures)
+}
--- a/core/registry/mirror_test.go
+++ b/core/registry/mirror_test.go
@@ -23,7 +23,8 @@
 			case 0, 1:
 				r.Observe(now, heartbeat(id, fleet.Incarnation(i+1), 1, atAddress(string(id))))
 			case 2:
-				r.Leave(now, id, 0)
+				in, _, _ := r.Get(id)
+				r.Depart(now, Instance{ID: id, Incarnation: in.Incarnation, State: Gone})
 			case 3:
 				in, _, _ := r.Get(id)
 				r.SetModels(id, in.Incarnation, []Model{{Name: "m", Version: i}})
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -103,15 +103,20 @@
 	case r.supersededAtAddress(&in):
 		return Outdated
 	}
-	if old := e.instance.Address; old != "" && old != in.Address && r.addresses[old] == in.ID {
-		delete(r.addresses, old)
-	}
+	r.releaseAddress(e, in.Address)
 	r.claimAddress(&in)
 	e.instance, e.seq, e.lastHeard, e.lastHeartbeat = in, h.Seq, now, h
 	r.recordChange(e)
 	return Changed
 }
 
+// releaseAddress drops the record at an instance's address if its new address is another one.
+func (r *Registry) releaseAddress(e *entry, address string) {
+	if old := e.instance.Address; old != address && r.addresses[old] == e.instance.ID {
+		delete(r.addresses, old)
+	}
+}
+
 // supersededAtAddress reports whether a newer instance is known at the same address.
 func (r *Registry) supersededAtAddress(in *Instance) bool {
 	id, ok := r.addresses[in.Address]
@@ -137,9 +142,7 @@
 	in.Models, in.Limit, in.Revision = previous.Models, previous.Limit, previous.Revision
 	in.Software = previous.Software
 	if in.Address != previous.Address {
-		if r.addresses[previous.Address] == in.ID {
-			delete(r.addresses, previous.Address)
-		}
+		r.releaseAddress(e, in.Address)
 		r.claimAddress(&in)
 	}
 	changed := in.Address != previous.Address || in.Service != previous.Service || in.State != previous.State || previous.Silent ||
@@ -175,13 +178,32 @@
 	return true
 }
 
-// Leave marks an incarnation as gone, or the newest one if inc is 0, and reports whether that changed the record.
-func (r *Registry) Leave(now time.Time, id fleet.BackendID, inc fleet.Incarnation) bool {
-	e := r.entries[id]
-	if e == nil || e.instance.State == Gone || inc != 0 && inc != e.instance.Incarnation {
+// Depart records that an incarnation is draining or gone, whether or not a heartbeat of it has been observed, and reports whether that
+// changed the record. An incarnation of which nothing is known is recorded as described by in, which needs only its ID, Incarnation and State
+// if the state is Gone.
+func (r *Registry) Depart(now time.Time, in Instance) bool {
+	e := r.entries[in.ID]
+	switch {
+	case e == nil && len(r.entries) >= r.cfg.MaxInstances:
+		return false
+	case e == nil:
+		e = &entry{}
+		r.entries[in.ID] = e
+	case e.instance.Incarnation > in.Incarnation, e.instance.Incarnation == in.Incarnation && e.instance.State >= in.State:
 		return false
+	case e.instance.Incarnation == in.Incarnation:
+		known := e.instance
+		known.State = in.State
+		in = known
+	}
+	if r.supersededAtAddress(&in) {
+		in.State = Gone
+	}
+	r.releaseAddress(e, in.Address)
+	if in.State != Gone {
+		r.claimAddress(&in)
 	}
-	e.instance.State, e.lastHeard = Gone, now
+	e.instance, e.lastHeard = in, now
 	r.recordChange(e)
 	return true
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -53,7 +53,7 @@
 				r.Observe(now, h)
 			}
 			if tt.leave {
-				require.True(t, r.Leave(now, "a", 0))
+				require.True(t, r.Depart(now, Instance{ID: "a", Incarnation: 5, State: Gone}))
 			}
 			require.Equal(t, tt.want, r.Observe(now, tt.last))
 			in, _, ok := r.Get("a")
@@ -130,7 +130,7 @@
 			inc := fleet.Incarnation(1 + rnd.IntN(4))
 			switch rnd.IntN(8) {
 			case 0:
-				leader.Leave(now, id, inc)
+				leader.Depart(now, Instance{ID: id, Incarnation: inc, State: Gone})
 			case 1:
 				leader.SetModels(id, inc, []Model{{Name: fleet.ModelID(fmt.Sprint(rnd.IntN(3)))}})
 			case 2:
@@ -241,6 +241,6 @@
 	require.Equal(t, Changed, r.Observe(now, heartbeat("a", 6, 1)))
 	in, _, _ = r.Get("a")
 	require.Equal(t, Ready, in.State)
-	require.True(t, r.Leave(now, "a", 6))
+	require.True(t, r.Depart(now, Instance{ID: "a", Incarnation: 6, State: Gone}))
 	require.False(t, r.Drain("a", 6), "gone")
 }
--- a/io/controller/backends.go
+++ b/io/controller/backends.go
@@ -34,22 +34,20 @@
 	return c.cfg.ControlAddress, nil
 }
 
-// Leave records that a backend server has left; an incarnation of 0 stands for the newest one.
-func (c *Controller) Leave(ctx context.Context, id fleet.BackendID, inc fleet.Incarnation) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	req := &controlapi.LeaveRequest{Instance: id, Incarnation: inc}
-	if _, err := controlapi.CallLocalFirst(ctx, c.cfg.Client, c.cfg.Self, c.handleLeave, controlapi.ProcedureLeave, 0, req); err != nil {
-		return ErrUnavailable.Wrap(err, "the leader of the control group did not accept the leave call; send it to another host")
-	}
-	return nil
-}
-
 func (c *Controller) handleHeartbeat(ctx context.Context, _ fleet.HostID, req *controlapi.HeartbeatRequest) (*controlapi.HeartbeatResponse, error) {
 	h := req.Heartbeat
 	if err := c.admitSoftware(ctx, &h.Instance); err != nil {
 		return nil, err
 	}
+	res, err := c.observeHeartbeat(h)
+	if err == nil && res.Reply.Status == hosts.StatusOK && h.Instance.State != registry.Ready {
+		err = c.commitDeparture(ctx, h.Instance)
+	}
+	return res, err
+}
+
+// observeHeartbeat processes a heartbeat if this host leads.
+func (c *Controller) observeHeartbeat(h registry.Heartbeat) (*controlapi.HeartbeatResponse, error) {
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,23 +81,6 @@
 		zap.String("address", in.Address), zap.String("software", string(in.Software)), zap.Stringer("state", in.State), zap.Uint64("seq", seq))
 }
 
-func (c *Controller) handleLeave(_ context.Context, _ fleet.HostID, req *controlapi.LeaveRequest) (*controlapi.HeartbeatResponse, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.validLeadership() == nil {
-		return &controlapi.HeartbeatResponse{Reply: c.notLeader()}, nil
-	}
-	now := c.cfg.Now()
-	if c.registry.Leave(now, req.Instance, req.Incarnation) {
-		c.observeChanged(now)
-		in, _, _ := c.registry.Get(req.Instance)
-		c.logInstance(in, in, 0)
-		c.notifyChanged()
-		c.triggerPlanning()
-	}
-	return &controlapi.HeartbeatResponse{}, nil
-}
-
 // observeChanged passes all changed instances to the planner, including those that another one has displaced; c.mu is held.
 func (c *Controller) observeChanged(now time.Time) {
 	for _, in := range c.registry.ChangedAfter(c.observedRevision) {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -27,24 +27,26 @@
 
 // Log messages of decisions and state changes.
 const (
-	logLeading       = "this host leads and orders the engines"
-	logFollower      = "this host no longer leads"
-	logInstance      = "backend server changed"
-	logSilent        = "backend server is silent"
-	logPaused        = "backend server wants no requests from this host for some time"
-	logSoftware      = "software version of a service on record"
-	logSoftwareGone  = "software version of a service that no server has any more"
-	logLimit         = "rate limit of a backend server in force on all hosts"
-	logLeaving       = "backend server counts as draining, since it has said that it leaves"
-	logDirectory     = "callers are told of another number of entry hosts"
-	logEntry         = "entry host changed"
-	logOrder         = "engine ordered"
-	logReport        = "engine reported"
-	logReplaced      = "configuration committed"
-	logInvalid       = "configuration refused"
-	logCurrent       = "configuration acknowledged; a version as high is in force"
-	logUnreadable    = "configuration in force cannot be read"
-	logSaveIsOrderer = "who orders engines cannot be noted for the next start"
+	logLeading        = "this host leads and orders the engines"
+	logFollower       = "this host no longer leads"
+	logInstance       = "backend server changed"
+	logSilent         = "backend server is silent"
+	logPaused         = "backend server wants no requests from this host for some time"
+	logSoftware       = "software version of a service on record"
+	logSoftwareGone   = "software version of a service that no server has any more"
+	logDeparture      = "backend server that drains or has left on record"
+	logDeparturesGone = "backend servers that left some time ago are no longer on record"
+	logLimit          = "rate limit of a backend server in force on all hosts"
+	logLeaving        = "backend server counts as draining, since it has said that it leaves"
+	logDirectory      = "callers are told of another number of entry hosts"
+	logEntry          = "entry host changed"
+	logOrder          = "engine ordered"
+	logReport         = "engine reported"
+	logReplaced       = "configuration committed"
+	logInvalid        = "configuration refused"
+	logCurrent        = "configuration acknowledged; a version as high is in force"
+	logUnreadable     = "configuration in force cannot be read"
+	logSaveIsOrderer  = "who orders engines cannot be noted for the next start"
 )
 
 // Controller runs the control functions of one host. It is safe for concurrent use.
@@ -97,10 +99,12 @@
 	admissions singleflight.Group
 	// streams holds the origins of streams that entry hosts have recorded here.
 	streams affinity.Table
-	// softwareUnusedSince holds the software versions on record that no server has, with the time since which none has it;
-	// softwareCheckedAt is the time of the last check.
+	// softwareUnusedSince holds the software versions on record that no server has, with the time since which none has it.
 	softwareUnusedSince map[catalog.Software]time.Time
-	softwareCheckedAt   time.Time
+	// recordCheckedAt is the time of the last check for records that are no longer needed.
+	recordCheckedAt time.Time
+	// departuresSince holds the departures on record with the time since which this leader has seen them there.
+	departuresSince map[fleet.BackendIncarnation]time.Time
 	// loads holds the total load of all entry hosts by backend server.
 	loads map[fleet.BackendID]balance.TotalLoad
 	// detector finds the contents of requests that crash backend servers while this host leads.
@@ -204,12 +208,14 @@
 	c.leadership = r
 	clear(c.mirrors)
 	clear(c.softwareUnusedSince)
+	clear(c.departuresSince)
 	c.limits, c.limitsAt = ratelimit.Buckets{}, registry.Incarnations[time.Time]{}
 	c.mirrorRevision++
 	c.planner = residency.New(c.cfg.Planner)
 	c.detector = crashes.NewDetector(uint64(term))
 	c.configure(state)
 	c.registry.RestartSilenceTimeouts(now)
+	c.adoptDepartures(now, state)
 	for _, in := range c.registry.ChangedAfter(0) {
 		if in.State != registry.Gone {
 			c.planner.Observe(now, in, registry.Heartbeat{Instance: in, Engine: c.isEngine(in.Service)})
@@ -290,6 +296,16 @@
 	return s
 }
 
+// propose commits a command.
+func (c *Controller) propose(ctx context.Context, cmd catalog.Command) error {
+	data, err := catalog.Encode(cmd)
+	if err != nil {
+		return err
+	}
+	_, err = c.cfg.Group.Propose(ctx, data)
+	return err
+}
+
 // configure decodes the configuration of a state if it is newer than c.table, and passes the newest one to the planner; c.mu
 // is held.
 func (c *Controller) configure(s catalog.State) {
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -28,8 +28,8 @@
 		case <-c.planNow:
 		}
 		began := time.Now()
-		actions, unused := c.nextActions(ctx)
-		c.removeSoftware(ctx, unused)
+		actions := c.nextActions(ctx)
+		c.removeUnused(ctx)
 		for _, a := range actions {
 			eg.Go(func() error {
 				c.execute(ctx, a)
@@ -44,19 +44,32 @@
 	}
 }
 
-// nextActions returns the actions that are due: only probes before ordersFrom, and none while this host doesn't lead. It also returns the
-// software versions that are to be removed from the record.
-func (c *Controller) nextActions(ctx context.Context) (actions []residency.Action, unused []catalog.Software) {
+// removeUnused removes what is no longer needed from the record while this host leads.
+func (c *Controller) removeUnused(ctx context.Context) {
+	now := c.cfg.Now()
+	c.mu.Lock()
+	if c.validLeadership() == nil || now.Sub(c.recordCheckedAt) < recordCheckInterval {
+		c.mu.Unlock()
+		return
+	}
+	c.recordCheckedAt = now
+	software, departures := c.unusedSoftware(now), c.expiredDepartures(now)
+	c.mu.Unlock()
+	c.removeSoftware(ctx, software)
+	c.removeDepartures(ctx, departures)
+}
+
+// nextActions returns the actions that are due: only probes before ordersFrom, and none while this host doesn't lead.
+func (c *Controller) nextActions(ctx context.Context) []residency.Action {
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.validLeadership()
 	if r == nil {
-		return nil, nil
+		return nil
 	}
 	c.work.planningPasses++
 	c.logWorkDone(now)
-	unused = c.unusedSoftware(now)
 	c.expireEntries(now)
 	c.expireMirrors(now)
 	c.updateDirectorySize()
@@ -73,33 +86,28 @@
 		c.publishModels()
 	}
 	if now.Before(r.ordersFrom) {
-		return c.planner.Probes(now), unused
+		return c.planner.Probes(now)
 	}
 	if !r.isOrderer {
 		c.becomeOrderer(ctx, r)
-		return nil, unused
+		return nil
 	}
 	loads := c.engineLoads()
 	for _, id := range c.planner.Engines() {
 		c.planner.UpdateLoad(id, loads[id].inFlight, loads[id].suspect)
 	}
-	actions = c.planner.Next(now)
+	actions := c.planner.Next(now)
 	for _, a := range actions {
 		c.publishModels(a.EngineID())
 	}
-	return actions, unused
+	return actions
 }
 
 // becomeOrderer records in the log that this host sends the orders to the engines; c.mu is held, but released meanwhile.
 func (c *Controller) becomeOrderer(ctx context.Context, r *leadership) {
-	data, err := catalog.Encode(catalog.Command{SetOrderer: &catalog.SetOrderer{Host: c.cfg.Self}})
-	if err != nil {
-		c.cfg.Log.Error(logOrder, zap.Error(err))
-		return
-	}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	_, err = c.cfg.Group.Propose(ctx, data)
+	err := c.propose(ctx, catalog.Command{SetOrderer: &catalog.SetOrderer{Host: c.cfg.Self}})
 	cancel()
 	c.mu.Lock()
 	if err == nil && c.leadership == r {
--- a/io/controller/settings.go
+++ b/io/controller/settings.go
@@ -71,6 +71,8 @@
 	planInterval = 100 * time.Millisecond
 	// planRestFactor is the length of the rest after each planning pass, as a multiple of the duration of the pass.
 	planRestFactor = 4
+	// recordCheckInterval is the interval of the checks for replicated records that are no longer needed.
+	recordCheckInterval = time.Second
 	// publishInterval is the interval at which the loaded models of all engines are published; those of changed engines are
 	// published immediately.
 	publishInterval = time.Second
--- a/io/controller/software.go
+++ b/io/controller/software.go
@@ -14,13 +14,8 @@
 	"toucanway/io/controlapi"
 )
 
-// Bounds of the software versions on record.
-const (
-	// maxSoftware bounds the versions of all services together; heartbeats with further ones are rejected.
-	maxSoftware = 1024
-	// softwareCheckInterval is the interval of the checks for versions that no server has any more.
-	softwareCheckInterval = time.Second
-)
+// maxSoftware bounds the versions of all services together; heartbeats with further ones are rejected.
+const maxSoftware = 1024
 
 // admitSoftware commits the software version of a server that is not on record. Entry hosts hear of the server afterwards only, so that a
 // service with one version on record has no streams of another one, also after the loss of all hosts.
@@ -38,7 +33,7 @@
 	}
 	// The first heartbeats of many servers come at the same time.
 	_, err, shared := c.admissions.Do(string(in.Service)+"\x00"+string(in.Software), func() (any, error) {
-		return nil, c.proposeSoftware(ctx, catalog.Command{AddSoftware: &catalog.Software{Service: in.Service, Version: in.Software}})
+		return nil, c.propose(ctx, catalog.Command{AddSoftware: &catalog.Software{Service: in.Service, Version: in.Software}})
 	})
 	if err != nil || shared {
 		return err
@@ -48,22 +43,9 @@
 	return nil
 }
 
-func (c *Controller) proposeSoftware(ctx context.Context, cmd catalog.Command) error {
-	data, err := catalog.Encode(cmd)
-	if err != nil {
-		return err
-	}
-	_, err = c.cfg.Group.Propose(ctx, data)
-	return err
-}
-
 // unusedSoftware returns the versions on record that no server has had for affinity.Retention, after which no stream of theirs can go on;
 // c.mu is held.
 func (c *Controller) unusedSoftware(now time.Time) []catalog.Software {
-	if now.Sub(c.softwareCheckedAt) < softwareCheckInterval {
-		return nil
-	}
-	c.softwareCheckedAt = now
 	used := map[catalog.Software]bool{}
 	for _, in := range c.registry.ChangedAfter(0) {
 		if in.State != registry.Gone {
@@ -95,7 +77,7 @@
 func (c *Controller) removeSoftware(ctx context.Context, list []catalog.Software) {
 	for _, s := range list {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := c.proposeSoftware(call, catalog.Command{RemoveSoftware: &s})
+		err := c.propose(call, catalog.Command{RemoveSoftware: &s})
 		cancel()
 		// A version that stays on record is tried again with the next check.
 		c.cfg.Log.Info(logSoftwareGone, zap.String("service", string(s.Service)), zap.String("software", string(s.Version)), zap.Error(err))
