gateway: rate limits outlive a restart of all controllers

Cause: the new leader tells gateways of the server without its limit, and they take that for the end of the limit. Ruled out: a limit that gateways drop by themselves; with all controllers gone for good the bound holds.

Change: at a new term a gateway keeps the limits that it was told, reports them until the leader names one, and ends them with the server's own word.

TestServersRateLimitHoldsUnderFailure has four cases with all controllers restarted. Test servers have an answer time; 50 ms stays the default.

--- a/cmd/toucanway-lab/internal/controlscenario/limited_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/limited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"sync"
@@ -27,8 +28,10 @@
 type limitedServer struct {
 	id      fleet.BackendID
 	address string
-	mu      sync.Mutex
-	limit   fleet.RateLimit
+	// answerTime is the time from a request to its answer.
+	answerTime time.Duration
+	mu         sync.Mutex
+	limit      fleet.RateLimit
 	// limitedAt is the time from which the server has named its present limit.
 	limitedAt time.Time
 	arrivals  []arrival
@@ -39,9 +42,9 @@
 }
 
 // startServer starts a server and announces it.
-func startServer(t *testing.T, w *simulation, n int) *limitedServer {
+func startServer(t *testing.T, w *simulation, n int, answerTime time.Duration) *limitedServer {
 	ip := fmt.Sprintf("10.%d.9.%d", n%3+1, n+1)
-	s := &limitedServer{id: fleet.BackendID(fmt.Sprint("s", n)), address: ip + ":80", toldAt: map[string]time.Time{}}
+	s := &limitedServer{id: fleet.BackendID(fmt.Sprint("s", n)), address: ip + ":80", answerTime: answerTime, toldAt: map[string]time.Time{}}
 	s.close = listen(t, w, ip, s.serve)
 	s.announce(t, w, 1)
 	return s
@@ -51,7 +54,7 @@
 	sendHeartbeat(t, w, registry.Heartbeat{Instance: registry.Instance{ID: s.id, Incarnation: 1, Service: plainService, Address: s.address, Slots: 64}, Seq: seq})
 }
 
-// serve answers the requests of one connection, each after 50 ms.
+// serve answers the requests of one connection, each after answerTime.
 func (s *limitedServer) serve(c net.Conn) {
 	from := ipOf(c.RemoteAddr().String())
 	r := bufio.NewReader(c)
@@ -63,7 +66,7 @@
 		s.mu.Lock()
 		s.arrivals = append(s.arrivals, arrival{time.Now(), from})
 		s.mu.Unlock()
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(s.answerTime)
 		s.mu.Lock()
 		head := ""
 		if s.limit.Named {
@@ -140,6 +143,8 @@
 	restarted int
 	// others is the number of further servers without a limit.
 	others int
+	// answerTime is the time from a request to its answer at the servers; 0 stands for 50 ms.
+	answerTime time.Duration
 }
 
 // play plays the run and calls check at its end, with the time from which the limit counts.
@@ -153,10 +158,11 @@
 		more, stopMore := startRequestGateways(t, w, r.gateways, r.restarted)
 		defer func() { stopMore() }()
 		addresses = append(addresses, more...)
-		s := startServer(t, w, 0)
+		answerTime := cmp.Or(r.answerTime, 50*time.Millisecond)
+		s := startServer(t, w, 0, answerTime)
 		defer s.close()
 		for i := range r.others {
-			defer startServer(t, w, i+1).close()
+			defer startServer(t, w, i+1, answerTime).close()
 		}
 		time.Sleep(3 * time.Second)
 		c := startCallers(t, w, addresses, r.perSecond)
@@ -208,6 +214,11 @@
 			require.NoError(t, w.kill(h))
 		}
 	}
+	// restartAll restarts all controllers at once; the server is registered again with its next heartbeat.
+	restartAll := func(t *testing.T, w *simulation, s *limitedServer, _ []string) {
+		restartControllers(t, w)
+		s.announce(t, w, 2)
+	}
 	tests := map[string]struct {
 		limitedRun
 		// used is the least share of the limit that is used.
@@ -235,6 +246,10 @@
 		}}, 0.5},
 		"all controllers killed":                        {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: killAll}, 0.1},
 		"all controllers killed, hundreds of gateways":  {limitedRun{controllers: 3, gateways: 200, limit: 5, perSecond: 60, during: killAll}, 0.02},
+		"all controllers restarted":                     {limitedRun{controllers: 3, gateways: 20, limit: 5, perSecond: 30, during: restartAll}, 0.3},
+		"all controllers restarted, low limit":          {limitedRun{controllers: 9, gateways: 200, limit: 0.4, perSecond: 60, during: restartAll}, 0},
+		"all controllers restarted, slow answers":       {limitedRun{controllers: 3, gateways: 6, limit: 2, perSecond: 40, during: restartAll, answerTime: time.Second}, 0.3},
+		"all controllers restarted, five, slow answers": {limitedRun{controllers: 5, gateways: 20, limit: 5, perSecond: 80, during: restartAll, answerTime: 1500 * time.Millisecond}, 0.3},
 		"all controllers killed, less for each gateway": {limitedRun{controllers: 3, gateways: 60, limit: 0.4, perSecond: 60, during: killAll}, 0},
 	}
 	for name, tt := range tests {
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -117,6 +117,9 @@
 	if res.Mirrors != nil {
 		v.mirrors.SetMirrors(res.Mirrors)
 	}
+	if res.Position.Term != at.Term {
+		v.keepLimits()
+	}
 	if res.Complete {
 		clear(v.instances)
 	}
--- a/io/gateway/ratelimit.go
+++ b/io/gateway/ratelimit.go
@@ -44,6 +44,14 @@
 	return true
 }
 
+// keepLimits keeps the rate limits that the control group has told of so far, since a new leader need not know them; v.mu is held.
+func (v *View) keepLimits() {
+	asOf := time.Now().Add(-v.cfg.Now().Sub(v.confirmedAt))
+	for _, in := range v.instances {
+		v.limitNotices.Keep(asOf, incarnationOf(in), in.Limit)
+	}
+}
+
 // rateLimit returns the rate limit of a server as far as this host knows; v.mu is held.
 func (v *View) rateLimit(in *registry.Instance) fleet.RateLimit {
 	return v.limitNotices.Limit(incarnationOf(in), v.toldLimit(in))
