crashes: parts that evidence doesn't tell apart are refused together only

Cause: without an answer between the crashes all parts have the same evidence, the order that breaks the tie knows nothing of it, and the refusals keep away the requests whose answers would refute the decision. Answers before the crashes counted for nothing. Ruled out: answers that are told too late; there are none between the crashes.

Change: answers before the crashes make a content presumed sound. Contents that were always in one request together are listed together, and only requests with all of them are refused. A listing gives way to one that explains its crashes and later ones. An unconfirmed listing is tried 5 s after the last crash. Gateways report the contents in flight request by request.

--- a/core/crashes/content.go
+++ b/core/crashes/content.go
@@ -54,6 +54,24 @@
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 	// Contents holds the contents of the requests that the host had in flight there.
 	Contents []Content `cbor:"4,keyasint"`
+	// Requests holds the indexes of each request's contents in Contents. Without any, one request had all contents.
+	Requests [][]uint16 `cbor:"5,keyasint,omitempty"`
+}
+
+// requests returns the contents of each request.
+func (c *Crash) requests() [][]Content {
+	if len(c.Requests) == 0 {
+		return [][]Content{c.Contents}
+	}
+	out := make([][]Content, len(c.Requests))
+	for i, list := range c.Requests {
+		for _, j := range list {
+			if int(j) < len(c.Contents) {
+				out[i] = append(out[i], c.Contents[j])
+			}
+		}
+	}
+	return out
 }
 
 // Answer tells that a request with a suspected or listed content was answered completely.
@@ -66,13 +84,15 @@
 // Suspect is a content that may crash servers; its requests still run.
 type Suspect struct {
 	ID fleet.Fingerprint `cbor:"1,keyasint"`
-	// Age is the time since the first of the crashes; a later answer clears the content.
+	// Age is the time since the first of the crashes; a later answer clears the content, and an earlier one speaks for it.
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// Listing is a content whose requests are refused.
+// Listing is a content whose requests are refused if they have all of Others, too.
 type Listing struct {
 	Content Content `cbor:"1,keyasint"`
+	// Others holds the contents that evidence doesn't tell apart from Content.
+	Others []Content `cbor:"3,keyasint,omitempty"`
 	// Left is the time until a request may be tried again; it may have passed.
 	Left time.Duration `cbor:"2,keyasint"`
 }
--- a/core/crashes/decision.go
+++ b/core/crashes/decision.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"toucanway/core/fleet"
@@ -19,112 +18,173 @@
 	// content with burstCrashes crashes is listed all the same.
 	minSpan      = time.Second
 	burstCrashes = 5
+	// minPresumedSpan is the time between the first and the last crash of a content that requests were answered with before, unless answers
+	// to others set it apart. It is longer than it takes to kill servers one after the other.
+	minPresumedSpan = 4 * time.Second
 	// settleTime is the time from the suspicion to the listing, in which all entry hosts can tell of answers. They report at least
 	// once a second.
 	settleTime = 1500 * time.Millisecond
-	// minListTime is the time from a listing to the first trial request; it doubles up to maxListTime with each trial that crashes a
-	// server.
+	// earlyTrialTime is the time from a listing that no answer has confirmed to the first trial request; it doubles up to maxEarlyTrials
+	// trials that crash a server. Servers that crashed are back by then.
+	earlyTrialTime = 5 * time.Second
+	maxEarlyTrials = 2
+	// minListTime is the time from a confirmed listing to the first trial request; it doubles up to maxListTime with each trial that
+	// crashes a server.
 	minListTime = time.Minute
 	maxListTime = 16 * time.Minute
-	// trialTime is the time after which another trial request is granted if nothing is known of the last one.
-	trialTime = 10 * time.Second
-	// retention is the time for which a crash is evidence, and for which a listing that is due for a trial waits for a request.
+	// trialTime is the time after which another trial request is granted if nothing is known of the last one, earlyTrialTimeout that for
+	// listings that no answer has confirmed.
+	trialTime         = 10 * time.Second
+	earlyTrialTimeout = 4 * time.Second
+	// retention is the time for which a crash or an answer is evidence, and for which a listing that is due for a trial waits for a request.
 	retention = 10 * time.Minute
 	// Bounds of the tables; the oldest entries give way.
 	maxCrashes  = 256
 	maxContents = 4096
 	maxListed   = 64
 	maxSuspects = 64
+	// maxTogether bounds the contents of a listing; requests share few parts, and of more the ones that fewest requests share stay.
+	maxTogether = 16
 )
 
-// decide lists contents until none is due. Of several that are due, the one with the most crashes goes first, then the one that
-// fewest requests share: what it explains no longer counts against the others.
+// decide lists contents until none is due. Of several that are due, the one with the most crashes that nothing explains goes first, then
+// the one that fewest requests share: what it explains no longer counts against the others.
 func (d *Detector) decide(now time.Time) {
+	d.confirm(now)
 	for {
-		var best *suspicion
+		d.explain()
+		var best *evidence
 		for _, c := range d.suspected {
-			if d.isDue(now, c) && (best == nil || c.before(best)) {
-				best = c
+			if e := d.weigh(now, c); e.isDue(now) && (best == nil || e.before(best)) {
+				best = e
 			}
 		}
 		if best == nil {
 			return
 		}
-		d.list(best, now.Add(minListTime))
+		d.list(now, d.inseparable(now, best))
 	}
 }
 
-// before reports whether c goes before other.
-func (c *suspicion) before(other *suspicion) bool {
-	return cmp.Or(cmp.Compare(len(other.crashes), len(c.crashes)), cmp.Compare(other.Depth, c.Depth), cmp.Compare(c.ID, other.ID)) < 0
+// explain marks the crashes at which a request that is refused now was in flight.
+func (d *Detector) explain() {
+	for _, k := range d.crashes {
+		k.isExplained = false
+		for _, l := range d.listed {
+			if l.explains(k) {
+				k.isExplained = true
+				break
+			}
+		}
+	}
 }
 
-// span returns the times of the first and the last crash.
-func (c *suspicion) span() (first, last time.Time) {
-	for _, at := range c.crashes {
-		if first.IsZero() || at.Before(first) {
-			first = at
+// evidence is what the crashes of a content say against it.
+type evidence struct {
+	*suspicion
+	// unexplained is the number of crashes that no listing explains; first and last are the times of the first and the last crash.
+	unexplained int
+	first, last time.Time
+	// isSetApart is set if answers since a crash show that servers answer requests with other contents in flight there.
+	isSetApart bool
+	// isPresumedSound is set if requests with the content were answered before the crashes, and nothing sets it apart since: then all
+	// that its requests share, and all other causes, explain the crashes as well.
+	isPresumedSound bool
+}
+
+// weigh returns the evidence against a suspected content.
+func (d *Detector) weigh(now time.Time, c *suspicion) *evidence {
+	e := &evidence{suspicion: c}
+	for key, at := range c.crashes {
+		k := d.crashes[key]
+		if !k.isExplained {
+			e.unexplained++
+		}
+		if e.first.IsZero() || at.Before(e.first) {
+			e.first = at
 		}
-		if at.After(last) {
-			last = at
+		if at.After(e.last) {
+			e.last = at
 		}
+		e.isSetApart = e.isSetApart || k.setsApart()
 	}
-	return first, last
+	wasAnswered := !c.answeredAt.IsZero() && now.Sub(c.answeredAt) <= retention
+	e.isPresumedSound = wasAnswered && !e.isSetApart
+	return e
 }
 
-// isDue reports whether a suspected content is to be listed: enough crashes, no answer since the first of them although the hosts
-// had time to tell, and a crash that no listed content explains.
-func (d *Detector) isDue(now time.Time, c *suspicion) bool {
-	if len(c.crashes) < listCrashes || now.Sub(c.suspectedAt) < settleTime {
+// isDue reports whether a content is to be listed: enough crashes, no answer since the first of them although the hosts had time to tell,
+// and crashes that no listing explains. A single one of these may have another cause while answers to others are missing.
+func (e *evidence) isDue(now time.Time) bool {
+	n, span := len(e.crashes), e.last.Sub(e.first)
+	switch {
+	case n < listCrashes || e.unexplained == 0 || now.Sub(e.suspectedAt) < settleTime:
 		return false
-	}
-	if first, last := c.span(); len(c.crashes) < burstCrashes && last.Sub(first) < minSpan {
+	case !e.isSetApart && e.unexplained < suspectCrashes:
 		return false
+	case e.isPresumedSound:
+		return n >= burstCrashes && span >= minPresumedSpan
+	default:
+		return n >= burstCrashes || span >= minSpan
 	}
-	for key := range c.crashes {
-		if d.crashes[key].explanations == 0 {
-			return true
-		}
+}
+
+// before reports whether e goes before other.
+func (e *evidence) before(other *evidence) bool {
+	if e.isPresumedSound != other.isPresumedSound {
+		return other.isPresumedSound
 	}
-	return false
+	return cmp.Or(cmp.Compare(other.unexplained, e.unexplained), compareContents(e.suspicion, other.suspicion)) < 0
 }
 
-// explain adds n to the explanations of the crashes at which a content was in flight, since it was listed or is no longer.
-func (d *Detector) explain(c *suspicion, n int) {
-	d.listRevision = d.revision.N + 1
-	for _, k := range d.crashes {
-		if k.contents[c.ID] {
-			k.explanations += n
+// inseparable returns the contents that the same evidence speaks against as against a content, itself included: in a request together with it
+// at all of its crashes that no listing explains.
+func (d *Detector) inseparable(now time.Time, e *evidence) []*suspicion {
+	out := []*suspicion{e.suspicion}
+	for _, c := range d.suspected {
+		if c != e.suspicion && d.isAlwaysTogether(append(out, c), e.suspicion) && d.weigh(now, c).isPresumedSound == e.isPresumedSound {
+			out = append(out, c)
 		}
 	}
+	return out
 }
 
-// list lists a content. If the list is full, the listing that ends first gives way.
-func (d *Detector) list(c *suspicion, until time.Time) {
-	if len(d.listed) >= maxListed {
-		d.endListing(slices.MinFunc(slices.Collect(maps.Values(d.listed)), func(a, b *suspicion) int { return a.listedUntil.Compare(b.listedUntil) }))
+// isAlwaysTogether reports whether at each unexplained crash of a content one request had all of some contents, each of them without an answer
+// since.
+func (d *Detector) isAlwaysTogether(contents []*suspicion, c *suspicion) bool {
+	for key := range c.crashes {
+		k := d.crashes[key]
+		if k.isExplained {
+			continue
+		}
+		for _, other := range contents {
+			if _, ok := other.crashes[key]; !ok {
+				return false
+			}
+		}
+		if !k.hadTogether(contents...) {
+			return false
+		}
 	}
-	delete(d.suspected, c.ID)
-	d.listed[c.ID] = c
-	d.explain(c, 1)
-	c.listedUntil, c.listTime, c.triedAt, c.suspectedAt = until, minListTime, time.Time{}, time.Time{}
-	d.changed(Listed{c.Content, len(c.crashes)})
+	return true
 }
 
-// endListing ends a listing without evidence of innocence.
-func (d *Detector) endListing(c *suspicion) {
-	delete(d.listed, c.ID)
-	d.explain(c, -1)
-	c.listedUntil = time.Time{}
-	clear(c.crashes)
-	d.changed(Expired{c.Content})
+// firstCrash returns the time of the first crash that is evidence against a content.
+func (c *suspicion) firstCrash() time.Time {
+	var first time.Time
+	for _, at := range c.crashes {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
 }
 
 // expire ends listings and removes old evidence.
 func (d *Detector) expire(now time.Time) {
-	for _, c := range d.listed {
-		if now.Sub(c.listedUntil) > retention {
-			d.endListing(c)
+	for _, l := range d.listed {
+		if now.Sub(l.until) > retention {
+			d.endListing(l)
 		}
 	}
 	for key, k := range d.crashes {
@@ -133,6 +193,6 @@
 		}
 	}
 	maps.DeleteFunc(d.contents, func(_ fleet.Fingerprint, c *suspicion) bool {
-		return c.listedUntil.IsZero() && now.Sub(c.touchedAt) > retention
+		return c.listings == 0 && now.Sub(c.touchedAt) > retention
 	})
 }
--- a/core/crashes/detector.go
+++ b/core/crashes/detector.go
@@ -11,12 +11,44 @@
 
 // crash is a crash as reported by all hosts.
 type crash struct {
+	key      fleet.BackendIncarnation
 	at       time.Time
 	contents map[fleet.Fingerprint]bool
-	// explanations is the number of listed contents among them.
-	explanations int
+	// requests holds the contents of each request that was in flight.
+	requests [][]fleet.Fingerprint
+	// answeredAt is the time of the last known answer to a request that has one of the contents.
+	answeredAt time.Time
+	// isExplained is set if one of the requests is refused now.
+	isExplained bool
+}
+
+// add adds a request.
+func (k *crash) add(contents []Content) {
+	ids := make([]fleet.Fingerprint, len(contents))
+	for i, c := range contents {
+		ids[i] = c.ID
+	}
+	if len(k.requests) < maxCrashRequests*4 && !slices.ContainsFunc(k.requests, func(other []fleet.Fingerprint) bool { return slices.Equal(other, ids) }) {
+		k.requests = append(k.requests, ids)
+	}
 }
 
+// hadTogether reports whether one of the requests had all of the contents.
+func (k *crash) hadTogether(contents ...*suspicion) bool {
+	for _, c := range contents {
+		if !k.contents[c.ID] {
+			return false
+		}
+	}
+	return slices.ContainsFunc(k.requests, func(ids []fleet.Fingerprint) bool {
+		return !slices.ContainsFunc(contents, func(c *suspicion) bool { return !slices.Contains(ids, c.ID) })
+	})
+}
+
+// setsApart reports whether an answer since the crash shows that servers answer requests with some of the contents again, so that those
+// without an answer stand out.
+func (k *crash) setsApart() bool { return k.answeredAt.After(k.at) }
+
 // suspicion is what is known of one content.
 type suspicion struct {
 	Content
@@ -25,11 +57,9 @@
 	answeredAt time.Time
 	// suspectedAt is the time from which the content has been suspected, or zero.
 	suspectedAt time.Time
-	// listedUntil is the time of the next trial of a listed content, listTime the time from its listing to then, and triedAt the time
-	// of the last grant of a trial request.
-	listedUntil, triedAt time.Time
-	listTime             time.Duration
-	touchedAt            time.Time
+	touchedAt   time.Time
+	// listings is the number of listings with the content.
+	listings int
 }
 
 // Detector decides which contents are listed. The zero value is not usable; see NewDetector.
@@ -39,16 +69,17 @@
 	listRevision uint64
 	crashes      map[fleet.BackendIncarnation]*crash
 	contents     map[fleet.Fingerprint]*suspicion
-	// suspected and listed hold the contents whose suspectedAt or listedUntil is set.
-	suspected, listed map[fleet.Fingerprint]*suspicion
-	changes           []Change
+	// suspected holds the contents whose suspectedAt is set, listed the listings by the first of their contents.
+	suspected map[fleet.Fingerprint]*suspicion
+	listed    map[fleet.Fingerprint]*listing
+	changes   []Change
 }
 
 // NewDetector returns an empty detector for a leader of the given term.
 func NewDetector(term uint64) *Detector {
 	return &Detector{
 		revision: Revision{Term: term}, crashes: map[fleet.BackendIncarnation]*crash{}, contents: map[fleet.Fingerprint]*suspicion{},
-		suspected: map[fleet.Fingerprint]*suspicion{}, listed: map[fleet.Fingerprint]*suspicion{},
+		suspected: map[fleet.Fingerprint]*suspicion{}, listed: map[fleet.Fingerprint]*listing{},
 	}
 }
 
@@ -106,42 +137,39 @@
 
 // state returns the suspected and listed contents.
 func (d *Detector) state(now time.Time) *State {
-	s := &State{Revision: d.revision}
-	for _, c := range d.listed {
-		s.Listed = append(s.Listed, Listing{Content: c.Content, Left: c.listedUntil.Sub(now)})
-	}
-	for _, c := range d.suspected {
-		first, _ := c.span()
-		s.Suspects = append(s.Suspects, Suspect{ID: c.ID, Age: now.Sub(first)})
+	s := &State{Revision: d.revision, Suspects: d.toldSuspects(now)}
+	for _, l := range d.listed {
+		s.Listed = append(s.Listed, l.told(now))
 	}
 	slices.SortFunc(s.Listed, func(a, b Listing) int { return cmp.Compare(a.Content.ID, b.Content.ID) })
-	slices.SortFunc(s.Suspects, func(a, b Suspect) int { return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.ID, b.ID)) })
-	s.Suspects = s.Suspects[:min(len(s.Suspects), maxSuspects)]
 	return s
 }
 
-// adopt takes over a listing of an earlier leader.
-func (d *Detector) adopt(now time.Time, l Listing) {
-	c := d.content(now, l.Content)
-	if c == nil || d.listed[c.ID] != nil {
-		return
+// toldSuspects returns the contents of whose answers hosts should tell: those that are listed together first, then the suspected ones.
+func (d *Detector) toldSuspects(now time.Time) []Suspect {
+	told := map[fleet.Fingerprint]*suspicion{}
+	for _, l := range d.listed {
+		for _, c := range l.members {
+			told[c.ID] = c
+		}
 	}
-	d.list(c, now.Add(min(max(l.Left, 0), maxListTime)))
-}
-
-// grantTrials returns the contents of which an entry host may send one request to a server: listed ones that are due for a trial.
-func (d *Detector) grantTrials(now time.Time, refused []fleet.Fingerprint) []fleet.Fingerprint {
-	var out []fleet.Fingerprint
-	for _, id := range refused {
-		if c := d.listed[id]; c != nil && !now.Before(c.listedUntil) && now.Sub(c.triedAt) >= trialTime {
-			c.triedAt = now
-			out = append(out, id)
-			d.changes = append(d.changes, Tried{c.Content})
+	maps.Copy(told, d.suspected)
+	suspects := make([]Suspect, 0, len(told))
+	for id, c := range told {
+		suspect := Suspect{ID: id}
+		if len(c.crashes) > 0 {
+			suspect.Age = now.Sub(c.firstCrash())
 		}
+		suspects = append(suspects, suspect)
 	}
-	return out
+	isListed := func(s Suspect) int { return min(told[s.ID].listings, 1) }
+	slices.SortFunc(suspects, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(isListed(b), isListed(a)), cmp.Compare(b.Age, a.Age), cmp.Compare(a.ID, b.ID))
+	})
+	return suspects[:min(len(suspects), maxSuspects)]
 }
 
+// observeCrash records a crash.
 func (d *Detector) observeCrash(now time.Time, report Crash) {
 	key := fleet.BackendIncarnation{Backend: report.Instance, Incarnation: report.Incarnation}
 	at := now.Add(-max(report.Age, 0))
@@ -153,7 +181,7 @@
 		if len(d.crashes) >= maxCrashes {
 			d.forget(slices.MinFunc(slices.Collect(maps.Keys(d.crashes)), func(a, b fleet.BackendIncarnation) int { return d.crashes[a].at.Compare(d.crashes[b].at) }))
 		}
-		k = &crash{at: at, contents: map[fleet.Fingerprint]bool{}}
+		k = &crash{key: key, at: at, contents: map[fleet.Fingerprint]bool{}}
 		d.crashes[key] = k
 	}
 	if at.Before(k.at) {
@@ -165,30 +193,25 @@
 			continue
 		}
 		k.contents[content.ID] = true
-		if d.listed[content.ID] != nil {
-			k.explanations++
-		}
-		if !k.at.After(c.answeredAt) {
-			continue
+		if k.at.After(c.answeredAt) {
+			c.crashes[key] = k.at
+			d.suspect(now, c)
 		}
-		c.crashes[key] = k.at
-		d.weigh(now, c)
 	}
+	for _, contents := range report.requests() {
+		k.add(contents)
+	}
+	d.judgeTrials(now, k)
 }
 
-// weigh suspects a content, or extends its listing after a failed trial, because of another crash.
-func (d *Detector) weigh(now time.Time, c *suspicion) {
-	switch {
-	case d.listed[c.ID] != nil && !now.Before(c.listedUntil):
-		c.listTime = min(2*c.listTime, maxListTime)
-		c.listedUntil = now.Add(c.listTime)
-		d.changed(Listed{c.Content, len(c.crashes)})
-	case d.listed[c.ID] != nil || d.suspected[c.ID] != nil:
-	case len(c.crashes) >= suspectCrashes:
-		c.suspectedAt = now
-		d.suspected[c.ID] = c
-		d.changed(Suspected{c.Content, len(c.crashes)})
+// suspect suspects a content that was in flight at enough crashes.
+func (d *Detector) suspect(now time.Time, c *suspicion) {
+	if d.suspected[c.ID] != nil || len(c.crashes) < suspectCrashes {
+		return
 	}
+	c.suspectedAt = now
+	d.suspected[c.ID] = c
+	d.changed(Suspected{c.Content, len(c.crashes)})
 }
 
 // content returns the state of a content. It returns nil if the table is full of contents that were touched at the same time or
@@ -210,7 +233,7 @@
 func (d *Detector) dropOldest(now time.Time) bool {
 	var oldest time.Time
 	for _, c := range d.contents {
-		if c.listedUntil.IsZero() && (oldest.IsZero() || c.touchedAt.Before(oldest)) {
+		if c.listings == 0 && (oldest.IsZero() || c.touchedAt.Before(oldest)) {
 			oldest = c.touchedAt
 		}
 	}
@@ -218,7 +241,7 @@
 		return false
 	}
 	for id, c := range d.contents {
-		if c.listedUntil.IsZero() && !c.touchedAt.After(oldest) {
+		if c.listings == 0 && !c.touchedAt.After(oldest) {
 			clear(c.crashes)
 			d.clearSuspicion(c)
 			delete(d.contents, id)
@@ -235,16 +258,16 @@
 		return
 	}
 	c.answeredAt = at
+	for _, k := range d.crashes {
+		if k.contents[c.ID] && at.After(k.answeredAt) {
+			k.answeredAt = at
+		}
+	}
 	maps.DeleteFunc(c.crashes, func(_ fleet.BackendIncarnation, crashed time.Time) bool { return !crashed.After(at) })
-	switch {
-	case d.listed[c.ID] != nil && len(c.crashes) == 0:
-		delete(d.listed, c.ID)
-		d.explain(c, -1)
-		c.listedUntil = time.Time{}
-		d.changed(Cleared{c.Content})
-	default:
-		d.clearSuspicion(c)
+	if c.listings > 0 && len(c.crashes) == 0 {
+		d.unlist(now, c)
 	}
+	d.clearSuspicion(c)
 }
 
 // clearSuspicion ends the suspicion of a content that has too few crashes left.
--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -13,6 +13,7 @@
 const (
 	maxOwnCrashes    = 64
 	maxCrashContents = 256
+	maxCrashRequests = 128
 	maxAnswered      = 4096
 )
 
@@ -38,6 +39,8 @@
 // observed is a suspected or listed content with this host's last answer.
 type observed struct {
 	content Content
+	// others holds the contents that a request has to have as well for a listing to refuse it.
+	others []Content
 	// since is the first crash; an answer before it says nothing. until is the time from which a listed content may be tried.
 	since, until time.Time
 	// refused is set once a request was refused, trial while one may be let through.
@@ -89,12 +92,28 @@
 		e.crashes = append(e.crashes, ownCrash{Crash: Crash{Instance: id, Incarnation: inc}, at: now})
 		c = &e.crashes[len(e.crashes)-1]
 	}
+	c.addRequest(contents)
+	c.sending, c.sent = false, false
+}
+
+// addRequest adds the contents of a request. Those beyond maxCrashContents, and further requests beyond maxCrashRequests, are left out.
+func (c *Crash) addRequest(contents []Content) {
+	var indexes []uint16
 	for _, content := range contents {
-		if len(c.Contents) < maxCrashContents && !slices.Contains(c.Contents, content) {
+		i := slices.Index(c.Contents, content)
+		if i < 0 {
+			if len(c.Contents) >= maxCrashContents {
+				continue
+			}
+			i = len(c.Contents)
 			c.Contents = append(c.Contents, content)
 		}
+		indexes = append(indexes, uint16(i))
+	}
+	isKnown := slices.ContainsFunc(c.Requests, func(other []uint16) bool { return slices.Equal(other, indexes) })
+	if len(indexes) > 0 && len(c.Requests) < maxCrashRequests && !isKnown {
+		c.Requests = append(c.Requests, indexes)
 	}
-	c.sending, c.sent = false, false
 }
 
 // RecordAnswer records the complete answer to a request, and reports whether the leader should be told at once, since it clears a
@@ -108,7 +127,7 @@
 		for _, o := range [...]*observed{e.suspects[c.ID], e.listed[c.ID]} {
 			if o != nil {
 				o.answeredAt = now
-				urgent = urgent || o.toldAt.IsZero()
+				urgent = urgent || !o.toldAt.After(o.since)
 			}
 		}
 	}
@@ -127,28 +146,51 @@
 // IsTracking reports whether the leader suspects or lists any content, so that the contents of requests matter.
 func (e *Evidence) IsTracking() bool { return len(e.suspects) > 0 || len(e.listed) > 0 }
 
-// Listed returns the first listed content among those of a request, with the time until it may be tried.
+// Listed returns the first listing that refuses a request with the given contents, with the time until it may be tried.
 func (e *Evidence) Listed(now time.Time, contents []Content) (Listing, bool) {
 	for _, c := range contents {
-		if o := e.listed[c.ID]; o != nil {
-			return Listing{Content: o.content, Left: o.until.Sub(now)}, true
+		if o := e.listed[c.ID]; o != nil && o.refuses(contents) {
+			return Listing{Content: o.content, Others: o.others, Left: o.until.Sub(now)}, true
 		}
 	}
 	return Listing{}, false
 }
 
-// Admit decides on a request with a listed content: it reports whether the request is let through as the trial that the leader has
-// granted. It is refused otherwise.
-func (e *Evidence) Admit(c Content) bool {
-	o := e.listed[c.ID]
+// refuses reports whether a request with the listed content has all others as well.
+func (o *observed) refuses(contents []Content) bool {
+	return !slices.ContainsFunc(o.others, func(c Content) bool { return !hasContent(contents, c.ID) })
+}
+
+func hasContent(contents []Content, id fleet.Fingerprint) bool {
+	return slices.ContainsFunc(contents, func(c Content) bool { return c.ID == id })
+}
+
+// Admit decides on a request that a listing refuses: it reports whether the request is let through as the trial that the leader has
+// granted. A trial should tell the listed contents apart from the other suspects, so that a request with one of these is let through only
+// if none without has come for trialTime.
+func (e *Evidence) Admit(now time.Time, l Listing, contents []Content) bool {
+	o := e.listed[l.Content.ID]
 	if o == nil {
 		return true
 	}
+	if e.hasOtherSuspect(l, contents) && now.Sub(o.until) < trialTime {
+		return false
+	}
 	admitted := o.trial
 	o.trial, o.refused = false, !admitted
 	return admitted
 }
 
+// hasOtherSuspect reports whether one of the contents is suspected and not part of the listing.
+func (e *Evidence) hasOtherSuspect(l Listing, contents []Content) bool {
+	for _, c := range contents {
+		if e.suspects[c.ID] != nil && c.ID != l.Content.ID && !hasContent(l.Others, c.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // Report returns what the leader has to be told, or nil if there is nothing. Apply must follow if the leader has answered.
 func (e *Evidence) Report(now time.Time) *Report {
 	e.crashes = slices.DeleteFunc(e.crashes, func(c ownCrash) bool { return now.Sub(c.at) > retention })
@@ -162,29 +204,36 @@
 		if c := &e.crashes[i]; !c.sent {
 			c.sending = true
 			out := c.Crash
-			out.Age, out.Contents = now.Sub(c.at), slices.Clone(c.Contents)
+			out.Age, out.Contents, out.Requests = now.Sub(c.at), slices.Clone(c.Contents), slices.Clone(c.Requests)
 			r.Crashes = append(r.Crashes, out)
 		}
 	}
 	for id, o := range e.suspects {
-		r.addAnswer(now, id, o)
+		if o.answeredAt.After(o.toldAt) {
+			r.addAnswer(now, id, o)
+		}
 	}
 	for id, o := range e.listed {
-		r.addAnswer(now, id, o)
+		if e.suspects[id] == nil && o.hasNewAnswer() {
+			r.addAnswer(now, id, o)
+		}
 		if o.refused && !now.Before(o.until) {
 			r.Refused = append(r.Refused, id)
 		}
 		if e.adopted {
-			r.Listed = append(r.Listed, Listing{Content: o.content, Left: o.until.Sub(now)})
+			r.Listed = append(r.Listed, Listing{Content: o.content, Others: o.others, Left: o.until.Sub(now)})
 		}
 	}
 	return r
 }
 
 func (r *Report) addAnswer(now time.Time, id fleet.Fingerprint, o *observed) {
-	if o.answeredAt.After(o.since) && o.answeredAt.After(o.toldAt) {
-		r.Answers = append(r.Answers, Answer{ID: id, Age: now.Sub(o.answeredAt)})
-	}
+	r.Answers = append(r.Answers, Answer{ID: id, Age: now.Sub(o.answeredAt)})
+}
+
+// hasNewAnswer reports whether the leader doesn't know of the last answer since the first crash.
+func (o *observed) hasNewAnswer() bool {
+	return o.answeredAt.After(o.since) && o.answeredAt.After(o.toldAt)
 }
 
 // Apply records that the leader has received a report at a time, and what it has answered: nil if it had nothing new. The report is
@@ -208,9 +257,7 @@
 	}
 	e.known, e.adopted = s.Revision, false
 	e.replace(now, s)
-	return slices.ContainsFunc(slices.Collect(maps.Values(e.suspects)), func(o *observed) bool {
-		return o.answeredAt.After(o.since) && o.answeredAt.After(o.toldAt)
-	})
+	return slices.ContainsFunc(slices.Collect(maps.Values(e.suspects)), func(o *observed) bool { return o.answeredAt.After(o.toldAt) })
 }
 
 // confirm marks the content of a report as told.
@@ -238,7 +285,7 @@
 		suspects[c.ID] = o
 	}
 	for _, l := range s.Listed {
-		o := &observed{content: l.Content, until: now.Add(l.Left)}
+		o := &observed{content: l.Content, others: l.Others, until: now.Add(l.Left)}
 		o.carryOver(e.listed[l.Content.ID])
 		o.trial = o.trial || slices.Contains(s.Trials, l.Content.ID)
 		if before := e.listed[l.Content.ID]; before == nil {
--- a/io/controller/contents.go
+++ b/io/controller/contents.go
@@ -51,16 +51,16 @@
 			c.cfg.Log.Info(logContentSuspected, zap.Stringer("content", change.Content), zap.Int("crashes", change.Crashes))
 		case crashes.Listed:
 			c.metrics.contents.With("listed").Inc(1)
-			c.cfg.Log.Warn(logContentListed, zap.Stringer("content", change.Content), zap.Int("crashes", change.Crashes))
+			c.cfg.Log.Warn(logContentListed, zap.Stringers("contents", change.Contents), zap.Int("crashes", change.Crashes))
 		case crashes.Tried:
 			c.metrics.contents.With("tried").Inc(1)
-			c.cfg.Log.Info(logContentTried, zap.Stringer("content", change.Content))
+			c.cfg.Log.Info(logContentTried, zap.Stringers("contents", change.Contents))
 		case crashes.Cleared:
 			c.metrics.contents.With("cleared").Inc(1)
 			c.cfg.Log.Info(logContentCleared, zap.Stringer("content", change.Content))
 		case crashes.Expired:
 			c.metrics.contents.With("expired").Inc(1)
-			c.cfg.Log.Info(logContentExpired, zap.Stringer("content", change.Content))
+			c.cfg.Log.Info(logContentExpired, zap.Stringers("contents", change.Contents))
 		default:
 			panic("unknown change of the detector")
 		}
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -64,11 +64,12 @@
 	contents := x.contents()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	l, ok := v.evidence.Listed(time.Now(), contents)
+	now := time.Now()
+	l, ok := v.evidence.Listed(now, contents)
 	if !ok {
 		return nil
 	}
-	if v.evidence.Admit(l.Content) {
+	if v.evidence.Admit(now, l, contents) {
 		x.isTrial = true
 		return nil
 	}
