gateway: one memory for all requests and answers that are not complete

Cause: each answer is bounded (8 MiB), their sum over connections is not, and neither is that of request bodies and of events. Ruled out: heads and rejections, which are bounded by the buffers of their connections.

Change: core/buffers, a budget for the whole process of an eighth of its memory, in both directions. Beyond it the largest message is given up: an answer with 502 answer-over-memory, a request with 503 host-over-memory, counted in messages-over-memory. Messages up to 8 KiB are not given up. Answers are kept in pieces and no longer copied as they grow.

The test of requests found that readers ignore an error that comes with bytes; the read of a request that was given up returns none.

--- a/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/gateways_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/buffers"
 	"toucanway/core/fleet"
 	"toucanway/core/routes"
 	"toucanway/io/backend"
@@ -58,7 +59,7 @@
 		g := gateway.New(gateway.Settings{
 			Self: fleet.HostID(ip), Address: ip + ":80", Dialect: d, Client: controlapi.NewClient(client, port, seeds),
 			Pool: pool, Budget: gateway.Budget{Ratio: 1, Slack: 1, Window: time.Second}, GracePeriod: 2 * time.Second,
-			Now: time.Now, ConfigurationTime: time.Second,
+			Now: time.Now, ConfigurationTime: time.Second, Buffers: &buffers.Budget{},
 			Log: zap.New(core).Named(ip), Metrics: metrics.New(metrics.Options{}),
 		})
 		l, err := net.Listen(ip + ":80")
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -132,6 +132,9 @@
 	return n, err
 }
 
+// IsComplete reports whether the answer was read to its end.
+func (x *Exchange) IsComplete() bool { return x.complete }
+
 // EndsWithConnection reports whether the answer has neither a length nor chunks, so that its body ends with the connection.
 func (x *Exchange) EndsWithConnection() bool {
 	return x.body != nil && x.Response.Header.ContentLength() == lengthUntilClose
--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -54,8 +54,8 @@
 	return strconv.FormatFloat(float64(ms)/1000, 'f', 3, 64)
 }
 
-// write writes a complete answer. A failed write ends the connection.
-func (c *conn) write(h *fasthttp.ResponseHeader, body []byte) {
+// write writes a complete answer, whose body may come in pieces. A failed write ends the connection.
+func (c *conn) write(h *fasthttp.ResponseHeader, body ...[]byte) {
 	if c.closing() {
 		h.SetConnectionClose()
 	}
@@ -63,8 +63,10 @@
 	if err == nil {
 		err = h.Write(c.w)
 	}
-	if err == nil {
-		_, err = c.w.Write(body)
+	for _, piece := range body {
+		if err == nil {
+			_, err = c.w.Write(piece)
+		}
 	}
 	if err == nil {
 		err = c.w.Flush()
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -24,7 +24,7 @@
 		return 0, "caller left"
 	}
 	if x.failedAnswer != nil {
-		x.conn.write(&x.failedAnswer.header, x.failedAnswer.body)
+		x.conn.write(&x.failedAnswer.header, x.failedAnswer.body...)
 		return x.failedAnswer.header.StatusCode(), "failed answer of a backend server forwarded; " + err.Error()
 	}
 	poisoned, _ := errors.AsType[*poisonError](err)
@@ -32,6 +32,9 @@
 	switch {
 	case errors.Is(context.Cause(x.ctx), errStopping) && !x.mayHaveRun:
 		return x.refuseAsDraining()
+	case errors.Is(err, errOverMemory):
+		return x.refuse(fasthttp.StatusBadGateway, "answer-over-memory",
+			"the answer of the backend server took more memory than this host has for answers; the request may have run")
 	case x.mayHaveRun && late:
 		return x.refuse(fasthttp.StatusGatewayTimeout, "deadline-exceeded", "no answer arrived before the deadline; the request may have run")
 	case x.mayHaveRun:
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"toucanway/core/balance"
+	"toucanway/core/buffers"
 	"toucanway/core/fleet"
 	"toucanway/core/holdoff"
 	"toucanway/core/registry"
@@ -120,7 +121,10 @@
 // script is the behaviour of a backend server: it gets each request and writes raw bytes as the answer.
 type script func(req *fasthttp.Request, c net.Conn)
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newFixtureWith(t, &buffers.Budget{}) }
+
+// newFixtureWith returns a fixture whose gateway holds requests and answers in a given memory.
+func newFixtureWith(t *testing.T, b *buffers.Budget) *fixture {
 	f := &fixture{
 		t: t, callers: fasthttputil.NewInmemoryListener(), listeners: map[string]*fasthttputil.InmemoryListener{}, received: map[string][]string{},
 	}
@@ -128,7 +132,7 @@
 		Self: "host", Place: fleet.Place{Region: "r", DataCentre: "d"}, Dialect: testDialect{},
 		Client: controlapi.NewClient(nil, 1, func() []fleet.HostID { return nil }), Pool: backend.NewPool(f), Log: zap.NewNop(),
 		Metrics: metrics.New(metrics.Options{}), Budget: Budget{Ratio: 1, Slack: 100, Window: time.Second},
-		GracePeriod: 4 * time.Second, ConfigurationTime: time.Minute, Now: time.Now,
+		GracePeriod: 4 * time.Second, ConfigurationTime: time.Minute, Now: time.Now, Buffers: b,
 	})
 	v := f.gateway.view
 	v.budget.SetLimits(100, 100)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -32,7 +32,7 @@
 func New(cfg Settings) *Gateway {
 	g := &Gateway{cfg: cfg, view: newView(cfg)}
 	g.proxy = &proxy{cfg: cfg, view: g.view, metrics: newCounters(cfg.Metrics)}
-	g.server = newServer(g.limits, g.proxy.handle)
+	g.server = newServer(g.limits, g.proxy.handle, cfg.Buffers, g.proxy.metrics.overMemory.With("request"))
 	return g
 }
 
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"toucanway/core/balance"
+	"toucanway/core/buffers"
 	"toucanway/core/crashes"
 	"toucanway/core/fleet"
 	"toucanway/core/registry"
@@ -67,6 +69,8 @@
 	// software is the software version of the servers that can go on with the stream, once that is settled.
 	software atomic.Pointer[fleet.SoftwareVersion]
 	stall    stallWatch
+	// endAttempt ends the present attempt with a cause.
+	endAttempt context.CancelCauseFunc
 	// switchPaid is set if the retry budget was charged already for going on at another server.
 	switchPaid atomic.Bool
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
@@ -85,7 +89,9 @@
 // answer is a complete answer of a backend server.
 type answer struct {
 	header fasthttp.ResponseHeader
-	body   []byte
+	body   net.Buffers
+	// memory is the account of the body.
+	memory *buffers.Account
 }
 
 // attempt is one attempt to serve the request at a server, for the log.
@@ -108,6 +114,9 @@
 		triedServers: map[fleet.BackendID]bool{}, sentTo: map[string]bool{},
 	}
 	status, cause := x.serve()
+	if x.failedAnswer != nil {
+		x.failedAnswer.memory.Close()
+	}
 	x.log(status, cause)
 }
 
@@ -234,6 +243,7 @@
 	errEventOrder    = Errors.NewType("order").New("the events of the answer are out of order")
 	errNoEvent       = Errors.NewType("no-event").New("the stream has lines that are no fields of an event")
 	errNotResumed    = Errors.NewType("not-resumed").New("the answer doesn't go on with the stream")
+	errOverMemory    = Errors.NewType("over-memory").New("there was no memory for the answer")
 	errStalled       = Errors.NewType("stalled").New("the stream made no event for too long")
 	errStopping      = Errors.NewType("stopping").New("this host is shutting down")
 	errPaused        = Errors.NewType("paused").New("all backend servers that could take the request want none for longer than it can wait")
--- a/io/gateway/read.go
+++ b/io/gateway/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"toucanway/core/buffers"
 	"toucanway/core/routes"
 )
 
@@ -35,11 +36,12 @@
 // Errors of invalid requests.
 var (
 	errAmbiguousFraming = Errors.NewType("framing").New("the request has both a content length and chunked encoding; send only one of them")
+	errNoMemory         = Errors.NewType("memory").New("the host has no memory for the request now; it was not run; send it again later or to another host")
 	errNoHost           = Errors.NewType("host").New("the request has no Host header; set it to the name of the host")
 )
 
-// read reads a complete request.
-func (c *conn) read(req *fasthttp.Request, lim routes.Limits) error {
+// read reads a complete request. The memory of its body is taken from an account.
+func (c *conn) read(req *fasthttp.Request, lim routes.Limits, memory *buffers.Account) error {
 	if err := c.SetReadDeadline(time.Now().Add(lim.HeaderTimeout)); err != nil {
 		return err
 	}
@@ -67,6 +69,8 @@
 	if err := c.SetReadDeadline(time.Now().Add(lim.IdleTimeout)); err != nil {
 		return err
 	}
+	c.memory = memory
+	defer func() { c.memory = nil }()
 	return req.ContinueReadBody(c.r, lim.BodyBytes, false)
 }
 
@@ -82,10 +86,12 @@
 	var timeout interface{ Timeout() bool }
 	r := refusal{status: fasthttp.StatusBadRequest, code: "unreadable-request", message: err.Error()}
 	tooLarge := errors.As(err, &small) || errors.Is(err, fasthttp.ErrBodyTooLarge)
-	if c.readErr != nil {
+	if c.readErr != nil && !errors.Is(err, errNoMemory) {
 		err = c.readErr
 	}
 	switch {
+	case errors.Is(err, errNoMemory):
+		r = refusal{status: fasthttp.StatusServiceUnavailable, code: "host-over-memory", retryDelay: retryAfter, message: err.Error()}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return
 	case tooLarge && !confirmed:
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"toucanway/core/balance"
+	"toucanway/core/buffers"
+	"toucanway/core/fleet"
 	"toucanway/core/routes"
 	"toucanway/io/backend"
 )
@@ -56,13 +59,59 @@
 		return 0, x.failureOutcome(balance.Lost), err
 	}
 	defer upstream.Close()
-	status, out, err := x.receive(upstream, ticket)
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+	endAttempt := x.endAttempt
+	memory := x.proxy.cfg.Buffers.Open(func() { endAttempt(errOverMemory) })
+	status, out, err := x.receive(upstream, ticket, memory)
+	if x.failedAnswer == nil || x.failedAnswer.memory != memory {
+		memory.Close()
+	}
+	switch cause := context.Cause(ctx); {
+	case err != nil && errors.Is(cause, errStalled):
 		err = errStalled
+	case err != nil && memory.IsRevoked():
+		x.proxy.metrics.overMemory.With("answer").Inc(1)
+		err = errOverMemory
 	}
 	return status, out, err
 }
 
+// keepFailed keeps a failed answer in place of an earlier one.
+func (x *exchange) keepFailed(a *answer) {
+	if x.failedAnswer != nil {
+		x.failedAnswer.memory.Close()
+	}
+	x.failedAnswer = a
+}
+
+// readAnswer reads the body of an answer to its end. The error is errTruncated if it is broken off or longer than maxAnswer, and
+// errOverMemory if there is no memory for it.
+func readAnswer(upstream *backend.Exchange, memory *buffers.Account) (net.Buffers, error) {
+	var body net.Buffers
+	size := 0
+	for {
+		// The first piece is small, since most answers are.
+		piece := make([]byte, min(answerChunk, max(streamBuffer, size)))
+		if !memory.Add(fleet.Bytes(len(piece))) {
+			return nil, errOverMemory
+		}
+		n, err := io.ReadFull(upstream, piece)
+		body, size = append(body, piece[:n]), size+n
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && upstream.IsComplete():
+			return body, nil
+		case err != nil, size > maxAnswer:
+			return nil, errTruncated
+		}
+	}
+}
+
+func sizeOf(body net.Buffers) (n int) {
+	for _, piece := range body {
+		n += len(piece)
+	}
+	return n
+}
+
 // callerDisconnected reports whether the caller has closed its connection.
 func (x *exchange) callerDisconnected() bool {
 	return errors.Is(x.ctx.Err(), context.Canceled) && !errors.Is(context.Cause(x.ctx), errStopping)
@@ -87,7 +136,7 @@
 }
 
 // receive reads and forwards an answer whose headers have arrived, or returns an error if the answer can't be forwarded.
-func (x *exchange) receive(upstream *backend.Exchange, ticket *balance.Ticket) (int, balance.Outcome, error) {
+func (x *exchange) receive(upstream *backend.Exchange, ticket *balance.Ticket, memory *buffers.Account) (int, balance.Outcome, error) {
 	head := x.proxy.cfg.Dialect.Answer(&upstream.Response.Header)
 	status := upstream.Response.StatusCode()
 	success := status >= 200 && status < 300
@@ -112,28 +161,28 @@
 		return status, x.failureOutcome(balance.Lost), errUnsigned
 	}
 	if success && x.route.Kind == routes.Streaming {
-		return x.forwardStream(upstream, ticket, status)
+		return x.forwardStream(upstream, ticket, status, memory)
 	}
 	if x.stream.headersSent {
 		return status, balance.Failed, errFailed
 	}
-	body, err := io.ReadAll(io.LimitReader(upstream, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
+	body, err := readAnswer(upstream, memory)
+	if err != nil {
 		upstream.Abort()
-		return status, x.failureOutcome(balance.Lost), errTruncated
+		return status, x.failureOutcome(balance.Lost), err
 	}
 	x.proxy.view.firstByte(ticket)
 	out := balance.Answered
-	a := &answer{body: body}
+	a := &answer{body: body, memory: memory}
 	copyHeader(&a.header, &upstream.Response.Header)
-	a.header.SetContentLength(len(body))
+	a.header.SetContentLength(sizeOf(body))
 	if status >= 500 {
 		out = balance.Failed
 		if x.mayRetry(errFailed) && x.proxy.view.otherServerExists(x.service, &x.req, x.constraint(x.triedServers)) {
-			x.failedAnswer = a
+			x.keepFailed(a)
 			return status, out, errFailed
 		}
 	}
-	x.conn.write(&a.header, body)
+	x.conn.write(&a.header, body...)
 	return status, out, nil
 }
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -9,9 +9,12 @@
 	"sync"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"toucanway/core/buffers"
+	"toucanway/core/fleet"
 	"toucanway/core/pause"
 	"toucanway/core/routes"
 )
@@ -39,6 +42,10 @@
 type server struct {
 	limits func() requestLimits
 	handle func(ctx context.Context, c *conn, r *fasthttp.Request)
+	// buffers bounds the memory of the bodies of requests.
+	buffers *buffers.Budget
+	// overMemory counts the requests that were refused for it.
+	overMemory gometrics.Counter
 
 	mu           sync.Mutex
 	conns        map[*conn]bool
@@ -58,6 +65,8 @@
 	// source is the connection, after bytes that an earlier reader has read ahead.
 	source io.Reader
 	w      *bufio.Writer
+	// memory is the account of the body that is read, or nil.
+	memory *buffers.Account
 	// readErr is the last error of a read. The parser of chunks hides it in an error of its own.
 	readErr error
 	// busy is set while a request is read or served; guarded by server.mu.
@@ -71,6 +80,10 @@
 // Read reads from the connection and records an error.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.memory != nil && !c.memory.Add(fleet.Bytes(n)) {
+		// Readers ignore an error that comes with bytes, and would wait for more.
+		n, err = 0, errNoMemory
+	}
 	if err != nil {
 		c.readErr = err
 	}
@@ -83,8 +96,8 @@
 	return c.closeAfterAnswer
 }
 
-func newServer(limits func() requestLimits, handle func(context.Context, *conn, *fasthttp.Request)) *server {
-	s := &server{limits: limits, handle: handle, conns: map[*conn]bool{}}
+func newServer(limits func() requestLimits, handle func(context.Context, *conn, *fasthttp.Request), b *buffers.Budget, overMemory gometrics.Counter) *server {
+	s := &server{limits: limits, handle: handle, buffers: b, overMemory: overMemory, conns: map[*conn]bool{}}
 	s.connsChanged = sync.NewCond(&s.mu)
 	return s
 }
@@ -216,8 +229,7 @@
 func (s *server) run(stop context.Context, c *conn) {
 	lim := s.limits()
 	c.setHeaderLimit(lim.HeaderBytes)
-	idle := lim.HeaderTimeout
-	if s.awaitRequest(c, idle) != nil {
+	if s.awaitRequest(c, lim.HeaderTimeout) != nil {
 		return
 	}
 	for {
@@ -225,19 +237,54 @@
 			return
 		}
 		lim = s.limits()
-		idle = lim.IdleTimeout
 		c.setHeaderLimit(lim.HeaderBytes)
-		req := fasthttp.AcquireRequest()
-		if err := c.read(req, lim.Limits); err != nil {
-			c.refuseUnreadable(err, lim.confirmed)
+		if !s.readAndServe(stop, c, lim) {
 			return
 		}
-		more := s.serveOne(stop, c, req, idle)
-		fasthttp.ReleaseRequest(req)
-		if !more {
-			return
+	}
+}
+
+// readAndServe reads and serves one request; it returns false if the connection ends.
+func (s *server) readAndServe(stop context.Context, c *conn, lim requestLimits) bool {
+	req := fasthttp.AcquireRequest()
+	var reading readGuard
+	memory := s.buffers.Open(func() { reading.interrupt(c) })
+	defer memory.Close()
+	err := c.read(req, lim.Limits, memory)
+	reading.end()
+	if err != nil {
+		if memory.IsRevoked() {
+			s.overMemory.Inc(1)
+			err = errNoMemory
 		}
+		c.refuseUnreadable(err, lim.confirmed)
+		return false
 	}
+	defer fasthttp.ReleaseRequest(req)
+	return s.serveOne(stop, c, req, lim.IdleTimeout)
+}
+
+// readGuard lets a read of a request be interrupted, but not the wait for its caller's next request while it is served. The zero value is a
+// read under way.
+type readGuard struct {
+	mu    sync.Mutex
+	ended bool
+}
+
+// interrupt ends the read unless it has ended.
+func (g *readGuard) interrupt(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.ended {
+		// An error means that the connection is closed, which ends the read as well.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (g *readGuard) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
 }
 
 // serveOne serves one request and waits for the first byte of the next one; it returns false if the connection ends instead.
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -6,6 +6,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"toucanway/core/buffers"
 	"toucanway/core/fleet"
 	"toucanway/io/backend"
 	"toucanway/io/controlapi"
@@ -38,6 +39,8 @@
 	Now func() time.Time
 	// ConfigurationTime is the time after its acknowledgement from which a configuration must be in force.
 	ConfigurationTime time.Duration
+	// Buffers bounds the memory of the requests and answers that are not complete yet.
+	Buffers *buffers.Budget
 	// GracePeriod is the time from a request to shut down to the end of the process.
 	GracePeriod time.Duration
 	Log         *zap.Logger
@@ -97,4 +100,6 @@
 	rejectionTimeout  = 100 * time.Millisecond
 	// maxAnswer bounds the size of an answer that is buffered until it is complete.
 	maxAnswer = 8 << 20
+	// answerChunk is the size of the pieces in which such an answer is kept, so that it is not copied as it grows.
+	answerChunk = 32 << 10
 )
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -19,6 +19,7 @@
 // watchStall returns the context of an attempt at a server and begins a watch that ends it with errStalled; stop must be called.
 func (x *exchange) watchStall(id fleet.BackendID) (ctx context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
+	x.endAttempt = cancel
 	tried := maps.Clone(x.triedServers)
 	tried[id] = true
 	x.stall = stallWatch{}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"toucanway/core/balance"
+	"toucanway/core/buffers"
+	"toucanway/core/fleet"
 	"toucanway/io/backend"
 )
 
@@ -42,7 +44,7 @@
 const streamBuffer = 4 << 10
 
 // forwardStream forwards the events of an answer as they arrive; an event is forwarded only once it is complete.
-func (x *exchange) forwardStream(upstream *backend.Exchange, ticket *balance.Ticket, status int) (int, balance.Outcome, error) {
+func (x *exchange) forwardStream(upstream *backend.Exchange, ticket *balance.Ticket, status int, memory *buffers.Account) (int, balance.Outcome, error) {
 	x.stream.resumes, x.stream.typed = x.stream.headersSent, isEventStream(&upstream.Response.Header)
 	if x.stream.resumes && (status != fasthttp.StatusOK || !x.stream.typed) {
 		upstream.Abort()
@@ -66,6 +68,9 @@
 			x.proxy.view.firstByte(ticket)
 			return status, balance.Answered, x.endStream(upstream)
 		}
+		if !memory.SetSize(fleet.Bytes(pending.size())) {
+			err = errOverMemory
+		}
 		if err != nil || pending.size() > maxEvent {
 			upstream.Abort()
 			return status, x.failureOutcome(balance.Lost), errTruncated
--- a/io/routed/process.go
+++ b/io/routed/process.go
@@ -43,6 +43,9 @@
 	// heapShare is the share of the process's memory above which the runtime reclaims memory more often; the rest is for stacks
 	// of the C library, buffers of the system and peaks.
 	heapShare = 0.8
+	// bufferShare is the share of the process's memory for requests and answers that are not complete yet. The runtime needs about twice
+	// that until it has reclaimed them.
+	bufferShare = 0.125
 )
 
 // process is the common part of gateways and controllers.
