disk: an opening counts nothing as durable that a failed sync left behind

Cause: Open took what it could read for durable, which holds after a crash of the machine only. Ruled out: torn frames and half-created segments.

Change: Open writes the intact frames of the last segment to a new file and renames it into place. A second sync of the same file is not enough, since the kernel may have dropped what it could not write.

--- a/io/disk/doc.go
+++ b/io/disk/doc.go
@@ -6,7 +6,8 @@
 // fsync, however many entries it contains, so that a crash can tear only the last frame of the last segment.
 //
 // After a failed write or sync the store refuses all further calls, since the kernel may have dropped the data that it
-// could not write; the process has to be restarted.
+// could not write. It can be opened again once the disk has room: the last segment is then written again, so that all that Load
+// returns is durable.
 //
 // A Store is one open directory and is safe for concurrent use. Memory replaces it in tests.
 package disk
--- a/io/disk/fs.go
+++ b/io/disk/fs.go
@@ -13,8 +13,6 @@
 	io.Writer
 	// Sync makes the written data durable.
 	Sync() error
-	// Truncate truncates the file to a size; later writes append at its new end.
-	Truncate(size int64) error
 	Close() error
 }
 
--- a/io/disk/recover.go
+++ b/io/disk/recover.go
@@ -156,25 +156,23 @@
 	}
 	s.segments = append(s.segments, seg)
 	s.size = p.offset
-	if last && p.offset < len(data) {
-		return s.truncateTail(name, p.offset)
+	if last {
+		return s.rewriteTail(name, data[:p.offset])
 	}
 	return nil
 }
 
-// truncateTail truncates a segment to remove a torn frame at its end.
-func (s *Store) truncateTail(name string, size int) error {
+// rewriteTail writes the intact frames of the last segment again and opens it for appending. What was read may be in memory only if a sync
+// failed before the store was opened, and a further sync of the same file need not write it.
+func (s *Store) rewriteTail(name string, data []byte) error {
+	if err := s.writeAtomic(name, data); err != nil {
+		return s.fail(err)
+	}
 	f, err := s.cfg.FS.Append(s.path(name))
 	if err != nil {
 		return s.fail(err)
 	}
 	s.file = f
-	if err := f.Truncate(int64(size)); err != nil {
-		return s.fail(err)
-	}
-	if err := f.Sync(); err != nil {
-		return s.fail(err)
-	}
 	return nil
 }
 
@@ -229,12 +227,5 @@
 		}
 		return nil
 	}
-	if s.file == nil {
-		f, err := s.cfg.FS.Append(s.path(segmentName(s.segments[len(s.segments)-1].number)))
-		if err != nil {
-			return s.fail(err)
-		}
-		s.file = f
-	}
 	return nil
 }
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -186,7 +186,7 @@
 }
 
 func (s *Store) fail(err error) error {
-	s.failed = ErrFailed.Wrap(err, "data folder %s cannot be read or written; free space or replace the disk, then start again",
+	s.failed = ErrFailed.Wrap(err, "data folder %s cannot be read or written; free space or replace the disk; the store is not used before it can be opened again",
 		s.cfg.Dir)
 	return s.failed
 }
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -19,11 +19,11 @@
 
 var errInjected = errors.New("injected")
 
-// fakeFS keeps files in memory, fails all changes from the failAt-th one on, and loses unsynced data at a crash. syncedFiles
-// holds the files by their synced names, which survive a crash.
+// fakeFS keeps files in memory, fails all changes from the failAt-th one on, or failFor of them if that is set, and loses unsynced data at a
+// crash. syncedFiles holds the files by their synced names, which survive a crash.
 type fakeFS struct {
-	files, syncedFiles  map[string]*fakeFile
-	changeCount, failAt int
+	files, syncedFiles           map[string]*fakeFile
+	changeCount, failAt, failFor int
 }
 
 type fakeFile struct {
@@ -38,7 +38,7 @@
 
 func (f *fakeFS) countChange() error {
 	f.changeCount++
-	if f.failAt > 0 && f.changeCount >= f.failAt {
+	if f.failAt > 0 && f.changeCount >= f.failAt && (f.failFor == 0 || f.changeCount < f.failAt+f.failFor) {
 		return errInjected
 	}
 	return nil
@@ -57,6 +57,25 @@
 	f.syncedFiles, f.changeCount, f.failAt = maps.Clone(f.files), 0, 0
 }
 
+// clone returns a copy of the file system and all files.
+func (f *fakeFS) clone() *fakeFS {
+	out := newFakeFS()
+	copies := map[*fakeFile]*fakeFile{}
+	copyOf := func(file *fakeFile) *fakeFile {
+		if copies[file] == nil {
+			copies[file] = &fakeFile{fs: out, data: slices.Clone(file.data), synced: file.synced}
+		}
+		return copies[file]
+	}
+	for n, file := range f.files {
+		out.files[n] = copyOf(file)
+	}
+	for n, file := range f.syncedFiles {
+		out.syncedFiles[n] = copyOf(file)
+	}
+	return out
+}
+
 func (f *fakeFS) MkdirAll(string) error { return nil }
 
 func (f *fakeFS) ReadDir(string) ([]string, error) {
@@ -124,14 +143,6 @@
 	return nil
 }
 
-func (f *fakeFile) Truncate(size int64) error {
-	if err := f.fs.countChange(); err != nil {
-		return err
-	}
-	f.data = f.data[:size]
-	return nil
-}
-
 func (f *fakeFile) Close() error { return nil }
 
 // storage is the common interface of Store and Memory, so that Memory can be used as the reference.
