gateway: only the leader says that a service has one software version

Cause: for 1.2 s after a cut a controller's mirror counts as current, so that it told of one version only, and the gateway took the first such answer, before those of the holders that knew the stream. Ruled out: a gateway without any controller, and one that stood still; both are refused.

Change: holders tell only origins. The versions are asked of the leader, once a holder doesn't know or 100 ms have passed; its lease is valid and its log has each version before a gateway hears of its first server.

--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -156,6 +156,7 @@
 	hosts.Handle(srv, controlapi.ProcedureRead, c.handleRead)
 	hosts.Handle(srv, controlapi.ProcedureRecordStreams, c.handleRecordStreams)
 	hosts.Handle(srv, controlapi.ProcedureFindStream, c.handleFindStream)
+	hosts.Handle(srv, controlapi.ProcedureSoftware, c.handleSoftware)
 }
 
 // Run runs the controller until the context ends.
--- a/io/controller/software.go
+++ b/io/controller/software.go
@@ -104,12 +104,20 @@
 	if o, ok := c.streams.Find(now, req.ID); ok {
 		res.Origin = &o
 	}
-	if c.validLeadership() != nil || c.mirror.current(now, controlapi.Position{}) {
-		res.Software = knownSoftware(c.state().Software[req.Service], req.Service, c.registry.ChangedAfter(0))
-	}
 	return res, nil
 }
 
+// handleSoftware tells the software versions of a service if this host leads. A follower may be cut off without knowing, while servers of a
+// further version join.
+func (c *Controller) handleSoftware(_ context.Context, _ fleet.HostID, req *controlapi.SoftwareRequest) (*controlapi.SoftwareResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.validLeadership() == nil {
+		return &controlapi.SoftwareResponse{Reply: c.notLeader()}, nil
+	}
+	return &controlapi.SoftwareResponse{Versions: knownSoftware(c.state().Software[req.Service], req.Service, c.registry.ChangedAfter(0))}, nil
+}
+
 // knownSoftware returns the software versions of a service: those on record, and those of servers that this host has heard of before the log
 // told it of their version.
 func knownSoftware(onRecord []fleet.SoftwareVersion, s fleet.ServiceID, instances []registry.Instance) []fleet.SoftwareVersion {
--- a/io/controller/software_test.go
+++ b/io/controller/software_test.go
@@ -9,7 +9,7 @@
 	"toucanway/core/registry"
 )
 
-// Guards against a follower that says a service has one software version although it has heard of a server of another one.
+// Guards against a leader that says a service has one software version although it has heard of a server of another one.
 func TestKnownSoftwareBeforeTheLogTellsOfIt(t *testing.T) {
 	onRecord := []fleet.SoftwareVersion{"v1"}
 	old := registry.Instance{ID: "a", Service: "s", Software: "v1"}
--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -26,6 +26,8 @@
 	// findTimeout bounds the search for a stream's origin, findInterval is the time between two rounds of questions.
 	findTimeout  = time.Second
 	findInterval = 200 * time.Millisecond
+	// holderPatience is the time for which holders alone are asked, since the leader's answers are few.
+	holderPatience = 100 * time.Millisecond
 )
 
 // recordOrigin records the origin of a stream on this host, and soon at its holders.
@@ -140,12 +142,13 @@
 // errTooFewAnswers means that a holder that has not answered may know the origin of a stream.
 var errTooFewAnswers = Errors.NewType("too-few-answers").New("too few members of the control group tell what they know of the stream")
 
-// askHolders asks the holders of a stream where it has begun, and returns the first answer that tells. It returns errUnknownOrigin if all
-// of them know that nobody can tell, and errTooFewAnswers if one of them may not know yet.
+// askHolders asks the holders of a stream where it has begun, and the leader for the versions of the route's service once a holder doesn't
+// know or a while has passed. It returns the first answer that tells, errUnknownOrigin if none does, and errTooFewAnswers if a host that
+// has not answered may.
 func (v *View) askHolders(ctx context.Context, id fleet.RequestID, r *routes.Route) (affinity.Origin, error) {
-	service := r.Services[0].Service
 	holders := affinity.Holders(id, v.cfg.Client.Members())
 	answers := make(chan *controlapi.FindStreamResponse, len(holders))
+	versions := make(chan []fleet.SoftwareVersion, 1)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -154,29 +157,51 @@
 		calls.Go(func() {
 			// An error means no answer from this holder.
 			res, _ := controlapi.CallMember[controlapi.FindStreamRequest, controlapi.FindStreamResponse](ctx, v.cfg.Client, h,
-				controlapi.ProcedureFindStream, 0, &controlapi.FindStreamRequest{ID: id, Service: service})
+				controlapi.ProcedureFindStream, 0, &controlapi.FindStreamRequest{ID: id})
 			answers <- res
 		})
 	}
-	unknown := 0
-	for range holders {
+	askLeader := sync.OnceFunc(func() { calls.Go(func() { versions <- v.softwareOf(ctx, r.Services[0].Service) }) })
+	patience := time.NewTimer(holderPatience)
+	defer patience.Stop()
+	unknown, others := 0, 0
+	for answered, told := 0, false; answered < len(holders) || !told; {
 		select {
 		case <-ctx.Done():
 			return affinity.Origin{}, errTooFewAnswers
+		case <-patience.C:
+			askLeader()
 		case res := <-answers:
+			answered++
 			switch {
-			case res == nil || res.Origin == nil && len(res.Software) == 0:
+			case res == nil:
 			case res.Origin != nil:
 				return *res.Origin, nil
-			case len(res.Software) == 1 && len(r.Services) == 1:
-				return affinity.Origin{Service: service, Software: res.Software[0]}, nil
 			default:
 				unknown++
 			}
+			askLeader()
+		case list := <-versions:
+			told = true
+			if len(list) == 1 && len(r.Services) == 1 {
+				return affinity.Origin{Service: r.Services[0].Service, Software: list[0]}, nil
+			}
+			others = len(list)
 		}
 	}
-	if len(holders) > 0 && unknown == len(holders) {
+	if len(holders) > 0 && unknown == len(holders) && others > 0 {
 		return affinity.Origin{}, errUnknownOrigin
 	}
 	return affinity.Origin{}, errTooFewAnswers
 }
+
+// softwareOf asks the leader for the software versions of a service; it returns none if no leader answers.
+func (v *View) softwareOf(ctx context.Context, s fleet.ServiceID) []fleet.SoftwareVersion {
+	res, err := controlapi.Call[controlapi.SoftwareRequest, controlapi.SoftwareResponse](ctx, v.cfg.Client, controlapi.ProcedureSoftware, 0,
+		&controlapi.SoftwareRequest{Service: s})
+	if err != nil {
+		// findOrigin asks again, and logs that the origin is not known in the end.
+		return nil
+	}
+	return res.Versions
+}
