toucanway: a repeated SIGTERM changes nothing

Cause: main took any second signal for the wish to stop at once. Ruled out: the drain itself; with one SIGTERM all requests are answered.

Change: after the first signal only SIGINT stops at once.

--- a/cmd/toucanway/main.go
+++ b/cmd/toucanway/main.go
@@ -19,12 +19,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		os.Exit(int(terminal.ExitFailed))
-	}()
+	go stopOnSignals(signals, cancel, func() { os.Exit(int(terminal.ExitFailed)) })
 	env := terminal.Environment{
 		Stdout: os.Stdout, Stderr: os.Stderr, Serve: serve, SettingsFile: platform.SettingsFile(), Version: version,
 		Gateway: func(ctx context.Context, s *settings.Routed, file string) error {
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -143,7 +143,7 @@
 
 func (p *program) commands() []command {
 	return []command{
-		{"serve", "Run the daemon of a host", "Runs the daemon of a host in the foreground until SIGTERM or SIGINT, which drain it; a second signal stops it at once. Log lines are written to the standard error output as JSON.", &serve{program: p}},
+		{"serve", "Run the daemon of a host", "Runs the daemon of a host in the foreground until SIGTERM or SIGINT, which drain it; a further SIGINT stops it at once. Log lines are written to the standard error output as JSON.", &serve{program: p}},
 		{"gateway", "Run a gateway", "Runs a host that forwards callers' HTTP requests to backend servers by routes, in the foreground until SIGTERM or SIGINT, which drain it. Log lines are written to the standard output as JSON.", &gateway{program: p}},
 		{"controller", "Run a controller", "Runs a member of the control group of a deployment that forwards requests by routes, in the foreground until SIGTERM or SIGINT. Log lines are written to the standard output as JSON.", &controller{program: p}},
 		{"check", "Check files without a host", "Checks a configuration document, a settings file or both without a connection, and prints all problems with file, line, section and remedy.", &check{program: p}},
