gateway: an answer that ends with its connection is evidence once the server lives

Cause: such an end counted as a whole answer, also if the server had crashed, and cleared the evidence of each crash. Ruled out: crashes that go unnoticed; a connection to the server is refused right after.

Change: the gateway connects to the server of such an answer before it counts; an accepted connection is kept for later requests, a refused one makes it a crash.

TestLostAnswerIsACrash and TestAnswerClearsSuspect have cases for it.

--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -78,24 +78,28 @@
 
 // recordEvidence records what an attempt tells of the content of the request.
 func (x *exchange) recordEvidence(in *registry.Instance, status int, out balance.Outcome, err error) {
+	v := x.proxy.view
 	// The end of a connection can look like the end of a stream without events.
 	empty := x.route.Kind == routes.Streaming && x.stream.eventCount == 0
 	switch {
 	case out == balance.Answered && err == nil && status >= 200 && status < 300 && !empty:
-		x.recordAnswer()
+		if x.endsWithConnection {
+			// It looks the same if the server has crashed.
+			v.checkCrash(in, x.contents(), x.info, true)
+			return
+		}
+		contentsOf := x.sharedParts
+		if v.tracksContents() {
+			contentsOf = x.contents
+		}
+		v.recordAnswer(contentsOf())
 	case out == balance.Lost && x.ctx.Err() == nil && (errors.Is(err, errTruncated) || errorx.IsOfType(err, backend.ErrLost)):
-		x.proxy.view.checkCrash(in, x.contents(), x.info)
+		v.checkCrash(in, x.contents(), x.info, false)
 	}
 }
 
-// recordAnswer records the complete answer to the request.
-func (x *exchange) recordAnswer() {
-	v := x.proxy.view
-	contentsOf := x.sharedParts
-	if v.tracksContents() {
-		contentsOf = x.contents
-	}
-	contents := contentsOf()
+// recordAnswer records the complete answer to a request with the given contents.
+func (v *View) recordAnswer(contents []crashes.Content) {
 	v.mu.Lock()
 	urgent := v.evidence.RecordAnswer(time.Now(), contents)
 	v.mu.Unlock()
@@ -104,22 +108,19 @@
 	}
 }
 
-// checkCrash finds out whether a server that has broken off an answer has crashed, and records that for the leader. It returns
-// immediately.
-func (v *View) checkCrash(in *registry.Instance, contents []crashes.Content, info RequestInfo) {
+// checkCrash finds out whether a server that has ended the connection of an answer has crashed, and records that for the leader. Otherwise it
+// records the answer if that seemed complete. It returns immediately.
+func (v *View) checkCrash(in *registry.Instance, contents []crashes.Content, info RequestInfo, seemedComplete bool) {
 	v.jobs.Run(func(ctx context.Context) {
 		if !v.hasCrashed(ctx, in) {
+			if seemedComplete && ctx.Err() == nil {
+				v.recordAnswer(contents)
+			}
 			return
 		}
-		v.mu.Lock()
-		current := v.instances[in.ID]
-		if current == nil || current.Incarnation != in.Incarnation || current.State != registry.Ready {
-			// The server has left as announced.
-			v.mu.Unlock()
+		if !v.recordCrash(in, contents) {
 			return
 		}
-		v.evidence.RecordCrash(time.Now(), in.ID, in.Incarnation, contents)
-		v.mu.Unlock()
 		parts := make([]string, len(info.Parts))
 		for i, p := range info.Parts {
 			parts[i] = p.ID
@@ -130,6 +131,18 @@
 	})
 }
 
+// recordCrash records the crash of a server with a request in flight, and reports whether it was one: the server may have left as announced.
+func (v *View) recordCrash(in *registry.Instance, contents []crashes.Content) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	current := v.instances[in.ID]
+	if current == nil || current.Incarnation != in.Incarnation || current.State != registry.Ready {
+		return false
+	}
+	v.evidence.RecordCrash(time.Now(), in.ID, in.Incarnation, contents)
+	return true
+}
+
 // hasCrashed reports whether a server has crashed; one connection to it answers all concurrent calls.
 func (v *View) hasCrashed(ctx context.Context, in *registry.Instance) bool {
 	v.mu.Lock()
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -24,6 +24,9 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: 1\r\nParts: %s,own%d\r\nContent-Length: %d\r\n\r\n%s", path, parts, n, len(body), body)
 }
 
+// untilCloseHead is the head of a stream that ends with its connection.
+const untilCloseHead = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: x\r\nContent-Type: text/event-stream\r\n\r\n"
+
 // crash ends a backend server: connections to it are refused from then on.
 func (f *fixture) crash(name string) {
 	f.mu.Lock()
@@ -136,6 +139,19 @@
 				c.Close()
 			}
 		}, true},
+		"ends a stream with its connection and refuses connections": {func(f *fixture) script {
+			return func(_ *fasthttp.Request, c net.Conn) {
+				f.crash("a")
+				io.WriteString(c, untilCloseHead+event(1))
+				c.Close()
+			}
+		}, true},
+		"ends a stream with its connection": {func(*fixture) script {
+			return func(_ *fasthttp.Request, c net.Conn) {
+				io.WriteString(c, untilCloseHead+event(1))
+				c.Close()
+			}
+		}, false},
 		"left as announced": {func(f *fixture) script {
 			return func(_ *fasthttp.Request, c net.Conn) {
 				v := f.gateway.view
@@ -218,6 +234,10 @@
 		"failed answer": {"/unsafe/", rawAnswer("HTTP/1.1 500 Oops\r\nId: 1\r\nSignature: x\r\nContent-Length: 0\r\n\r\n"), false},
 		"rejection":     {"/unsafe/", rawAnswer("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), false},
 		"lost":          {"/unsafe/", closeConnection, false},
+		"stream that ends with its connection": {"/stream/", func(_ *fasthttp.Request, c net.Conn) {
+			io.WriteString(c, untilCloseHead+event(1))
+			c.Close()
+		}, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -225,6 +245,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t)
 				defer f.close()
+				f.gateway.view.jobs.Start(t.Context())
 				f.addServer("a", tt.server)
 				v := f.gateway.view
 				v.evidence.Apply(time.Now(), time.Now(), nil, &crashes.State{
@@ -239,6 +260,7 @@
 				synctest.Wait()
 				req := v.buildReport()
 				require.Equal(t, tt.clears, len(req.Crashes.Answers) == 1)
+				require.NoError(t, v.jobs.Stop())
 			})
 		})
 	}
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -71,6 +71,8 @@
 	stall    stallWatch
 	// endAttempt ends the present attempt with a cause.
 	endAttempt context.CancelCauseFunc
+	// endsWithConnection is set if the last answer had no end of its own.
+	endsWithConnection bool
 	// switchPaid is set if the retry budget was charged already for going on at another server.
 	switchPaid atomic.Bool
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -62,6 +62,7 @@
 	endAttempt := x.endAttempt
 	memory := x.proxy.cfg.Buffers.Open(func() { endAttempt(errOverMemory) })
 	status, out, err := x.receive(upstream, ticket, memory)
+	x.endsWithConnection = upstream.EndsWithConnection()
 	if x.failedAnswer == nil || x.failedAnswer.memory != memory {
 		memory.Close()
 	}
