--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -180,6 +180,7 @@
 				if !tt.crash {
 					require.Nil(t, req.Crashes)
 				} else {
+					require.NotNil(t, req.Crashes)
 					require.Len(t, req.Crashes.Crashes, 1)
 					k := req.Crashes.Crashes[0]
 					require.EqualValues(t, "a", k.Instance)
