crashes, controller: a field that nothing reads, and one way to propose

Found when reading the whole change again. listing.listedAt was set and never read. handleReplace encoded and proposed by itself what Controller.propose does for the other commands.

--- a/core/crashes/listing.go
+++ b/core/crashes/listing.go
@@ -13,8 +13,8 @@
 type listing struct {
 	// members is sorted by compareContents and never empty.
 	members []*suspicion
-	// listedAt is the time of the decision. adoptedAt is the time at which the listing was taken over from an earlier leader, else zero.
-	listedAt, adoptedAt time.Time
+	// adoptedAt is the time at which the listing was taken over from an earlier leader, else zero.
+	adoptedAt time.Time
 	// until is the time of the next trial, triedAt the time of the last grant of a trial request.
 	until, triedAt time.Time
 	// failedTrials is the number of trials that crashed a server.
@@ -76,7 +76,7 @@
 func (d *Detector) list(now time.Time, members []*suspicion) *listing {
 	slices.SortFunc(members, compareContents)
 	members = members[:min(len(members), maxTogether)]
-	l := &listing{members: members, listedAt: now}
+	l := &listing{members: members}
 	for _, other := range d.listed {
 		if !slices.ContainsFunc(members, func(c *suspicion) bool { return !slices.Contains(other.members, c) }) {
 			// What the other one refuses is refused by this one, too.
--- a/io/controller/configuration.go
+++ b/io/controller/configuration.go
@@ -42,11 +42,7 @@
 	if !c.cfg.Group.Leading() {
 		return &controlapi.ReplaceResponse{Reply: c.notLeader()}, nil
 	}
-	data, err := catalog.Encode(catalog.Command{Replace: &catalog.Replace{Version: req.Version, Data: req.Data}})
-	if err != nil {
-		return nil, err
-	}
-	if _, err := c.cfg.Group.Propose(ctx, data); err != nil {
+	if err := c.propose(ctx, catalog.Command{Replace: &catalog.Replace{Version: req.Version, Data: req.Data}}); err != nil {
 		return nil, err
 	}
 	c.cfg.Log.Info(logReplaced, zap.Uint64("version", uint64(req.Version)), zap.String("through", string(from)),
