--- a/review/_rig-2/main.go
+++ b/review/_rig-2/main.go
@@ -40,9 +40,9 @@
 var cases = map[string]playedCase{
 	"6":  {playDeadly, nil},
 	"7":  {playLimit, modelsBefore},
-	"8":  {playStall, nil},
-	"9":  {playSlowEnd, nil},
-	"10": {playInvalid, nil},
+	"8":  {playCrash, nil},
+	"9":  {playStall, nil},
+	"10": {playSlowEnd, nil},
 }
 
 func main() {
