backend, gateway: a request that was written counts as sent, whatever its repeat meets

Cause: on a kept connection that ends without an answer, Pool.Do sends an idempotent request again on a new one. The crashed server refuses that connection, and the error of the refused dial, ErrNotSent, became that of the whole call. Six places read it: attempts, servers tried, retry budget, evidence of crashes, the promise that the request has not run, refunds of quotas. Ruled out: the detector lists the request after four crashes once it hears of them; the servers are back after 3 s, a check takes milliseconds.

A connection now notes when the first byte of a request is written, and Do returns ErrLost from then on. Options.BeforeRepeat tells gateways of each repeat: they note the server as tried and as one that may have run the request, charge the retry budget, and don't repeat under the grant of a rate limit or as a trial. The set of servers that may have run the request replaces a flag and a count of sends, so that a rejected repeat neither promises that the request has not run nor allows more servers than the route. A kept connection that takes no byte is replaced for requests of all kinds.

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -14,8 +14,10 @@
 	idleTimeout time.Duration
 	// readBefore ends all reads, also those of a server that sends single bytes without end; zero means no such bound.
 	readBefore time.Time
-	r          *bufio.Reader
-	w          *bufio.Writer
+	// written is set once a byte of the present request was written, so that the server may have received it.
+	written bool
+	r       *bufio.Reader
+	w       *bufio.Writer
 }
 
 // Read reads with the connection's timeout, which restarts with each read, but not past readBefore.
@@ -35,7 +37,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.written = c.written || n > 0
+	return n, err
 }
 
 // isReusable reports whether an idle connection is open and has nothing to read: a byte that arrived meanwhile belongs to no
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -55,9 +55,9 @@
 	ambiguous bool
 	// detachContext stops the context from closing the connection; it returns false if the context has ended.
 	detachContext func() bool
-	// written is closed once the request was written or writing it has failed; nil for a short request.
-	written  chan struct{}
-	writeErr error
+	// bodyWritten is closed once the request was written or writing it has failed; nil for a short request.
+	bodyWritten chan struct{}
+	writeErr    error
 }
 
 func writeRequest(c *conn, req *fasthttp.Request) error {
@@ -67,6 +67,16 @@
 	return c.w.Flush()
 }
 
+// begin reads the headers of the answer. If there are none, the exchange ends with ErrLost.
+func (x *Exchange) begin(match func(*fasthttp.ResponseHeader) Match) (*Exchange, error) {
+	if err := x.readHeaders(match); err != nil {
+		x.Abort()
+		return nil, ErrLost.Wrap(err, "backend server at %s sent invalid answer headers", x.address)
+	}
+	x.conn.readBefore = time.Time{}
+	return x, nil
+}
+
 // readHeaders reads the headers of the answer and skips answers to earlier requests.
 func (x *Exchange) readHeaders(match func(*fasthttp.ResponseHeader) Match) error {
 	for stray := 0; ; stray++ {
@@ -109,11 +119,11 @@
 
 // isWritten reports whether the whole request was written.
 func (x *Exchange) isWritten() bool {
-	if x.written == nil {
+	if x.bodyWritten == nil {
 		return true
 	}
 	select {
-	case <-x.written:
+	case <-x.bodyWritten:
 		return x.writeErr == nil
 	default:
 		return false
@@ -193,7 +203,7 @@
 // closeConnection closes the connection and waits until the request is no longer read, since its memory belongs to the caller again.
 func (x *Exchange) closeConnection() {
 	x.conn.Close()
-	if x.written != nil {
-		<-x.written
+	if x.bodyWritten != nil {
+		<-x.bodyWritten
 	}
 }
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -19,14 +19,15 @@
 var Errors = errorx.NewNamespace("backend")
 
 var (
-	// ErrNotSent means that the request did not reach the backend server.
+	// ErrNotSent means that no byte of the request was written to the backend server.
 	ErrNotSent = Errors.NewType("not-sent")
-	// ErrLost means that the request may have reached the backend server, but no complete answer was received.
+	// ErrLost means that the request may have reached the backend server, but no complete answer was received. A later attempt that sends
+	// nothing, for instance a refused connection, doesn't change that.
 	ErrLost = Errors.NewType("lost")
 	// ErrStray means that only answers were received that are not to the request; Do returns it as the cause of an ErrLost.
 	ErrStray = Errors.NewType("stray")
 	// ErrNotPermitted means that the permission to send the request ended before it was written; Do returns it as the cause of an
-	// ErrNotSent.
+	// ErrNotSent or, if the request was written before, an ErrLost.
 	ErrNotPermitted = Errors.NewType("not-permitted")
 )
 
@@ -63,8 +64,12 @@
 	// NewConnection forbids the reuse of a connection, which the server may have closed already. It is set for requests that may
 	// not be repeated, for those whose answers name no request, and for those that were sent to the server before.
 	NewConnection bool
-	// NoRetry is set if the request must not be sent again on another connection after a reused one turns out to be closed.
+	// NoRetry is set if the request must not be sent again once a byte of it was written, also if that was on a reused connection that
+	// turns out to be closed.
 	NoRetry bool
+	// BeforeRepeat is called before the request is sent again after a reused connection on which it was written has ended: the server may
+	// have received it. The request is not sent again if it returns false. Nil permits every repeat.
+	BeforeRepeat func() bool
 	// Match reports whether an answer belongs to this request; answers to others are skipped. Nil accepts every answer.
 	Match func(*fasthttp.ResponseHeader) Match
 	// Permitted is called when the connection is open, immediately before the request is written; the request is not sent if it
@@ -86,45 +91,57 @@
 	keepAliveMargin = time.Second
 )
 
-// Do sends a request and reads the headers of its answer. The end of the context closes the connection. Errors are ErrNotSent or
-// ErrLost.
+// Do sends a request and reads the headers of its answer. The end of the context closes the connection. The error is ErrNotSent as long as no
+// byte of the request was written on any connection, and ErrLost from then on, whatever happens later.
 func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, o Options) (*Exchange, error) {
-	c, reused, err := p.getConn(ctx, address, o)
-	if err != nil {
-		return nil, ErrNotSent.Wrap(err, "cannot connect to backend server at %s; check that it runs and is reachable", address)
-	}
-	if o.Permitted != nil && !o.Permitted() {
-		c.Close()
-		return nil, ErrNotSent.Wrap(ErrNotPermitted.New("the permission ended before the request was sent"), "request to backend server at %s dropped", address)
-	}
-	c.readBefore = time.Now().Add(o.IdleTimeout)
-	x, err := p.send(ctx, address, c, req)
-	if err != nil && reused && !o.NoRetry && ctx.Err() == nil {
-		// The server has closed the idle connection meanwhile, as HTTP allows at any time.
+	written := false
+	for {
+		c, reused, err := p.getConn(ctx, address, o)
+		if err != nil {
+			return nil, failure(written).Wrap(err, "cannot connect to backend server at %s; check that it runs and is reachable", address)
+		}
+		if o.Permitted != nil && !o.Permitted() {
+			c.Close()
+			return nil, failure(written).Wrap(ErrNotPermitted.New("the permission ended before the request was sent"), "request to backend server at %s dropped", address)
+		}
+		c.readBefore = time.Now().Add(o.IdleTimeout)
+		x, err := p.send(ctx, address, c, req)
+		if err == nil {
+			x.reused = reused
+			return x.begin(o.Match)
+		}
+		written = written || c.written
+		if !reused || ctx.Err() != nil || written && !o.mayRepeat() {
+			return nil, failure(written).Wrap(err, "connection to backend server at %s ended before the answer began", address)
+		}
+		// The server may have closed the idle connection meanwhile, as HTTP allows at any time.
 		o.NewConnection = true
-		return p.Do(ctx, address, req, o)
 	}
-	if err != nil {
-		return nil, ErrLost.Wrap(err, "connection to backend server at %s ended before the answer began", address)
-	}
-	x.reused = reused
-	if err := x.readHeaders(o.Match); err != nil {
-		x.Abort()
-		return nil, ErrLost.Wrap(err, "backend server at %s sent invalid answer headers", address)
+}
+
+// failure returns the type of an error of Do: ErrLost if a byte of the request was written, so that the server may have it, else ErrNotSent.
+func failure(written bool) *errorx.Type {
+	if written {
+		return ErrLost
 	}
-	c.readBefore = time.Time{}
-	return x, nil
+	return ErrNotSent
+}
+
+// mayRepeat reports whether the request, which the server may have received, may be sent to it once more.
+func (o *Options) mayRepeat() bool {
+	return !o.NoRetry && (o.BeforeRepeat == nil || o.BeforeRepeat())
 }
 
 // send writes a request and waits for the first byte of its answer.
 func (p *Pool) send(ctx context.Context, address string, c *conn, req *fasthttp.Request) (*Exchange, error) {
+	c.written = false
 	x := &Exchange{pool: p, address: address, conn: c}
 	x.detachContext = context.AfterFunc(ctx, func() { c.Close() })
 	var err error
 	if len(req.Body()) >= minConcurrentBody {
-		x.written = make(chan struct{})
+		x.bodyWritten = make(chan struct{})
 		go func() {
-			defer close(x.written)
+			defer close(x.bodyWritten)
 			x.writeErr = writeRequest(c, req)
 		}()
 	} else {
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -31,14 +31,14 @@
 	poisoned, _ := errors.AsType[*poisonError](err)
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
-	case errors.Is(context.Cause(x.ctx), errStopping) && !x.mayHaveRun:
+	case errors.Is(context.Cause(x.ctx), errStopping) && !x.mayHaveRun():
 		return x.refuseAsDraining()
 	case errors.Is(err, errOverMemory):
 		return x.refuse(fasthttp.StatusBadGateway, "answer-over-memory",
 			"the answer of the backend server took more memory than this host has for answers; the request may have run")
-	case x.mayHaveRun && late:
+	case x.mayHaveRun() && late:
 		return x.refuse(fasthttp.StatusGatewayTimeout, "deadline-exceeded", "no answer arrived before the deadline; the request may have run")
-	case x.mayHaveRun:
+	case x.mayHaveRun():
 		return x.refuse(fasthttp.StatusBadGateway, "backend-failed", "the backend server gave no complete answer; the request may have run: "+err.Error())
 	case poisoned != nil:
 		x.listed = &poisoned.listing.Content
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -62,17 +62,15 @@
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
 
-	// triedServers holds the servers to which the request was sent.
+	// triedServers holds the servers to which the request was sent; all sends but the first are charged to the retry budget.
 	triedServers map[fleet.BackendID]bool
+	// ranAt holds those of triedServers that may have run the request. No later failure or rejection removes one.
+	ranAt map[fleet.BackendID]bool
 	// sentTo holds the addresses to which the request was sent; two servers have one address if the later one took it over.
 	sentTo map[string]bool
 	// sentAt is the time at which the request was last about to be written to a server.
 	sentAt time.Time
-	// sends is the number of times that the request was written to a server; all but the first are charged to the retry budget.
-	sends int
-	// mayHaveRun is set once a server may have run the request.
-	mayHaveRun bool
-	stream     streamState
+	stream streamState
 	// server is the server to which the request was sent last.
 	server *registry.Instance
 	// software is the software version of the servers that can go on with the stream, once that is settled.
@@ -125,7 +123,7 @@
 func (p *proxy) handle(ctx context.Context, c *conn, in *fasthttp.Request) {
 	x := &exchange{
 		proxy: p, ctx: ctx, conn: c, callerRequest: in, info: p.cfg.Dialect.Request(&in.Header), began: time.Now(),
-		triedServers: map[fleet.BackendID]bool{}, sentTo: map[string]bool{},
+		triedServers: map[fleet.BackendID]bool{}, ranAt: map[fleet.BackendID]bool{}, sentTo: map[string]bool{},
 	}
 	status, cause := x.serve()
 	if x.failedAnswer != nil {
@@ -217,11 +215,11 @@
 			x.proxy.view.endRequest(&c, balance.Withdrawn)
 			return x.fail(err)
 		}
-		if d := x.proxy.drain.Load(); d != nil && !x.mayHaveRun && time.Now().After(d.sendUntil) {
+		if d := x.proxy.drain.Load(); d != nil && !x.mayHaveRun() && time.Now().After(d.sendUntil) {
 			x.proxy.view.endRequest(&c, balance.Withdrawn)
 			return x.refuseAsDraining()
 		}
-		if x.sends > 0 && !x.switchPaid.Swap(false) && !x.proxy.view.spendRetry(x.service) {
+		if len(x.triedServers) > 0 && !x.switchPaid.Swap(false) && !x.proxy.view.spendRetry(x.service) {
 			x.proxy.view.endRequest(&c, balance.Withdrawn)
 			return x.fail(errBudget)
 		}
@@ -277,7 +275,8 @@
 func (x *exchange) mayRetry(err error) bool {
 	switch {
 	case errors.Is(err, errNotRun):
-		return len(x.attempts) < maxNotRun+x.route.MaxAttempts && !x.stream.headersSent
+		// A server that rejects a repeat may have run the request before.
+		return len(x.attempts) < maxNotRun+x.route.MaxAttempts && len(x.ranAt) < x.route.MaxAttempts && !x.stream.headersSent
 	case backend.IsNotSent(err):
 		return true
 	case !x.route.Idempotent(), x.stream.unidentified, x.isTrial:
--- a/io/gateway/quota.go
+++ b/io/gateway/quota.go
@@ -262,7 +262,7 @@
 
 // refundQuota gives back what the request was charged if it certainly did not run.
 func (x *exchange) refundQuota() {
-	if x.charged.Units() > 0 && !x.mayHaveRun {
+	if x.charged.Units() > 0 && !x.mayHaveRun() {
 		x.proxy.view.quotas.refund(x.account, x.charged)
 	}
 }
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -13,6 +13,7 @@
 	"toucanway/core/balance"
 	"toucanway/core/buffers"
 	"toucanway/core/fleet"
+	"toucanway/core/registry"
 	"toucanway/core/routes"
 	"toucanway/io/backend"
 )
@@ -36,8 +37,10 @@
 	permitted := true
 	upstream, err := x.proxy.cfg.Pool.Do(ctx, in.Address, req, backend.Options{
 		IdleTimeout: left + time.Second, NoRetry: !x.route.Idempotent(), DialTimeout: connectTimeout,
-		// A connection that has carried this request may hold a second copy of the refusal, which bears the request's id.
-		NewConnection: x.sentTo[in.Address],
+		// A connection that has carried this request may hold a second copy of the refusal, which bears the request's id. A trial is sent
+		// once, so that a connection that the server has closed meanwhile would waste it.
+		NewConnection: x.sentTo[in.Address] || x.isTrial,
+		BeforeRepeat:  func() bool { return x.beforeRepeat(c) },
 		Match: func(h *fasthttp.ResponseHeader) backend.Match {
 			a := x.proxy.cfg.Dialect.Answer(h)
 			x.observe(in, a)
@@ -48,16 +51,15 @@
 			return permitted
 		},
 	})
-	if !permitted {
+	switch {
+	case backend.IsNotSent(err) && !permitted:
 		return 0, balance.Withdrawn, err
-	}
-	if backend.IsNotSent(err) {
+	case backend.IsNotSent(err):
 		return 0, x.failureOutcome(balance.Unconnected), err
 	}
-	x.sends++
-	x.triedServers[in.ID], x.sentTo[in.Address] = true, true
+	x.markSent(in)
 	if err != nil {
-		x.mayHaveRun = true
+		x.markMayHaveRun(in)
 		return 0, x.failureOutcome(balance.Lost), err
 	}
 	defer upstream.Close()
@@ -78,6 +80,25 @@
 	return status, out, err
 }
 
+// beforeRepeat records that the server may have received the request on a connection that has ended without an answer, and reports whether it
+// may be sent there once more. A repeat counts against the retry budget. The grant of a server with a rate limit and a trial cover one send.
+func (x *exchange) beforeRepeat(c *selection) bool {
+	x.markSent(c.instance)
+	x.markMayHaveRun(c.instance)
+	return !c.isGranted && !x.isTrial && x.proxy.view.spendRetry(x.service)
+}
+
+// markSent records that the server may have received the request.
+func (x *exchange) markSent(in *registry.Instance) {
+	x.triedServers[in.ID], x.sentTo[in.Address] = true, true
+}
+
+// markMayHaveRun records that the server may have run the request.
+func (x *exchange) markMayHaveRun(in *registry.Instance) { x.ranAt[in.ID] = true }
+
+// mayHaveRun reports whether a server may have run the request.
+func (x *exchange) mayHaveRun() bool { return len(x.ranAt) > 0 }
+
 // keepFailed keeps a failed answer in place of an earlier one.
 func (x *exchange) keepFailed(a *answer) {
 	if x.failedAnswer != nil {
@@ -152,7 +173,7 @@
 		}
 		return status, balance.Refused, errNotRun
 	}
-	x.mayHaveRun = true
+	x.markMayHaveRun(x.server)
 	switch {
 	case promisesNotRun(status):
 		return status, balance.Failed, errNoStatement
--- a/io/gateway/wait.go
+++ b/io/gateway/wait.go
@@ -25,11 +25,11 @@
 	}()
 	for {
 		excluded := x.triedServers
-		if !x.mayHaveRun {
+		if !x.mayHaveRun() {
 			excluded = nil
 		}
 		k := x.constraint(excluded)
-		if !x.mayHaveRun {
+		if !x.mayHaveRun() {
 			k.waiter = &x.waiter
 		}
 		c := x.proxy.view.pick(x.ctx, x.service, &x.req, k)
@@ -44,7 +44,7 @@
 			x.limitedUntil = c.limitedUntil
 			return c, errLimited
 		}
-		if x.mayHaveRun {
+		if x.mayHaveRun() {
 			return c, errNoServer
 		}
 		if x.waitIsFutile(c) {
