crashes: the grant of a trial ends when the trial is put off

Cause: while a grant is unused the leader grants the trial to further gateways, and a gateway kept its grant whatever became of the others. Ruled out: the leader's own time of the next trial was right (the failed trial doubled it).

A grant now ends with the news that the trial was put off.

--- a/core/crashes/crashes_test.go
+++ b/core/crashes/crashes_test.go
@@ -348,6 +348,36 @@
 	}
 }
 
+// Guards against hosts that use the grant of a trial after the trial of another host has crashed a server: each of them would crash one more.
+// Requests come so rarely that several hosts are granted a trial before one of them gets the next request.
+func TestGrantEndsWithFailedTrial(t *testing.T) {
+	d := newDeployment(t, 4)
+	d.listDeadly()
+	contents := []Content{first, deadly, request(100)}
+	admitted := func() (n int) {
+		for _, h := range d.hosts {
+			if l, ok := h.Listed(d.now, contents); ok && h.Admit(d.now, l, contents) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, admitted())
+	d.now = d.now.Add(minListTime)
+	for _, h := range d.hosts {
+		d.reportOf(h)
+		d.now = d.now.Add(trialTime)
+	}
+	l, ok := d.hosts[0].Listed(d.now, contents)
+	require.True(t, ok)
+	require.True(t, d.hosts[0].Admit(d.now, l, contents), "no host was granted a trial")
+	d.crash(contents, 0)
+	d.pass(time.Second)
+	require.Zero(t, admitted(), "trials after the one that crashed a server")
+	d.pass(minListTime)
+	require.Zero(t, admitted(), "grants of before that come into force again once the next trial is due")
+}
+
 // crashAlso adds contents of another host to the last crash.
 func (d *deployment) crashAlso(contents []Content, host int) {
 	d.hosts[host].RecordCrash(d.now, "s", d.servers, contents)
--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -287,7 +287,8 @@
 	for _, l := range s.Listed {
 		o := &observed{content: l.Content, others: l.Others, until: now.Add(l.Left)}
 		o.carryOver(e.listed[l.Content.ID])
-		o.trial = o.trial || slices.Contains(s.Trials, l.Content.ID)
+		// A grant ends once the trial is put off: the trial of another host has crashed a server, or answers have confirmed the listing.
+		o.trial = o.trial && l.Left <= 0 || slices.Contains(s.Trials, l.Content.ID)
 		if before := e.listed[l.Content.ID]; before == nil {
 			// Answers so far are known to the leader, or are older than the crashes.
 			o.since = now
