gateway: a request waits for the leader's decision on its quota for one call at least

With an objective shorter than a round trip to the leader, or a negative one, every request of a client account with a quota was refused with 503, quota-unknown, unless the host held credit.

Cause: the wait for the decision ended when the request could no longer be on time, which was before the answer to the first call, or in the past. Ruled out: the leader answered the call in time.

The wait now lasts for the timeout of one call (300 ms) at least, within the request's deadline, since a late answer is better than none. A negative objective counts as none.

--- a/io/gateway/quota.go
+++ b/io/gateway/quota.go
@@ -222,6 +222,19 @@
 	return c
 }
 
+// latestQuotaDecision returns the time until which a request waits for the leader to decide on its quota: until it can't be on time any more,
+// but for one call at least. With an objective shorter than a round trip to the leader no request would be admitted.
+func (x *exchange) latestQuotaDecision() time.Time {
+	at := x.latestStart()
+	if call := x.began.Add(quotaTimeout); at.Before(call) {
+		at = call
+	}
+	if x.deadline.Before(at) {
+		return x.deadline
+	}
+	return at
+}
+
 // chargeQuota charges the request to the quota of its account, if it has one. It reports whether the request may run, and otherwise returns
 // the status and the cause of its refusal.
 func (x *exchange) chargeQuota() (int, string, bool) {
@@ -230,7 +243,7 @@
 	}
 	began := time.Now()
 	units := quota.Cost(&x.account.Quota, x.info.Prompt, x.info.Output)
-	c := x.proxy.view.quotas.admit(x.ctx, x.account, units, x.latestStart())
+	c := x.proxy.view.quotas.admit(x.ctx, x.account, units, x.latestQuotaDecision())
 	x.charged = c.ticket
 	if waited := time.Since(began); waited > time.Millisecond {
 		x.waitTime += waited
--- a/io/gateway/ratelimit.go
+++ b/io/gateway/ratelimit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -111,7 +110,7 @@
 
 // latestStart returns the time until which a server with a rate limit may make the request wait, so that its answer can still be on time.
 func (x *exchange) latestStart() time.Time {
-	at := x.began.Add(cmp.Or(x.route.Objective, x.route.Timeout/2))
+	at := x.began.Add(orDefault(x.route.Objective, x.route.Timeout/2))
 	if x.deadline.Before(at) {
 		return x.deadline
 	}
--- a/io/gateway/settings.go
+++ b/io/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -119,3 +120,12 @@
 	// answerChunk is the size of the pieces in which such an answer is kept, so that it is not copied as it grows.
 	answerChunk = 32 << 10
 )
+
+// orDefault returns a value of a configuration, or the default for one that is 0 or less.
+func orDefault[T cmp.Ordered](value, otherwise T) T {
+	var zero T
+	if value > zero {
+		return value
+	}
+	return otherwise
+}
