gateway, platform: numbers of a configuration are bounds and reserve nothing

Cause: each connection got a buffer of the size of the limit.

Headers and trailers are read in a buffer of 4 KiB that doubles up to the limit, in the budget for the memory of requests, and bodies in memory that grows with the bytes. Weights are divided by the largest.

--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -80,13 +80,17 @@
 
 // PickService returns a service by weight, given a number drawn uniformly from [0, 1).
 func (r *Route) PickService(draw float64) fleet.ServiceID {
-	total := 0.0
+	// The weights are divided by the largest one, since the sum of large weights may be infinite.
+	largest, total := 0.0, 0.0
 	for _, s := range r.Services {
-		total += s.Weight
+		largest = max(largest, s.Weight)
+	}
+	for _, s := range r.Services {
+		total += s.Weight / largest
 	}
 	remaining := draw * total
 	for _, s := range r.Services {
-		if remaining -= s.Weight; remaining < 0 {
+		if remaining -= s.Weight / largest; remaining < 0 {
 			return s.Service
 		}
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -50,10 +49,10 @@
 	if t, confirmed := g.view.confirmedTable(); t != nil {
 		l = requestLimits{t.Configuration.Limits, confirmed}
 	}
-	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
-	l.BodyBytes = cmp.Or(l.BodyBytes, defaultBodyBytes)
-	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTime)
-	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTime)
+	l.HeaderBytes = orDefault(l.HeaderBytes, defaultHeaderBytes)
+	l.BodyBytes = orDefault(l.BodyBytes, defaultBodyBytes)
+	l.HeaderTimeout = orDefault(l.HeaderTimeout, defaultHeaderTime)
+	l.IdleTimeout = orDefault(l.IdleTimeout, defaultIdleTime)
 	return l
 }
 
--- a/io/gateway/read.go
+++ b/io/gateway/read.go
@@ -2,35 +2,45 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"toucanway/core/buffers"
+	"toucanway/core/fleet"
 	"toucanway/core/routes"
 )
 
-// setHeaderLimit makes the reader's size that of the largest header allowed, and keeps the bytes that were read ahead.
-func (c *conn) setHeaderLimit(limit int) {
-	size := max(limit, minHeaderBytes)
+// setBuffer gives the connection a reader with a buffer of a size, and keeps the bytes that were read ahead.
+func (c *conn) setBuffer(size int) {
 	if c.r != nil {
-		if c.r.Size() == size {
-			return
-		}
-		c.source = io.MultiReader(bytes.NewReader(c.readAhead()), c.source)
+		// All these bytes are in the buffer, so that there is no error.
+		ahead, _ := c.r.Peek(c.r.Buffered())
+		c.unread = slices.Concat(ahead, c.unread)
 	}
-	c.r = bufio.NewReaderSize(c.source, size)
+	c.r = bufio.NewReaderSize(c, size)
 }
 
-// readAhead returns a copy of the bytes that were read from the connection but not used yet.
-func (c *conn) readAhead() []byte {
-	// All these bytes are in the buffer, so that there is no error.
-	b, _ := c.r.Peek(c.r.Buffered())
-	return bytes.Clone(b)
+// parseGrowing calls parse, which reads headers or trailers from the buffer. While they don't fit, the buffer is doubled up to a limit, so that
+// the limit bounds what callers may send but takes no memory by itself. The memory is taken from an account.
+func (c *conn) parseGrowing(limit int, memory *buffers.Account, parse func(*bufio.Reader) error) error {
+	for {
+		err := parse(c.r)
+		size := c.r.Size()
+		if _, small := errors.AsType[*fasthttp.ErrSmallBuffer](err); !small || size >= limit {
+			return err
+		}
+		larger := min(2*size, limit)
+		if !memory.Add(fleet.Bytes(larger - size)) {
+			return errNoMemory
+		}
+		c.setBuffer(larger)
+	}
 }
 
 // Errors of invalid requests.
@@ -45,8 +55,14 @@
 	if err := c.SetReadDeadline(time.Now().Add(lim.HeaderTimeout)); err != nil {
 		return err
 	}
+	headerBytes := max(lim.HeaderBytes, minHeaderBytes)
+	defer func() {
+		if c.r.Size() > minHeaderBytes {
+			c.setBuffer(minHeaderBytes)
+		}
+	}()
 	req.Header.SetNoDefaultContentType(true)
-	if err := req.Header.Read(c.r); err != nil {
+	if err := c.parseGrowing(headerBytes, memory, req.Header.Read); err != nil {
 		return err
 	}
 	if ambiguousFraming(&req.Header) {
@@ -69,9 +85,68 @@
 	if err := c.SetReadDeadline(time.Now().Add(lim.IdleTimeout)); err != nil {
 		return err
 	}
+	if memory.IsRevoked() {
+		// The deadline that interrupts the read was replaced.
+		return errNoMemory
+	}
 	c.memory = memory
 	defer func() { c.memory = nil }()
-	return req.ContinueReadBody(c.r, lim.BodyBytes, false)
+	body, err := c.readBody(req, lim.BodyBytes)
+	if _, small := errors.AsType[*fasthttp.ErrSmallBuffer](err); small {
+		// The trailers behind the last chunk are not read yet.
+		err = c.parseGrowing(headerBytes, memory, req.Header.ReadTrailer)
+	}
+	if err != nil {
+		return err
+	}
+	req.SetBodyRaw(body)
+	if len(body) == 0 {
+		req.Header.SetContentLength(0)
+	}
+	return nil
+}
+
+// bodyBlock is the size up to which the memory for a body is reserved before its bytes arrive.
+const bodyBlock = 16 << 10
+
+// readBody reads the body of a request, of limit bytes at most. The memory for it grows with the bytes that arrive, whatever length the caller
+// names.
+func (c *conn) readBody(req *fasthttp.Request, limit int) ([]byte, error) {
+	length := req.Header.ContentLength()
+	switch {
+	case length > limit:
+		return nil, fasthttp.ErrBodyTooLarge
+	case length >= 0:
+		return readUpTo(c.r, length, length)
+	}
+	if err := req.ContinueReadBodyStream(c.r, 0, false); err != nil {
+		return nil, err
+	}
+	return readUpTo(req.BodyStream(), math.MaxInt, limit)
+}
+
+// readUpTo reads up to size bytes, or to the end of a reader if size is math.MaxInt. More than limit bytes are ErrBodyTooLarge. An error comes with
+// the bytes before it.
+func readUpTo(r io.Reader, size, limit int) ([]byte, error) {
+	body := make([]byte, 0, min(size, bodyBlock))
+	for len(body) < size {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(2*cap(body), size)), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, fasthttp.ErrBodyTooLarge
+		case len(body) == size, errors.Is(err, io.EOF) && size == math.MaxInt:
+			return body, nil
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return body, err
+		}
+	}
+	return body, nil
 }
 
 // ambiguousFraming reports whether a request has both a content length and chunked encoding, so that its end is ambiguous.
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -25,7 +24,8 @@
 	defaultBodyBytes   = 4 << 20
 	defaultHeaderTime  = 3 * time.Second
 	defaultIdleTime    = 15 * time.Second
-	// minHeaderBytes is the smallest limit of headers, whatever the configuration says.
+	// minHeaderBytes is the smallest limit of headers, whatever the configuration says, and the size of a connection's buffer while it reads
+	// no larger ones.
 	minHeaderBytes = 4 << 10
 	// maxConnections bounds the number of callers' connections.
 	maxConnections = 2500
@@ -60,10 +60,10 @@
 // conn is a caller's connection.
 type conn struct {
 	net.Conn
-	// r reads from source; its size is the limit of headers.
+	// r reads from the connection; its buffer grows while it reads large headers.
 	r *bufio.Reader
-	// source is the connection, after bytes that an earlier reader has read ahead.
-	source io.Reader
+	// unread holds bytes that an earlier reader has read ahead.
+	unread []byte
 	w      *bufio.Writer
 	// memory is the account of the body that is read, or nil.
 	memory *buffers.Account
@@ -79,7 +79,14 @@
 
 // Read reads from the connection and records an error.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	var n int
+	var err error
+	if len(c.unread) > 0 {
+		n = copy(p, c.unread)
+		c.unread = c.unread[n:]
+	} else {
+		n, err = c.Conn.Read(p)
+	}
 	if c.memory != nil && !c.memory.Add(fleet.Bytes(n)) {
 		// Readers ignore an error that comes with bytes, and would wait for more.
 		n, err = 0, errNoMemory
@@ -121,7 +128,7 @@
 			continue
 		}
 		c := &conn{Conn: nc, w: bufio.NewWriterSize(nc, 4<<10), draining: s.isDraining}
-		c.source = c
+		c.setBuffer(minHeaderBytes)
 		if !s.add(c) {
 			nc.Close()
 			continue
@@ -228,7 +235,6 @@
 // run serves the requests of one connection.
 func (s *server) run(stop context.Context, c *conn) {
 	lim := s.limits()
-	c.setHeaderLimit(lim.HeaderBytes)
 	if s.awaitRequest(c, lim.HeaderTimeout) != nil {
 		return
 	}
@@ -237,7 +243,6 @@
 			return
 		}
 		lim = s.limits()
-		c.setHeaderLimit(lim.HeaderBytes)
 		if !s.readAndServe(stop, c, lim) {
 			return
 		}
