residency: what an engine holds counts by what was last declared

Cause: the weights of a model that the configuration in force doesn't declare counted as 0, with each report and at each new leader. Ruled out: Planner.Configure itself kept them.

The planner keeps the sizes as they were last declared, over the leaderships of its host. A model of which it knows no declaration takes whatever the others leave, and is unloaded before anything is loaded, adapters included. Undeclared models are evicted first.

--- a/core/residency/adapters.go
+++ b/core/residency/adapters.go
@@ -45,8 +45,12 @@
 			continue
 		}
 		score := e.inFlight()
+		if h.size == nil {
+			continue
+		}
 		if !e.adapterFits(h) {
-			if _, ok := e.leastRecentlyUsedAdapter(now); !ok {
+			_, mayUnloadModel := e.modelOfUnknownSize()
+			if _, ok := e.leastRecentlyUsedAdapter(now); !ok && !mayUnloadModel {
 				continue
 			}
 			score += adapterEvictionPenalty
@@ -58,12 +62,17 @@
 	return best
 }
 
-// adapterEvictionPenalty is added to the number of requests in flight of an engine that would have to unload an adapter first.
+// adapterEvictionPenalty is added to the number of requests in flight of an engine that would have to unload something first.
 const adapterEvictionPenalty = 8
 
-// orderAdapter returns the order to load an adapter, or to unload another one first if there is no room.
+// orderAdapter returns the order to load an adapter, or to unload a model of unknown size or another adapter first if there is no room.
 func (p *Planner) orderAdapter(now time.Time, e *engine, t fleet.Target) Action {
 	h := e.models[t.Model]
+	if v, ok := e.modelOfUnknownSize(); ok {
+		// No adapter fits beside it.
+		e.models[v].phase = unloading
+		return p.newOrder(e, fleet.OrderUnload, fleet.Target{Model: v}, "its size is not known, and adapter "+string(t.Adapter)+" needs room", false)
+	}
 	if !e.adapterFits(h) {
 		victim, _ := e.leastRecentlyUsedAdapter(now)
 		return p.newOrder(e, fleet.OrderUnloadAdapter, victim, "room for adapter "+string(t.Adapter), false)
@@ -74,7 +83,7 @@
 
 // adapterFits reports whether another adapter of a model fits.
 func (e *engine) adapterFits(h *modelState) bool {
-	return e.adapterCount() < e.spec.AdapterSlots && e.usedMemory()+h.adapterSize <= e.spec.Weights
+	return e.adapterCount() < e.spec.AdapterSlots && h.size != nil && e.usedMemory()+h.size.adapter <= e.spec.Weights
 }
 
 // leastRecentlyUsedAdapter returns the least recently used adapter that no request uses, and whether there is one. Unloading an
--- a/core/residency/cost.go
+++ b/core/residency/cost.go
@@ -38,7 +38,28 @@
 // selectVictims returns the models to evict so that a model fits, the total cost of their eviction, and false if evictions can't
 // make enough room.
 func (p *Planner) selectVictims(now time.Time, e *engine, m *routes.Model, demands map[demandKey]modelDemand) ([]fleet.ModelID, float64, bool) {
-	need := e.usedMemory() + m.Weights + e.adapterReserve(m) - e.spec.Weights
+	var unknown []fleet.ModelID
+	unknownCost := 0.0
+	for name, h := range e.models {
+		switch {
+		case h.size != nil:
+		case h.phase != loaded:
+			return nil, 0, false
+		default:
+			// It may take all the room that other evictions make.
+			unknown = append(unknown, name)
+			unknownCost += p.evictionCost(now, e, name, h, demands)
+		}
+	}
+	slices.Sort(unknown)
+	known, _ := e.knownMemory()
+	victims, cost, ok := p.selectOfKnownSize(now, e, known+m.Weights+e.adapterReserve(m)-e.spec.Weights, demands)
+	return append(unknown, victims...), unknownCost + cost, ok
+}
+
+// selectOfKnownSize returns models of known size to evict for an amount of memory, the total cost of their eviction, and false if they don't
+// free that much.
+func (p *Planner) selectOfKnownSize(now time.Time, e *engine, need fleet.Bytes, demands map[demandKey]modelDemand) ([]fleet.ModelID, float64, bool) {
 	if need <= 0 {
 		return nil, 0, true
 	}
@@ -49,10 +70,9 @@
 	}
 	var candidates []candidate
 	for name, h := range e.models {
-		if h.phase != loaded {
-			continue
+		if size, ok := h.memory(); ok && h.phase == loaded {
+			candidates = append(candidates, candidate{name, size, p.evictionCost(now, e, name, h, demands)})
 		}
-		candidates = append(candidates, candidate{name, h.weights + fleet.Bytes(len(h.adapters))*h.adapterSize, p.evictionCost(now, e, name, h, demands)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.model, b.model))
@@ -88,6 +108,10 @@
 	if running := e.inFlightByModel[name]; running > 0 {
 		cost = drainCost + inFlightCost*float64(running)
 	}
+	if p.table.Model(e.Service, name) == nil {
+		// No configuration in force has requests for it.
+		return cost
+	}
 	if n <= 1 {
 		cost += lastReplicaCost + lastReplicaRateCost*demands[k].rate
 	} else {
--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -23,10 +23,9 @@
 type modelState struct {
 	phase   phase
 	version int
-	// weights is the memory that the model needs, adapterSize the memory that each of its adapters needs.
-	weights     fleet.Bytes
-	adapterSize fleet.Bytes
-	adapters    map[fleet.AdapterID]*adapter
+	// size is nil if it is not known.
+	size     *modelSize
+	adapters map[fleet.AdapterID]*adapter
 	// loadedAt is the time at which the load began or was completed, or at which the loaded model was first reported.
 	loadedAt time.Time
 }
@@ -83,15 +82,6 @@
 	return e.State == registry.Ready && !e.Silent && !e.suspect && !e.lastCallFailed
 }
 
-// usedMemory returns the memory in use by models and adapters, including those that are being loaded or unloaded.
-func (e *engine) usedMemory() fleet.Bytes {
-	var sum fleet.Bytes
-	for _, h := range e.models {
-		sum += h.weights + fleet.Bytes(len(h.adapters))*h.adapterSize
-	}
-	return sum
-}
-
 func (e *engine) adapterCount() int {
 	n := 0
 	for _, h := range e.models {
@@ -154,17 +144,17 @@
 }
 
 // replaceModels replaces the loaded models by those that the engine reports. Times of use and a pending unload are kept.
-func (e *engine) replaceModels(now time.Time, spec modelSpecs, models []registry.Model) {
+func (p *Planner) replaceModels(now time.Time, e *engine, models []registry.Model) {
 	previous := e.models
 	e.models = make(map[fleet.ModelID]*modelState, len(models))
 	for _, m := range models {
-		h := spec.newModelState(now, m.Name)
+		h := p.newModelState(now, e, m.Name)
 		h.version = m.Version
 		for _, a := range m.Adapters {
 			h.adapters[a] = &adapter{lastUsed: now}
 		}
 		if w := previous[m.Name]; w != nil {
-			h.loadedAt = w.loadedAt
+			h.loadedAt, h.size = w.loadedAt, w.size
 			for a, x := range w.adapters {
 				if y := h.adapters[a]; y != nil {
 					y.lastUsed = x.lastUsed
@@ -178,13 +168,9 @@
 	}
 }
 
-// modelSpecs returns the configuration of a model, or nil if it has none.
-type modelSpecs func(fleet.ModelID) *routes.Model
-
-func (f modelSpecs) newModelState(now time.Time, name fleet.ModelID) *modelState {
+// newModelState returns the state of a model that an engine has loaded or is to load.
+func (p *Planner) newModelState(now time.Time, e *engine, name fleet.ModelID) *modelState {
 	h := &modelState{adapters: map[fleet.AdapterID]*adapter{}, loadedAt: now}
-	if m := f(name); m != nil {
-		h.weights, h.adapterSize = m.Weights, m.AdapterSize
-	}
+	p.setSize(e, name, h)
 	return h
 }
--- a/core/residency/goal.go
+++ b/core/residency/goal.go
@@ -136,7 +136,7 @@
 		}
 		p.recordStoreLoad(now, e)
 	}
-	h := p.modelSpecs(e.Service).newModelState(now, e.goal)
+	h := p.newModelState(now, e, e.goal)
 	h.phase = loading
 	e.models[e.goal] = h
 	o := p.newOrder(e, fleet.OrderLoad, fleet.Target{Model: e.goal}, e.goalReason, store)
--- a/core/residency/outcome.go
+++ b/core/residency/outcome.go
@@ -57,7 +57,7 @@
 		e.pending = nil
 	}
 	e.accepted, e.stateKnown = r.Accepted, !r.Busy
-	e.replaceModels(now, p.modelSpecs(e.Service), r.Models)
+	p.replaceModels(now, e, r.Models)
 	for _, t := range r.Pending {
 		if h := e.models[t.Model]; h != nil {
 			h.adapters[t.Adapter] = &adapter{readyAt: now.Add(AdapterLoadTime), lastUsed: now}
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -40,6 +40,7 @@
 type Planner struct {
 	cfg     Settings
 	table   *routes.Table
+	sizes   modelSizes
 	engines map[fleet.BackendID]*engine
 	// ids caches the sorted ids of all engines; nil after an engine was added or removed.
 	ids     []fleet.BackendID
@@ -70,7 +71,7 @@
 	cfg.RequestsPerReplica = cmp.Or(cfg.RequestsPerReplica, DefaultRequestsPerReplica)
 	cfg.PromptRatePerReplica = cmp.Or(cfg.PromptRatePerReplica, DefaultPromptRatePerReplica)
 	return &Planner{
-		cfg: cfg, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{},
+		cfg: cfg, sizes: modelSizes{}, engines: map[fleet.BackendID]*engine{}, demands: map[demandKey]*demand{},
 		waitingAt:     map[fleet.HostID][]demandKey{},
 		smoothedLoads: map[demandKey]smoothedLoad{}, store: storeSpeed{limit: cfg.ConcurrentStoreLoads},
 	}
@@ -79,12 +80,11 @@
 // Configure applies a configuration.
 func (p *Planner) Configure(t *routes.Table) {
 	p.table = t
+	p.sizes.declare(t.Configuration, p.holds)
 	for _, e := range p.engines {
 		e.spec = p.engineSpec(e.Service)
 		for name, h := range e.models {
-			if m := t.Model(e.Service, name); m != nil {
-				h.weights, h.adapterSize = m.Weights, m.AdapterSize
-			}
+			p.setSize(e, name, h)
 		}
 	}
 }
@@ -99,15 +99,6 @@
 	return nil
 }
 
-func (p *Planner) modelSpecs(s fleet.ServiceID) modelSpecs {
-	return func(m fleet.ModelID) *routes.Model {
-		if p.table == nil {
-			return nil
-		}
-		return p.table.Model(s, m)
-	}
-}
-
 // Observe updates the planner from an instance's record in the registry and the instance's last heartbeat.
 func (p *Planner) Observe(now time.Time, in registry.Instance, beat registry.Heartbeat) {
 	e := p.engines[in.ID]
@@ -121,7 +112,7 @@
 			return
 		}
 		e = &engine{Instance: in, spec: p.engineSpec(in.Service), models: map[fleet.ModelID]*modelState{}}
-		e.replaceModels(now, p.modelSpecs(in.Service), beat.Instance.Models)
+		p.replaceModels(now, e, beat.Instance.Models)
 		p.engines[in.ID] = e
 		p.ids = nil
 	}
@@ -131,7 +122,7 @@
 		p.completePending(now, e, beat.Instance.Models)
 		if !e.stateKnown && e.pending == nil && !e.callInFlight {
 			// Only the engine's own report shows the effect of orders that another host has sent.
-			e.replaceModels(now, p.modelSpecs(e.Service), beat.Instance.Models)
+			p.replaceModels(now, e, beat.Instance.Models)
 		}
 		e.checkReportedModels(beat.Instance.Models)
 	}
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -23,6 +23,8 @@
 	now        time.Time
 	engineSpec routes.Engine
 	planner    *Planner
+	// sizes holds the models that any configuration has declared.
+	sizes      map[fleet.ModelID]routes.Model
 	engines    map[fleet.BackendID]*fakeEngine
 	ids        []fleet.BackendID
 	delayed    []delayedOrder
@@ -51,7 +53,10 @@
 	d := &deployment{
 		t: t, rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), engines: map[fleet.BackendID]*fakeEngine{},
 		engineSpec: routes.Engine{Weights: 100 * gigabyte, AdapterSlots: 3, StoreRate: 4, Models: models},
-		planner:    New(Settings{}),
+		planner:    New(Settings{}), sizes: map[fleet.ModelID]routes.Model{},
+	}
+	for _, m := range models {
+		d.sizes[m.Name] = m
 	}
 	d.planner.Configure(routes.NewTable(&routes.Configuration{Services: []routes.Service{{Name: "llm", Engine: &d.engineSpec}}}))
 	for i := range engines {
@@ -106,7 +111,7 @@
 func (d *deployment) usedMemory(f *fakeEngine) fleet.Bytes {
 	var sum fleet.Bytes
 	for name, adapters := range f.models {
-		m := d.planner.table.Model("llm", name)
+		m := d.sizes[name]
 		sum += m.Weights + fleet.Bytes(len(adapters))*m.AdapterSize
 	}
 	return sum
@@ -164,6 +169,18 @@
 	return Accepted
 }
 
+// lead makes another planner that of the leader; its host has heard of the newest configuration only.
+func (d *deployment) lead(p *Planner) {
+	spec := d.engineSpec
+	d.planner = p
+	p.Configure(routes.NewTable(&routes.Configuration{Services: []routes.Service{{Name: "llm", Engine: &spec}}}))
+	for _, id := range d.ids {
+		h := d.engines[id].heartbeat(d.now)
+		p.Observe(d.now, h.Instance, h)
+	}
+	p.MarkAllInDoubt()
+}
+
 // step advances the clock and carries out the planner's actions.
 func (d *deployment) step(dt time.Duration) {
 	d.now = d.now.Add(dt)
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -231,7 +231,7 @@
 	clear(c.departuresSince)
 	c.limits, c.limitsAt = ratelimit.Buckets{}, registry.Incarnations[time.Time]{}
 	c.mirrorRevision++
-	c.planner = residency.New(c.cfg.Planner)
+	c.planner = c.planner.Successor()
 	c.detector = crashes.NewDetector(uint64(term))
 	c.configure(state)
 	c.registry.RestartSilenceTimeouts(now)
