gateway: each write to a caller has a deadline of its own

Cause: what ends a stream, and the interim answer, were written under the deadline of an earlier write. Ruled out: the server had written the end.

The connection sets the deadline in each write, in place of three callers. Tests of the gateway get connections whose writes fail behind their deadline, as on TCP.

--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -59,17 +59,12 @@
 	if c.closing() {
 		h.SetConnectionClose()
 	}
-	err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err == nil {
-		err = h.Write(c.w)
-	}
+	err := h.Write(c.w)
 	for _, piece := range body {
 		for len(piece) > 0 && err == nil {
+			// Each block is a write with a deadline of its own, so that a caller that reads slowly still gets an answer that is ready.
 			n := min(len(piece), writeBlock)
-			// A caller that reads slowly still gets an answer that is ready.
-			if err = c.SetWriteDeadline(time.Now().Add(writeTimeout)); err == nil {
-				_, err = c.w.Write(piece[:n])
-			}
+			_, err = c.w.Write(piece[:n])
 			piece = piece[n:]
 		}
 	}
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -159,7 +159,7 @@
 	})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- f.gateway.server.serve(f.callers, ctx) }()
+	go func() { done <- f.gateway.server.serve(networktest.DeadlineListener{Listener: f.callers}, ctx) }()
 	f.shutDown = func() { cancel(errStopping) }
 	f.stop = sync.OnceFunc(func() {
 		cancel(nil)
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -27,6 +27,8 @@
 	// minHeaderBytes is the smallest limit of headers, whatever the configuration says, and the size of a connection's buffer while it reads
 	// no larger ones.
 	minHeaderBytes = 4 << 10
+	// writeBuffer is the size of the buffer for answers of a connection.
+	writeBuffer = 4 << 10
 	// maxConnections bounds the number of callers' connections.
 	maxConnections = 2500
 )
@@ -77,6 +79,22 @@
 	draining func() bool
 }
 
+// newConn returns a caller's connection. draining reports whether the host is draining.
+func newConn(nc net.Conn, draining func() bool) *conn {
+	c := &conn{Conn: nc, draining: draining}
+	c.w = bufio.NewWriterSize(c, writeBuffer)
+	c.setBuffer(minHeaderBytes)
+	return c
+}
+
+// Write writes with a deadline of its own, so that the one of an earlier write never ends it.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // Read reads from the connection and records an error.
 func (c *conn) Read(p []byte) (int, error) {
 	var n int
@@ -127,8 +145,7 @@
 			}
 			continue
 		}
-		c := &conn{Conn: nc, w: bufio.NewWriterSize(nc, 4<<10), draining: s.isDraining}
-		c.setBuffer(minHeaderBytes)
+		c := newConn(nc, s.isDraining)
 		if !s.add(c) {
 			nc.Close()
 			continue
--- a/io/gateway/slow_reader_test.go
+++ b/io/gateway/slow_reader_test.go
@@ -31,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				near, far := net.Pipe()
-				c := &conn{Conn: near, w: bufio.NewWriterSize(near, 4<<10), draining: func() bool { return false }}
+				c := newConn(near, func() bool { return false })
 				read := make(chan int, 1)
 				go func() {
 					n, buf := 0, make([]byte, max(tt.perSecond/10, 1))
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -160,9 +160,6 @@
 // writeEvents writes events to the caller as one chunk. Before the first chunk it writes the headers of the server's answer.
 func (x *exchange) writeEvents(upstream *backend.Exchange, events []byte) error {
 	c := x.conn
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if !x.stream.headersSent {
 		var h fasthttp.ResponseHeader
 		copyHeader(&h, &upstream.Response.Header)
