gateway: a silent server is kept until another one has accepted its stream

Cause: the present server was given up first, on the belief that another one was there. Ruled out: the first server went on half a second later.

The request is now sent to another server beside the present one. Only a stream that has begun there ends the attempt at the present one, at once; an event of the present one ends the other attempt. Rejections and failures of the other server leave the stream where it is, and another attempt follows after a quarter of the time. Each attempt counts against the retry budget.

TestStallTimerWithoutRace and TestEndOfRateLimit call changed signatures; their assertions are the same.

--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -58,6 +58,14 @@
 	return v.evidence.IsTracking()
 }
 
+// refuses reports whether requests with some contents are refused.
+func (v *View) refuses(contents []crashes.Content) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, listed := v.evidence.Listed(time.Now(), contents)
+	return listed
+}
+
 // checkListed returns a poisonError if requests with the content of this one are refused.
 func (x *exchange) checkListed() error {
 	if x.isTrial {
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -68,20 +68,17 @@
 	ranAt map[fleet.BackendID]bool
 	// sentTo holds the addresses to which the request was sent; two servers have one address if the later one took it over.
 	sentTo map[string]bool
-	// sentAt is the time at which the request was last about to be written to a server.
-	sentAt time.Time
 	stream streamState
 	// server is the server to which the request was sent last.
 	server *registry.Instance
 	// software is the software version of the servers that can go on with the stream, once that is settled.
 	software atomic.Pointer[fleet.SoftwareVersion]
-	stall    stallWatch
-	// endAttempt ends the present attempt with a cause.
-	endAttempt context.CancelCauseFunc
+	// stall watches the present attempt at a stream; nil if no other server could go on with it.
+	stall *stallWatch
+	// successor is the server that has accepted to go on with the stream; nil if there is none.
+	successor *successor
 	// endsWithConnection is set if the last answer had no end of its own.
 	endsWithConnection bool
-	// switchPaid is set if the retry budget was charged already for going on at another server.
-	switchPaid atomic.Bool
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
 	failedAnswer *answer
 	// waitTime is the time that the request has waited for a server that can take it.
@@ -206,7 +203,18 @@
 	if err := x.checkListed(); err != nil {
 		return x.fail(err)
 	}
+	defer x.dropSuccessor()
 	for {
+		if s := x.takeSuccessor(); s != nil {
+			status, err := x.finishAttempt(&s.c, s.began, func() (int, balance.Outcome, error) { return x.goOn(s) })
+			if err == nil {
+				return status, "answered"
+			}
+			if err = x.afterFailure(&s.c, status, err); err != nil {
+				return x.fail(err)
+			}
+			continue
+		}
 		c, err := x.choose()
 		if err != nil {
 			return x.fail(err)
@@ -219,34 +227,51 @@
 			x.proxy.view.endRequest(&c, balance.Withdrawn)
 			return x.refuseAsDraining()
 		}
-		if len(x.triedServers) > 0 && !x.switchPaid.Swap(false) && !x.proxy.view.spendRetry(x.service) {
+		if len(x.triedServers) > 0 && !x.proxy.view.spendRetry(x.service) {
 			x.proxy.view.endRequest(&c, balance.Withdrawn)
 			return x.fail(errBudget)
 		}
-		began := time.Now()
-		status, out, err := x.send(&c)
-		x.proxy.view.endRequest(&c, out)
-		x.recordEvidence(c.instance, status, out, err)
-		x.attempts = append(x.attempts, attempt{c.instance.ID, c.instance.Software, out, status, c.choice, c.limit, time.Since(began), err})
+		status, err := x.finishAttempt(&c, time.Now(), func() (int, balance.Outcome, error) { return x.send(&c) })
 		if err == nil {
 			return status, "answered"
 		}
-		if x.ctx.Err() != nil {
-			return x.fail(x.ctx.Err())
-		}
-		if !x.mayRetry(err) {
+		if err = x.afterFailure(&c, status, err); err != nil {
 			return x.fail(err)
 		}
-		if errors.Is(err, errNotRun) || backend.IsNotSent(err) {
-			d := busyRetryDelay
-			if status == fasthttp.StatusMisdirectedRequest {
-				d = notLoadedRetryDelay
-			}
-			x.proxy.view.recordRejection(c.instance, x.req.Target, d)
-		}
 	}
 }
 
+// finishAttempt makes an attempt at a server and records it. The caller has a complete answer if the error is nil.
+func (x *exchange) finishAttempt(c *selection, began time.Time, f func() (int, balance.Outcome, error)) (int, error) {
+	status, out, err := f()
+	x.proxy.view.endRequest(c, out)
+	x.recordEvidence(c.instance, status, out, err)
+	x.attempts = append(x.attempts, attempt{c.instance.ID, c.instance.Software, out, status, c.choice, c.limit, time.Since(began), err})
+	return status, err
+}
+
+// afterFailure returns nil if another attempt is allowed after a failed one, else the reason for the end of the request.
+func (x *exchange) afterFailure(c *selection, status int, err error) error {
+	if x.ctx.Err() != nil {
+		return x.ctx.Err()
+	}
+	if !x.mayRetry(err) {
+		return err
+	}
+	if errors.Is(err, errNotRun) || backend.IsNotSent(err) {
+		x.proxy.view.recordRejection(c.instance, x.req.Target, rejectionDelay(status))
+	}
+	return nil
+}
+
+// rejectionDelay returns the time for which a server gets no requests for a target that it has rejected with a status.
+func rejectionDelay(status int) time.Duration {
+	if status == fasthttp.StatusMisdirectedRequest {
+		return notLoadedRetryDelay
+	}
+	return busyRetryDelay
+}
+
 // Reasons why an attempt or the request failed.
 var (
 	errBudget   = Errors.NewType("budget").New("the allowance for repeats is used up")
--- a/io/gateway/ratelimit.go
+++ b/io/gateway/ratelimit.go
@@ -15,11 +15,11 @@
 
 // observeLimit records what an answer of a server says about its rate limit. Only a signed answer to this request shows that a limit has
 // ended, since others may be older than the limit or not the server's.
-func (x *exchange) observeLimit(in *registry.Instance, a AnswerInfo) {
+func (x *exchange) observeLimit(in *registry.Instance, a AnswerInfo, sent time.Time) {
 	if !a.Limit.Named && (!a.Signed || a.ID != x.info.ID) {
 		return
 	}
-	if x.proxy.view.observeLimit(in, a, x.sentAt) {
+	if x.proxy.view.observeLimit(in, a, sent) {
 		x.proxy.metrics.notices.With("rate-limit").Inc(1)
 	}
 }
--- a/io/gateway/ratelimit_test.go
+++ b/io/gateway/ratelimit_test.go
@@ -66,7 +66,7 @@
 	f.addServer("a", nil)
 	f.limitServer("a", 2)
 	in := f.gateway.view.instances["a"]
-	x := &exchange{proxy: f.gateway.proxy, info: RequestInfo{ID: "1"}, sentAt: time.Now().Add(time.Millisecond)}
+	x, sent := &exchange{proxy: f.gateway.proxy, info: RequestInfo{ID: "1"}}, time.Now().Add(time.Millisecond)
 	reports := func() int {
 		v := f.gateway.view
 		v.mu.Lock()
@@ -80,9 +80,9 @@
 		return n
 	}
 	for _, a := range []AnswerInfo{{ID: "1"}, {ID: "2", Signed: true}, {Signed: true}} {
-		x.observeLimit(in, a)
+		x.observeLimit(in, a, sent)
 		require.Zero(t, reports(), "%+v", a)
 	}
-	x.observeLimit(in, AnswerInfo{ID: "1", Signed: true})
+	x.observeLimit(in, AnswerInfo{ID: "1", Signed: true}, sent)
 	require.Equal(t, 1, reports())
 }
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -18,41 +18,68 @@
 	"toucanway/io/backend"
 )
 
-// send sends the request to one server and forwards its answer. The caller has a complete answer if the error is nil.
-func (x *exchange) send(c *selection) (int, balance.Outcome, error) {
-	in, ticket := c.instance, c.ticket
-	x.server = in
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	x.callerRequest.Header.CopyTo(&req.Header)
-	req.SetBodyRaw(x.callerRequest.Body())
-	left := time.Until(x.deadline)
-	x.proxy.cfg.Dialect.SetForwardHeaders(&req.Header, ForwardInfo{
-		Instance: in.ID, Deadline: left, Priority: x.priority(), LastEvent: x.stream.lastEventID,
+// transmission is the request as it is sent to one server; release must be called.
+type transmission struct {
+	x      *exchange
+	c      *selection
+	req    *fasthttp.Request
+	left   time.Duration
+	sentAt time.Time
+	// isForbidden is set if the permission to send the request ended before it was written.
+	isForbidden bool
+}
+
+// newTransmission prepares the request for a server, which is to go on behind an event if there was one.
+func (x *exchange) newTransmission(c *selection, lastEvent string) *transmission {
+	t := &transmission{x: x, c: c, req: fasthttp.AcquireRequest(), left: time.Until(x.deadline)}
+	x.callerRequest.Header.CopyTo(&t.req.Header)
+	t.req.SetBodyRaw(x.callerRequest.Body())
+	x.proxy.cfg.Dialect.SetForwardHeaders(&t.req.Header, ForwardInfo{
+		Instance: c.instance.ID, Deadline: t.left, Priority: x.priority(), LastEvent: lastEvent,
 		PrefixSource: c.prefixSource, HidesKey: x.hidesKey, Account: accounts.Name(x.account),
 	})
-	// When the context ends, the connection is closed, which makes the server cancel the request.
-	ctx, stop := x.watchStall(in.ID)
-	defer stop()
-	permitted := true
-	upstream, err := x.proxy.cfg.Pool.Do(ctx, in.Address, req, backend.Options{
-		IdleTimeout: left + time.Second, NoRetry: !x.route.Idempotent(), DialTimeout: connectTimeout,
+	return t
+}
+
+func (t *transmission) release() { fasthttp.ReleaseRequest(t.req) }
+
+// send sends the request and returns its answer once the headers have arrived. When the context ends, the connection is closed, which makes the
+// server cancel the request.
+func (t *transmission) send(ctx context.Context, o backend.Options) (*backend.Exchange, error) {
+	x, in := t.x, t.c.instance
+	o.IdleTimeout, o.DialTimeout = t.left+time.Second, connectTimeout
+	o.Match = func(h *fasthttp.ResponseHeader) backend.Match {
+		a := x.proxy.cfg.Dialect.Answer(h)
+		x.observe(in, a, t.sentAt)
+		return backend.MatchID(a.ID, x.info.ID)
+	}
+	o.Permitted = func() bool {
+		t.sentAt = time.Now()
+		t.isForbidden = !x.proxy.view.maySend(t.c)
+		return !t.isForbidden
+	}
+	return x.proxy.cfg.Pool.Do(ctx, in.Address, t.req, o)
+}
+
+// send sends the request to one server and forwards its answer. The caller has a complete answer if the error is nil.
+func (x *exchange) send(c *selection) (status int, out balance.Outcome, err error) {
+	in := c.instance
+	x.server = in
+	ctx, end := context.WithCancelCause(x.ctx)
+	defer end(nil)
+	t := x.newTransmission(c, x.stream.lastEventID)
+	defer t.release()
+	stop := x.watchStall(in.ID, end)
+	defer func() { stop(err != nil) }()
+	upstream, err := t.send(ctx, backend.Options{
+		NoRetry: !x.route.Idempotent(),
 		// A connection that has carried this request may hold a second copy of the refusal, which bears the request's id. A trial is sent
 		// once, so that a connection that the server has closed meanwhile would waste it.
 		NewConnection: x.sentTo[in.Address] || x.isTrial,
 		BeforeRepeat:  func() bool { return x.beforeRepeat(c) },
-		Match: func(h *fasthttp.ResponseHeader) backend.Match {
-			a := x.proxy.cfg.Dialect.Answer(h)
-			x.observe(in, a)
-			return backend.MatchID(a.ID, x.info.ID)
-		},
-		Permitted: func() bool {
-			permitted, x.sentAt = x.proxy.view.maySend(c), time.Now()
-			return permitted
-		},
 	})
 	switch {
-	case backend.IsNotSent(err) && !permitted:
+	case backend.IsNotSent(err) && t.isForbidden:
 		return 0, balance.Withdrawn, err
 	case backend.IsNotSent(err):
 		return 0, x.failureOutcome(balance.Unconnected), err
@@ -62,10 +89,14 @@
 		x.markMayHaveRun(in)
 		return 0, x.failureOutcome(balance.Lost), err
 	}
+	return x.receiveFrom(ctx, end, c, upstream)
+}
+
+// receiveFrom reads and forwards the answer of an attempt with a context, which end ends with a cause.
+func (x *exchange) receiveFrom(ctx context.Context, end context.CancelCauseFunc, c *selection, upstream *backend.Exchange) (int, balance.Outcome, error) {
 	defer upstream.Close()
-	endAttempt := x.endAttempt
-	memory := x.proxy.cfg.Buffers.Open(func() { endAttempt(errOverMemory) })
-	status, out, err := x.receive(upstream, ticket, memory)
+	memory := x.proxy.cfg.Buffers.Open(func() { end(errOverMemory) })
+	status, out, err := x.receive(upstream, c.ticket, memory)
 	x.endsWithConnection = upstream.EndsWithConnection()
 	if x.failedAnswer == nil || x.failedAnswer.memory != memory {
 		memory.Close()
--- a/io/gateway/stall_timer_test.go
+++ b/io/gateway/stall_timer_test.go
@@ -19,8 +19,9 @@
 		route:        &routes.Route{Resumable: true, MaxAttempts: 3},
 		triedServers: map[fleet.BackendID]bool{},
 	}
-	ctx, stop := x.watchStall("a")
+	ctx, end := context.WithCancelCause(t.Context())
+	stop := x.watchStall("a", end)
 	time.Sleep(minStreamWait/stallShare + 100*time.Millisecond)
 	require.NoError(t, context.Cause(ctx), "the attempt goes on")
-	stop()
+	stop(false)
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -83,7 +83,7 @@
 func (x *exchange) forwardEvents(upstream *backend.Exchange, ticket *balance.Ticket, pending *eventBuffer) error {
 	var out []byte
 	var faulty error
-	progress := false
+	progress, before := false, x.stream
 	for event := pending.next(); event != nil; event = pending.next() {
 		if x.stream.typed && !hasOnlyFields(event) {
 			faulty = errNoEvent
@@ -102,6 +102,11 @@
 		}
 		x.stream.eventCount++
 	}
+	if (progress || x.stream.lastEventID != before.lastEventID) && !x.keepServer() {
+		// The other server goes on behind the events before.
+		x.stream = before
+		return errStalled
+	}
 	if progress {
 		x.bindToServer()
 		x.recordProgress(ticket)
@@ -114,14 +119,17 @@
 	return faulty
 }
 
+// keepServer reports whether the stream goes on at its present server, which has made an event; otherwise another one has accepted it.
+func (x *exchange) keepServer() bool {
+	if x.stream.unidentified {
+		return x.stall.suspend()
+	}
+	return x.stall.progress(x.stream.lastEventID)
+}
+
 // recordProgress records that the answer has come forward by an event.
 func (x *exchange) recordProgress(ticket *balance.Ticket) {
 	x.proxy.view.firstByte(ticket)
-	if x.stream.unidentified {
-		x.stall.suspend()
-	} else {
-		x.stall.reset()
-	}
 	now := time.Now()
 	if !x.stream.lastEventAt.IsZero() {
 		x.stream.longestGap = max(x.stream.longestGap, now.Sub(x.stream.lastEventAt))
