controller, gateway: a first configuration may have version 0

Cause: version 0 stood for "no configuration" in the replicated state, in reads and in positions of followers. It is now read from the content, and told explicitly. TestFirstConfigurationOfVersionZero failed before; it failed as well with the leader's part alone, since mirrors compare versions too.

--- a/core/catalog/machine.go
+++ b/core/catalog/machine.go
@@ -63,6 +63,12 @@
 	Departures map[fleet.BackendID]registry.Instance `cbor:"5,keyasint,omitempty"`
 }
 
+// HasConfiguration reports whether there is a configuration. Its version may be 0.
+func (s *State) HasConfiguration() bool { return len(s.Data) > 0 }
+
+// Has reports whether a version or a higher one is in force.
+func (s *State) Has(v routes.Version) bool { return s.HasConfiguration() && s.Version >= v }
+
 // HasDeparture reports whether it is on record that an incarnation of a backend server has the state or a later one.
 func (s *State) HasDeparture(b fleet.BackendIncarnation, state registry.State) bool {
 	d, ok := s.Departures[b.Backend]
@@ -85,7 +91,7 @@
 	if err := cbor.Unmarshal(entry, &c); err != nil {
 		return nil
 	}
-	if r := c.Replace; r != nil && r.Version > m.State.Version {
+	if r := c.Replace; r != nil && !m.State.Has(r.Version) {
 		m.State.Version, m.State.Data = r.Version, r.Data
 	}
 	if o := c.SetOrderer; o != nil {
--- a/io/controlapi/messages.go
+++ b/io/controlapi/messages.go
@@ -56,6 +56,13 @@
 	Configuration routes.Version `cbor:"4,keyasint,omitempty"`
 	// Mirrors is the revision of the list of mirrors.
 	Mirrors uint64 `cbor:"5,keyasint,omitempty"`
+	// HasConfiguration is set if a configuration is in force on the host. Its version may be 0.
+	HasConfiguration bool `cbor:"6,keyasint,omitempty"`
+}
+
+// HasNewerConfiguration reports whether the configuration at a position is newer than that of a host.
+func (p Position) HasNewerConfiguration(host Position) bool {
+	return p.Configuration > host.Configuration || p.HasConfiguration && !host.HasConfiguration && host.Configuration == 0
 }
 
 // FollowRequest asks for the changes after a position.
@@ -269,6 +276,8 @@
 // ReadRequest asks for the newest configuration, unless its version is the one that the calling host already has.
 type ReadRequest struct {
 	KnownVersion routes.Version `cbor:"1,keyasint,omitempty"`
+	// Known is set if the calling host has a configuration.
+	Known bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ReadResponse contains the newest configuration.
--- a/io/controller/configuration.go
+++ b/io/controller/configuration.go
@@ -21,8 +21,8 @@
 		c.cfg.Log.Info(logInvalid, zap.Error(err))
 		return ErrInvalid.Wrap(err, "the configuration is not valid; nothing was changed")
 	}
-	if inForce := c.state().Version; inForce >= cfg.Version {
-		c.cfg.Log.Info(logCurrent, zap.Uint64("version", uint64(cfg.Version)), zap.Uint64("in-force", uint64(inForce)))
+	if s := c.state(); s.Has(cfg.Version) {
+		c.cfg.Log.Info(logCurrent, zap.Uint64("version", uint64(cfg.Version)), zap.Uint64("in-force", uint64(s.Version)))
 		return nil
 	}
 	packed, err := controlapi.Compress(data)
@@ -59,16 +59,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	local := c.state()
-	req := &controlapi.ReadRequest{KnownVersion: local.Version}
+	req := &controlapi.ReadRequest{KnownVersion: local.Version, Known: local.HasConfiguration()}
 	res, err := controlapi.CallLocalFirst(ctx, c.cfg.Client, c.cfg.Self, c.handleRead, controlapi.ProcedureRead, callTimeout, req)
 	if err != nil {
 		return nil, ErrUnavailable.Wrap(err, "the newest configuration cannot be read now; try again")
 	}
 	packed := res.Data
-	if res.Version == local.Version {
+	if len(packed) == 0 && res.Version == local.Version {
 		packed = local.Data
 	}
-	if res.Version == 0 {
+	if len(packed) == 0 {
 		return nil, ErrUnavailable.New("no configuration is in force yet; submit one")
 	}
 	return controlapi.Decompress(packed)
@@ -80,7 +80,7 @@
 	}
 	s := c.state()
 	res := &controlapi.ReadResponse{Version: s.Version}
-	if s.Version != req.KnownVersion {
+	if s.Version != req.KnownVersion || !req.Known {
 		res.Data = s.Data
 	}
 	return res, nil
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -356,7 +356,7 @@
 // configure decodes the configuration of a state if it is newer than c.table, and passes the newest one to the planner; c.mu
 // is held.
 func (c *Controller) configure(s catalog.State) {
-	if s.Version == 0 || c.table != nil && c.table.Configuration.Version >= s.Version {
+	if !s.HasConfiguration() || c.table != nil && c.table.Configuration.Version >= s.Version {
 		if c.table != nil {
 			c.planner.Configure(c.table)
 		}
--- a/io/controller/followers.go
+++ b/io/controller/followers.go
@@ -105,7 +105,7 @@
 	state := r.state
 	res := &controlapi.FollowResponse{Leader: c.cfg.Self, Position: controlapi.Position{
 		Term: term, Backends: c.registry.Revision(), Entries: c.entryRevision, Configuration: max(state.Version, at.Configuration),
-		Mirrors: c.mirrorRevision,
+		Mirrors: c.mirrorRevision, HasConfiguration: state.HasConfiguration() || at.HasConfiguration,
 	}}
 	res.Complete = changed && c.cfg.Now().Sub(r.since) > firstHeartbeatsTime
 	if changed || at.Backends != res.Position.Backends {
@@ -114,7 +114,7 @@
 	if req.Entries && (changed || at.Entries != res.Position.Entries) {
 		res.Entries, res.EntriesPerDataCentre, changed = c.readyEntries(), c.directorySize.Hosts(), true
 	}
-	if state.Version > at.Configuration {
+	if res.Position.HasNewerConfiguration(at) {
 		res.Configuration, changed = state.Data, true
 	}
 	res.Crashes = c.detector.Listings(c.cfg.Now(), req.Crashes)
--- a/io/controller/mirror.go
+++ b/io/controller/mirror.go
@@ -74,12 +74,12 @@
 	}
 	res := &controlapi.FollowResponse{Leader: m.leader, Complete: changed && m.complete, Position: controlapi.Position{
 		Term: m.position.Term, Backends: max(m.position.Backends, at.Backends), Configuration: max(m.position.Configuration, at.Configuration),
-		Mirrors: max(m.position.Mirrors, at.Mirrors),
+		Mirrors: max(m.position.Mirrors, at.Mirrors), HasConfiguration: m.position.HasConfiguration || at.HasConfiguration,
 	}}
 	if m.position.Backends > at.Backends {
 		res.Instances, changed = m.instances.ChangedAfter(at.Backends), true
 	}
-	if m.position.Configuration > at.Configuration {
+	if m.position.HasNewerConfiguration(at) {
 		res.Configuration, changed = m.configuration, true
 	}
 	res.Crashes = m.crashes.Listings(now, req.Crashes)
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -132,7 +132,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if table == nil {
-		res.Position.Configuration = at.Configuration
+		res.Position.Configuration, res.Position.HasConfiguration = at.Configuration, at.HasConfiguration
 	} else {
 		v.table = table
 		v.quotas.configure(v.cfg.Now(), table.Configuration.Accounts)
