--- a/core/routes/configuration.go
+++ b/core/routes/configuration.go
@@ -50,6 +50,8 @@
 	Priority int
 	// Services lists the services with their weights, whose sum is above 0. A route without configured weights has one service.
 	Services []WeightedService
+	// Unused is a service that the route names beside its weighted ones, empty if there is none. It gets no requests, but must exist.
+	Unused fleet.ServiceID
 	// MaxAttempts is the number of backend servers to which one request of a caller may be sent.
 	MaxAttempts int
 	// PrefixAffinity is set if requests share prompt prefixes, so that they are best sent to servers that have them cached.
@@ -160,6 +162,9 @@
 		}
 		total += s.Weight
 	}
+	if r.Unused != "" && !services[r.Unused] {
+		return ErrInvalid.New("route %q names the unknown service %q; declare the service or leave it out", r.Name, r.Unused)
+	}
 	if total <= 0 {
 		return ErrInvalid.New("the weights of route %q add up to 0; raise one of them", r.Name)
 	}
--- a/core/routes/lint/compare.go
+++ b/core/routes/lint/compare.go
@@ -130,7 +130,7 @@
 		{"host", r.Host}, {"prefix", r.Prefix}, {"kind", kindName(r.Kind)}, {"timeout", r.Timeout.String()}, {"objective", r.Objective.String()},
 		{"gap objective", r.GapObjective.String()}, {"priority", fmt.Sprint(r.Priority)}, {"services", strings.Join(services, ",")},
 		{"attempts", fmt.Sprint(r.MaxAttempts)}, {"prefix affinity", fmt.Sprint(r.PrefixAffinity)}, {"resumable", fmt.Sprint(r.Resumable)},
-		{"public", fmt.Sprint(r.Public)},
+		{"public", fmt.Sprint(r.Public)}, {"unused service", string(r.Unused)},
 	}}
 }
 
