--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -50,6 +50,8 @@
 	complete bool
 	// reused is set if the connection has carried an earlier request.
 	reused bool
+	// isHead is set if the request's method is HEAD, whose answers have no body whatever their headers say.
+	isHead bool
 	// ambiguous is set if an answer to another request was skipped, or if the answer names no request: a further one could not be
 	// told from the next request's answer.
 	ambiguous bool
@@ -81,7 +83,7 @@
 func (x *Exchange) readHeaders(match func(*fasthttp.ResponseHeader) Match) error {
 	for stray := 0; ; stray++ {
 		x.Response.Reset()
-		x.Response.StreamBody = true
+		x.Response.StreamBody, x.Response.SkipBody = true, x.isHead
 		x.Response.Header.SetNoDefaultContentType(true)
 		if err := x.Response.ReadLimitBody(x.conn.r, 0); err != nil {
 			return err
@@ -147,7 +149,7 @@
 
 // EndsWithConnection reports whether the answer has neither a length nor chunks, so that its body ends with the connection.
 func (x *Exchange) EndsWithConnection() bool {
-	return x.body != nil && x.Response.Header.ContentLength() == lengthUntilClose
+	return x.body != nil && !x.isHead && x.Response.Header.ContentLength() == lengthUntilClose
 }
 
 // ReadWithin makes all reads of the body fail once d has passed, however many bytes arrive until then; 0 removes the bound.
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -135,7 +135,7 @@
 // send writes a request and waits for the first byte of its answer.
 func (p *Pool) send(ctx context.Context, address string, c *conn, req *fasthttp.Request) (*Exchange, error) {
 	c.written = false
-	x := &Exchange{pool: p, address: address, conn: c}
+	x := &Exchange{pool: p, address: address, conn: c, isHead: req.Header.IsHead()}
 	x.detachContext = context.AfterFunc(ctx, func() { c.Close() })
 	var err error
 	if len(req.Body()) >= minConcurrentBody {
--- a/io/gateway/answer.go
+++ b/io/gateway/answer.go
@@ -54,11 +54,14 @@
 	return strconv.FormatFloat(float64(ms)/1000, 'f', 3, 64)
 }
 
-// write writes a complete answer, whose body may come in pieces. A failed write ends the connection.
+// write writes a complete answer, whose body may come in pieces; that to a HEAD request has none. A failed write ends the connection.
 func (c *conn) write(h *fasthttp.ResponseHeader, body ...[]byte) {
 	if c.closing() {
 		h.SetConnectionClose()
 	}
+	if c.isHead {
+		body = nil
+	}
 	err := h.Write(c.w)
 	for _, piece := range body {
 		for len(piece) > 0 && err == nil {
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -231,6 +231,9 @@
 	a := &answer{body: body, memory: memory}
 	copyHeader(&a.header, &upstream.Response.Header)
 	a.header.SetContentLength(sizeOf(body))
+	if n := upstream.Response.Header.ContentLength(); x.conn.isHead && n > 0 {
+		a.header.SetContentLength(n)
+	}
 	if status >= 500 {
 		out = balance.Failed
 		if x.mayRetry(errFailed) && x.proxy.view.otherServerExists(x.service, &x.req, x.constraint(x.triedServers)) {
--- a/io/gateway/server.go
+++ b/io/gateway/server.go
@@ -73,6 +73,8 @@
 	readErr error
 	// busy is set while a request is read or served; guarded by server.mu.
 	busy bool
+	// isHead is set if the method of the present request is HEAD, whose answer has no body.
+	isHead bool
 	// closeAfterAnswer is set if the connection ends after the current answer.
 	closeAfterAnswer bool
 	// draining reports whether the host is draining.
@@ -272,6 +274,7 @@
 	var reading readGuard
 	memory := s.buffers.Open(func() { reading.interrupt(c) })
 	defer memory.Close()
+	c.isHead = false
 	err := c.read(req, lim.Limits, memory)
 	reading.end()
 	if err != nil {
@@ -283,6 +286,7 @@
 		return false
 	}
 	defer fasthttp.ReleaseRequest(req)
+	c.isHead = req.Header.IsHead()
 	return s.serveOne(stop, c, req, lim.IdleTimeout)
 }
 
