--- a/cmd/toucanway-lab/internal/controlscenario/backends_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/backends_test.go
@@ -77,7 +77,10 @@
 }
 
 // reportDemand reports to the leader that one request waits for a model.
-func reportDemand(w *simulation, model fleet.ModelID) {
+func reportDemand(w *simulation, model fleet.ModelID) { reportDemandFor(w, service, model) }
+
+// reportDemandFor reports to the leader that a request waits for a model of a service.
+func reportDemandFor(w *simulation, s fleet.ServiceID, model fleet.ModelID) {
 	client := hosts.NewClient("10.9.9.9", w.net.Host("10.9.9.9"), nil)
 	defer client.Close()
 	c := controlapi.NewClient(client, port, w.hostIDs)
@@ -86,7 +89,7 @@
 	// The call fails while there is no leader; the demand is reported again.
 	_, _ = controlapi.Call[controlapi.ReportRequest, controlapi.ReportResponse](ctx, c, controlapi.ProcedureReport, 0,
 		&controlapi.ReportRequest{Ready: true, Demands: []residency.Demand{
-			{Service: service, Target: fleet.Target{Model: model}, Arrivals: 1, Waiting: 1},
+			{Service: s, Target: fleet.Target{Model: model}, Arrivals: 1, Waiting: 1},
 		}})
 }
 
--- a/cmd/toucanway-lab/internal/controlscenario/numbers_test.go
+++ b/cmd/toucanway-lab/internal/controlscenario/numbers_test.go
@@ -15,13 +15,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"toucanway/core/fleet"
 	"toucanway/core/registry"
-	"toucanway/core/residency"
 	"toucanway/core/routes"
-	"toucanway/io/controlapi"
 	"toucanway/io/gateway"
-	"toucanway/io/hosts"
 	"toucanway/platform"
 	"toucanway/platform/standin"
 )
@@ -64,17 +60,6 @@
 	return &res, err
 }
 
-// reportDemandFor reports a waiting request for a model of a service to the leader.
-func reportDemandFor(w *simulation, s fleet.ServiceID, model fleet.ModelID) {
-	client := hosts.NewClient("10.9.9.9", w.net.Host("10.9.9.9"), nil)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	// The call fails while there is no leader; the demand is reported again.
-	_, _ = controlapi.Call[controlapi.ReportRequest, controlapi.ReportResponse](ctx, controlapi.NewClient(client, port, w.hostIDs), controlapi.ProcedureReport, 0,
-		&controlapi.ReportRequest{Ready: true, Demands: []residency.Demand{{Service: s, Target: fleet.Target{Model: model}, Arrivals: 1, Waiting: 1}}})
-}
-
 // Guards against a number of a configuration that ends a host, makes it close connections or takes the memory that it names: a configuration with
 // unusual numbers is refused by name only if it is invalid, and requests are served after each one that was acknowledged.
 func TestUnusualNumbersOfConfigurations(t *testing.T) {
