gateway: crashed servers are forgotten

Cause: the leader drops a server after a minute of silence without telling. Weighed and left out: telling it as a departure, and forgetting by silence alone, which would both take out servers that are only cut off from the control group.

A gateway forgets a server that has been silent for a minute and refuses connections.

--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -179,6 +179,7 @@
 			v.cfg.Pool.Drop(previous.Address)
 		}
 	}
+	v.silences.note(time.Now(), in)
 	if in.State == registry.Gone {
 		delete(v.instances, in.ID)
 		return
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -66,6 +66,7 @@
 	eg.Go(func() error { return g.view.reportLoop(serving) })
 	eg.Go(func() error { return g.view.recordLoop(serving) })
 	eg.Go(func() error { return g.view.quotas.run(serving) })
+	eg.Go(func() error { return g.view.forgetLoop(serving) })
 	g.view.setReady(true)
 	eg.Go(func() error { return g.server.serve(l, serving) })
 	<-ctx.Done()
--- a/io/gateway/view.go
+++ b/io/gateway/view.go
@@ -61,6 +61,7 @@
 	confirmed chan struct{}
 	table     *table
 	instances map[fleet.BackendID]*registry.Instance
+	silences  silences
 	// changed is closed and replaced when the instances or the configuration change, or what servers have said.
 	changed  chan struct{}
 	balancer *balance.Balancer
@@ -119,7 +120,7 @@
 
 func newView(cfg Settings) *View {
 	return &View{
-		cfg: cfg, reportNow: make(chan struct{}, 1), recordNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, changed: make(chan struct{}),
+		cfg: cfg, reportNow: make(chan struct{}, 1), recordNow: make(chan struct{}, 1), instances: map[fleet.BackendID]*registry.Instance{}, silences: silences{}, changed: make(chan struct{}),
 		confirmed: make(chan struct{}),
 		balancer:  balance.New(balance.Location{DataCentre: cfg.Place.DataCentre, Regions: cfg.Regions}, rand.Uint64()),
 		budget: retry.NewBudget(retry.Settings{
