gateway: the attempts at other servers for a silent stream are bounded

Read-through: a stream that stays silent until a distant deadline made an attempt each quarter of the time, each with a record. After eight that were not accepted the stream stays where it is. TestAttemptsAtOtherServersAreBounded.

--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -38,8 +38,12 @@
 	suspended, stopped bool
 }
 
-// successorRetryShare divides the timeout of a stallWatch to get the time from one attempt at another server to the next.
-const successorRetryShare = 4
+const (
+	// successorRetryShare divides the timeout of a stallWatch to get the time from one attempt at another server to the next.
+	successorRetryShare = 4
+	// maxSuccessors bounds the attempts of one watch that were not accepted. Callers that leave a silent stream have left before.
+	maxSuccessors = 8
+)
 
 // watchStall begins a watch of an attempt at a server, which giveUp ends. The returned function ends the watch; it must be called with whether the
 // attempt has failed.
@@ -61,7 +65,7 @@
 // tryOther tries another server once, and gives the present one up if the other one accepts the request.
 func (w *stallWatch) tryOther() {
 	w.mu.Lock()
-	if w.stopped || w.suspended || w.endTry != nil || len(w.tried) >= w.x.route.MaxAttempts {
+	if w.stopped || w.suspended || w.endTry != nil || len(w.ended) >= maxSuccessors || len(w.tried) >= w.x.route.MaxAttempts {
 		w.mu.Unlock()
 		return
 	}
--- a/io/gateway/successor.go
+++ b/io/gateway/successor.go
@@ -69,7 +69,7 @@
 	}
 	s.sent = true
 	if err != nil {
-		// A server that was told to stop before it has begun an answer has not run the request.
+		// A connection that this host has closed before the answer began ends a request that waits or whose prompt is read.
 		s.mayHaveRun = s.ctx.Err() == nil
 		if s.mayHaveRun && errorx.IsOfType(err, backend.ErrLost) {
 			v.checkCrash(in, x.contents(), x.info, false)
--- a/io/gateway/successor_test.go
+++ b/io/gateway/successor_test.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// Guards against attempts at other servers, each of which costs the retry budget and a record, without an end.
+func TestAttemptsAtOtherServersAreBounded(t *testing.T) {
+	startServerDate()
+	synctest.Test(t, func(t *testing.T) {
+		whole := make(chan bool, 1)
+		full := rawAnswer("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		f := newPausedStream(t, pausing(4500*time.Millisecond, whole), map[string]script{"b": full})
+		_, complete := f.readStream("/resumable/")
+		require.True(t, complete)
+		require.True(t, <-whole)
+		require.Len(t, f.requests("b"), maxSuccessors)
+		f.end()
+	})
+}
+
 // Guards against a server that is kept at work once another one goes on with its stream.
 func TestSilentServerIsGivenUpOnceAnotherAccepts(t *testing.T) {
 	startServerDate()
