residency: sizes of models are read from a new configuration only

The size that was carried over with an engine's report was the one just read from the same table, so that it is left out. Decisions are the same.

TestSameConfigurationIsNotReadAgain failed before. A comment of the gateway is wrapped.

--- a/core/residency/engine.go
+++ b/core/residency/engine.go
@@ -154,7 +154,7 @@
 			h.adapters[a] = &adapter{lastUsed: now}
 		}
 		if w := previous[m.Name]; w != nil {
-			h.loadedAt, h.size = w.loadedAt, w.size
+			h.loadedAt = w.loadedAt
 			for a, x := range w.adapters {
 				if y := h.adapters[a]; y != nil {
 					y.lastUsed = x.lastUsed
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -77,12 +77,19 @@
 	}
 }
 
-// Configure applies a configuration.
+// Configure applies a configuration. Leaders call it before each planning pass, mostly with the same one, so that the sizes of models are read
+// from a new one only.
 func (p *Planner) Configure(t *routes.Table) {
+	isNew := p.table != t
 	p.table = t
-	p.sizes.declare(t.Configuration, p.holds)
+	if isNew {
+		p.sizes.declare(t.Configuration, p.holds)
+	}
 	for _, e := range p.engines {
 		e.spec = p.engineSpec(e.Service)
+		if !isNew {
+			continue
+		}
 		for name, h := range e.models {
 			p.setSize(e, name, h)
 		}
--- a/core/residency/size_test.go
+++ b/core/residency/size_test.go
@@ -120,3 +120,15 @@
 	}
 	require.Contains(t, p.sizes, modelKey{"llm", "held"})
 }
+
+// Guards against work that grows with the number of declared models before each planning pass of a leader.
+func TestSameConfigurationIsNotReadAgain(t *testing.T) {
+	var models []routes.Model
+	for i := range 100 {
+		models = append(models, model(fmt.Sprint("m", i), 1))
+	}
+	d := newDeployment(t, 1, 2, models...)
+	d.loadModels(0, "m0", "m1")
+	d.run(2 * time.Second)
+	require.Zero(t, testing.AllocsPerRun(10, func() { d.planner.Configure(d.planner.table) }))
+}
--- a/io/gateway/holdoff.go
+++ b/io/gateway/holdoff.go
@@ -19,8 +19,8 @@
 	logLimit   = "backend server has changed its rate limit"
 )
 
-// observe records what the answer to a request that was sent at a time says about further requests. It is called for each answer whose headers arrive, also
-// those that are skipped because they belong to an earlier request.
+// observe records what the answer to a request that was sent at a time says about further requests. It is called for each answer whose
+// headers arrive, also those that are skipped because they belong to an earlier request.
 func (x *exchange) observe(in *registry.Instance, a AnswerInfo, sent time.Time) {
 	x.observeLimit(in, a, sent)
 	c := x.proxy.view.observeAnswer(in, a)
