http1, backend: an answer with a malformed status line is lost

Cause: the heads of answers were judged by the library that parses them. It takes any three digits for a status, reports 000 as 200, skips empty lines and repeated blanks before it, and checks neither the major version nor the reason. Ruled out: the gateway, which sees no difference between a 200 and what the library makes of 000.

io/http1 judges the bytes of each head before the library parses them, line by line as they arrive. The pool calls it for interim and final answers and for answers to earlier requests, so that all readers of backend servers are covered. Such an answer counts as lost, as before an answer that can't be parsed: another server where the route allows it, else 502, which promises nothing.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"toucanway/io/http1"
 )
 
 // Match says to which request an answer belongs.
@@ -79,9 +81,25 @@
 	return x, nil
 }
 
+// skipInterim reads interim answers, and leaves the head of the final one in the connection's reader.
+func (x *Exchange) skipInterim() error {
+	for range maxInterimAnswers + 1 {
+		h, err := http1.PeekHead(x.conn.r)
+		if err != nil || !h.IsInterim() {
+			return err
+		}
+		// The head is in the buffer, so that there is no error.
+		_, _ = x.conn.r.Discard(h.Size)
+	}
+	return ErrStray.New("the backend server sent more than %d interim answers; the connection is closed", maxInterimAnswers)
+}
+
 // readHeaders reads the headers of the answer and skips answers to earlier requests.
 func (x *Exchange) readHeaders(match func(*fasthttp.ResponseHeader) Match) error {
 	for stray := 0; ; stray++ {
+		if err := x.skipInterim(); err != nil {
+			return err
+		}
 		x.Response.Reset()
 		x.Response.StreamBody, x.Response.SkipBody = true, x.isHead
 		x.Response.Header.SetNoDefaultContentType(true)
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -84,6 +84,8 @@
 	maxStrayAnswers = 2
 	// maxStrayBytes bounds the body of such an answer.
 	maxStrayBytes = 1 << 20
+	// maxInterimAnswers bounds the interim answers before a final one.
+	maxInterimAnswers = 100
 	// minConcurrentBody is the size from which a body is written concurrently with reading the answer, since a server may answer
 	// before it has read the whole request.
 	minConcurrentBody = 8 << 10
