backend, http1: an answer with malformed trailers is broken off

Callers got an answer as whole behind whose last chunk stood a field with a blank in its name or before its colon, or a folded one, or another head behind an empty line that ends with LF: what ended the answer was not what its server had sent as its end.

Cause: the same as of malformed fields, in another place: the library parses trailers within a read of the body, where nothing could judge the bytes before. Ruled out, with cases that passed before: control bytes, lines without a name or a colon, fields of the framing. Trailers are not passed on to callers, before and after.

The pool reads bodies itself: chunks by net/http/httputil, then the trailers, which io/http1 judges before the library parses them. An answer with malformed ones ends with an error, as one that is cut.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -37,9 +37,6 @@
 	}
 }
 
-// lengthUntilClose is the content length by which fasthttp shows that a body has neither a length nor chunks.
-const lengthUntilClose = -2
-
 // Exchange is one request with its answer; it owns a connection until Close.
 type Exchange struct {
 	// Response has the status and headers; the body is read with Read.
@@ -101,15 +98,14 @@
 			return err
 		}
 		x.Response.Reset()
-		x.Response.StreamBody, x.Response.SkipBody = true, x.isHead
 		x.Response.Header.SetNoDefaultContentType(true)
-		if err := x.Response.ReadLimitBody(x.conn.r, 0); err != nil {
+		if err := x.Response.Header.Read(x.conn.r); err != nil {
 			return err
 		}
 		if x.Response.StatusCode() < fasthttp.StatusOK {
 			return ErrStray.New("the backend server sent an answer that switches protocols; the connection is closed")
 		}
-		x.body = x.Response.BodyStream()
+		x.body = x.newBody()
 		x.complete = x.body == nil
 		if match == nil {
 			return nil
--- a/io/http1/fields.go
+++ b/io/http1/fields.go
@@ -15,7 +15,8 @@
 // peekFields waits for the field lines that begin behind the first from bytes of the reader, and for the empty line that ends them. It calls add
 // with the name of each, and returns the position behind the empty line.
 //
-// The end must be CRLF twice: the library looks for that, and would read a body that holds it as a part of the fields behind any other end.
+// The end must be CRLF twice: the library looks for that, and would read a body that holds it as a part of the fields behind any other end. With
+// no field, the first CRLF is that of the line before.
 func peekFields(r *bufio.Reader, from int, add func(name []byte)) (int, error) {
 	for pos := from; ; {
 		line, size, err := peekLine(r, pos)
@@ -32,13 +33,27 @@
 			continue
 		}
 		// All these bytes are in the buffer, so that there is no error.
-		if b, _ := r.Peek(pos); !bytes.HasSuffix(b, []byte("\r\n\r\n")) {
-			return 0, malformed("the fields do not end with CRLF twice", b[from:])
+		b, _ := r.Peek(pos)
+		if fields := b[from:]; string(fields) != "\r\n" && !bytes.HasSuffix(fields, []byte("\r\n\r\n")) {
+			return 0, malformed("the fields do not end with CRLF twice", fields)
 		}
 		return pos, nil
 	}
 }
 
+// PeekTrailers waits for the fields behind the last chunk of a body and judges each line as it arrives. They stay in the reader, whose buffer
+// bounds their size. Errors are those of PeekHead.
+func PeekTrailers(r *bufio.Reader) error {
+	var f framing
+	if _, err := peekFields(r, 0, f.add); err != nil {
+		return err
+	}
+	if f.lengths+f.encodings > 0 {
+		return ErrMalformed.New("the trailers have %d fields %s and %d fields %s, which say nothing behind a body", f.lengths, contentLength, f.encodings, transferEncoding)
+	}
+	return nil
+}
+
 // parseField returns the name in a field line. A line that continues the one before is malformed: RFC 9112, section 5.2, forbids servers to send
 // one, and lets gateways discard the answer.
 func parseField(line []byte) ([]byte, error) {
