backend: an answer until the close is whole only if its connection has not failed

A server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still written.

Cause: uploads from 8 KiB are written beside reading the answer. The kernel reports the reset once; when the write takes it, the next read of the socket returns 0 bytes, which is the end of an answer without a length. Nothing compared the end of the read with the end of the write. Ruled out: answers with a length or chunks, which the same reset leaves broken off or whole; uploads under 8 KiB, which are written before the read, so that only the read can take the error.

At such an end the exchange waits for its write, at most 1 s, and up to the bound of the read: a server that has closed all of the connection answers further bytes with a reset within a few round trips. If the write has failed, the answer is lost. If the server has closed its side only and reads nothing, the write is interrupted, and the answer is whole, as before.

The fixture of the gateway takes bodies of 8 MiB.

--- a/io/backend/body.go
+++ b/io/backend/body.go
@@ -27,12 +27,28 @@
 	case lengthInChunks:
 		return &chunkedBody{r: x.conn.r, chunks: httputil.NewChunkedReader(x.conn.r), header: h}
 	case lengthUntilClose:
-		return x.conn.r
+		return untilCloseBody{x}
 	default:
 		return &lengthBody{r: x.conn.r, left: n}
 	}
 }
 
+// untilCloseBody reads a body that ends with its connection. It is whole only if nothing on the connection has failed: a write of the request that
+// fails takes the error of the connection, so that the next read ends as if the server had closed in order.
+type untilCloseBody struct{ x *Exchange }
+
+// Read reads from the body.
+func (b untilCloseBody) Read(p []byte) (int, error) {
+	n, err := b.x.conn.r.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if werr := b.x.endWrite(); werr != nil {
+		return n, ErrLost.Wrap(werr, "the connection to the backend server at %s broke while the request was written", b.x.address)
+	}
+	return n, io.EOF
+}
+
 // lengthBody reads a body with a length.
 type lengthBody struct {
 	r    *bufio.Reader
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,8 +18,10 @@
 	readBefore time.Time
 	// written is set once a byte of the present request was written, so that the server may have received it.
 	written bool
-	r       *bufio.Reader
-	w       *bufio.Writer
+	// interrupted is set once writes have to end.
+	interrupted atomic.Bool
+	r           *bufio.Reader
+	w           *bufio.Writer
 }
 
 // Read reads with the connection's timeout, which restarts with each read, but not past readBefore.
@@ -32,16 +36,32 @@
 	return c.Conn.Read(p)
 }
 
+// errInterrupted is the error of a write that interruptWrites has ended; the connection has not failed.
+var errInterrupted = Errors.NewType("interrupted").New("the write was interrupted")
+
 // Write writes with the connection's timeout, which restarts with each write.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 		return 0, err
 	}
+	if c.interrupted.Load() {
+		return 0, errInterrupted
+	}
 	n, err := c.Conn.Write(p)
 	c.written = c.written || n > 0
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.interrupted.Load() {
+		err = errInterrupted
+	}
 	return n, err
 }
 
+// interruptWrites ends the write in progress and all later ones. It sets the deadline after the mark, and Write the other way round, so that no
+// write in progress outlives both.
+func (c *conn) interruptWrites() error {
+	c.interrupted.Store(true)
+	return c.SetWriteDeadline(time.Now())
+}
+
 // isReusable reports whether an idle connection is open and has nothing to read: a byte that arrived meanwhile belongs to no
 // request. It returns true for connections that have no file descriptor.
 func isReusable(c net.Conn) bool {
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"io"
 	"strconv"
 	"strings"
@@ -146,6 +147,38 @@
 	}
 }
 
+// writeAfterClose is the time that the rest of a request has once the server has closed its side of the connection. A server that has closed all of
+// it answers further bytes with a reset, after a few round trips at most.
+const writeAfterClose = time.Second
+
+// endWrite ends writing the request, whose server has closed its side of the connection. The error is nil if the request was written, or if the
+// server had neither read it within writeAfterClose nor reset the connection.
+func (x *Exchange) endWrite() error {
+	if x.bodyWritten == nil {
+		return nil
+	}
+	wait := writeAfterClose
+	if before := x.conn.readBefore; !before.IsZero() {
+		wait = min(wait, time.Until(before))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-x.bodyWritten:
+		return x.writeErr
+	case <-timer.C:
+	}
+	if err := x.conn.interruptWrites(); err != nil {
+		return err
+	}
+	// A write that has failed before has an error of its own.
+	<-x.bodyWritten
+	if errors.Is(x.writeErr, errInterrupted) {
+		return nil
+	}
+	return x.writeErr
+}
+
 // Read reads the body of the answer; io.EOF means that the answer is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
 	if x.body == nil {
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -29,6 +29,7 @@
 	"toucanway/io/backend"
 	"toucanway/io/controlapi"
 	"toucanway/io/metrics"
+	"toucanway/io/network"
 	"toucanway/io/network/networktest"
 )
 
@@ -109,7 +110,7 @@
 
 func (f *fixture) Listen(string) (net.Listener, error) { return nil, errors.New("not used") }
 
-func (f *fixture) Dial(_ context.Context, address string) (net.Conn, error) {
+func (f *fixture) Dial(ctx context.Context, address string) (net.Conn, error) {
 	if f.onDial != nil {
 		f.onDial(address)
 	}
@@ -117,6 +118,9 @@
 	f.dials++
 	l := f.listeners[address]
 	f.mu.Unlock()
+	if strings.HasPrefix(address, "127.") {
+		return network.TCP{}.Dial(ctx, address)
+	}
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	}
@@ -171,13 +175,18 @@
 	return f
 }
 
-// addServer adds a backend server with a script; with a nil script it refuses connections.
-func (f *fixture) addServer(name string, s script) {
-	address := name + ":80"
+// addServerAt adds a backend server at an address.
+func (f *fixture) addServerAt(name, address string) {
 	in := registry.Instance{ID: fleet.BackendID(name), Incarnation: 1, Service: "s", Address: address, DataCentre: "d", Slots: 4}
 	f.gateway.view.mu.Lock()
 	f.gateway.view.instances[in.ID] = &in
 	f.gateway.view.mu.Unlock()
+}
+
+// addServer adds a backend server with a script; with a nil script it refuses connections.
+func (f *fixture) addServer(name string, s script) {
+	address := name + ":80"
+	f.addServerAt(name, address)
 	if s == nil {
 		return
 	}
@@ -197,7 +206,7 @@
 				r := bufio.NewReaderSize(c, defaultHeaderBytes)
 				for {
 					var req fasthttp.Request
-					if req.Header.Read(r) != nil || req.ContinueReadBody(r, 1<<20, false) != nil {
+					if req.Header.Read(r) != nil || req.ContinueReadBody(r, 8<<20, false) != nil {
 						return
 					}
 					f.mu.Lock()
