gateway: error answers say nothing of a server's bytes or address

The 502 of a malformed head repeated the server's address and bytes of its head and body to the caller, and a refusal after a connection that was refused repeated the address.

Cause: the message of five codes ended with the text of the error that ended the request, which quotes what the library or the pool has read.

Each code has a text of its own that says what to do next. The error goes to the log line of the request, as `error`, and to its steps, 512 bytes at most; causes no longer hold error texts.

The fixture of the gateway keeps log lines.

--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -13,12 +13,24 @@
 	"toucanway/core/holdoff"
 )
 
+// maxLoggedError bounds the text of an error in a log line: it may quote what a server has sent.
+const maxLoggedError = 512
+
+// loggedError returns the text of an error for the log.
+func loggedError(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxLoggedError)]
+}
+
 // fail ends a request that no server has answered successfully. It writes an answer, or closes the connection if a stream has
 // begun or the caller has disconnected. It returns the status, 0 without an answer, and the cause for the log.
+//
+// An answer has a text for its code: an error may name servers, or quote bytes of theirs, which may belong to another caller.
 func (x *exchange) fail(err error) (int, string) {
+	x.failure = err
 	if x.stream.headersSent {
 		x.conn.abort()
-		return 0, "stream broken: " + err.Error()
+		return 0, "stream broken"
 	}
 	if x.callerDisconnected() {
 		x.conn.abort()
@@ -26,7 +38,7 @@
 	}
 	if x.failedAnswer != nil {
 		x.conn.write(&x.failedAnswer.header, x.failedAnswer.body...)
-		return x.failedAnswer.header.StatusCode(), "failed answer of a backend server forwarded; " + err.Error()
+		return x.failedAnswer.header.StatusCode(), "failed answer of a backend server forwarded"
 	}
 	poisoned, _ := errors.AsType[*poisonError](err)
 	late := errors.Is(err, context.DeadlineExceeded)
@@ -39,22 +51,26 @@
 	case x.mayHaveRun() && late:
 		return x.refuse(fasthttp.StatusGatewayTimeout, "deadline-exceeded", "no answer arrived before the deadline; the request may have run")
 	case x.mayHaveRun():
-		return x.refuse(fasthttp.StatusBadGateway, "backend-failed", "the backend server gave no complete answer; the request may have run: "+err.Error())
+		return x.refuse(fasthttp.StatusBadGateway, "backend-failed",
+			"the backend server gave no complete answer; the request may have run: send it again only if it may run twice")
 	case poisoned != nil:
 		x.listed = &poisoned.listing.Content
 		return x.refuseFor(max(poisoned.listing.Left, poisonRetryAfter), poisonRequest, poisoned.Error()+"; it was not run")
 	case late:
 		return x.refuseForLackOfServers("deadline-exceeded", "no backend server could take the request before the deadline; it was not run")
 	case errors.Is(err, errUnknownOrigin), errors.Is(err, errNoSoftware):
-		return x.refuse(fasthttp.StatusServiceUnavailable, "stream-not-resumable", "the request was not run: "+err.Error())
+		return x.refuse(fasthttp.StatusServiceUnavailable, "stream-not-resumable",
+			"no server that can go on with the stream is known; the request was not run: send it again later, or without the last event for a new stream")
 	case errors.Is(err, errLimited):
-		return x.refuseFor(holdoff.ReturnDelay(time.Until(x.limitedUntil), rand.Float64()), "rate-limited", "the request was not run: "+err.Error())
+		return x.refuseFor(holdoff.ReturnDelay(time.Until(x.limitedUntil), rand.Float64()), "rate-limited",
+			"the rate limits of all backend servers that could take the request are used up; it was not run: send it again after the given time")
 	case errors.Is(err, errOverloaded):
 		return x.refuseAsOverloaded()
 	case errors.Is(err, errPaused):
-		return x.refuseForLackOfServers("servers-paused", "the request was not run: "+err.Error())
+		return x.refuseForLackOfServers("servers-paused",
+			"the backend servers that could take the request want none for now; it was not run: send it again after the given time")
 	default:
-		return x.refuseForLackOfServers("no-capacity", "the request was not run: "+err.Error())
+		return x.refuseForLackOfServers("no-capacity", "no backend server took the request; it was not run: send it again after the given time")
 	}
 }
 
@@ -117,6 +133,9 @@
 			zap.Int64("prompt", int64(x.info.Prompt)), zap.Int("events", x.stream.eventCount), zap.Duration("first-ms", x.stream.firstEventTime),
 			zap.Duration("gap-ms", x.stream.longestGap))
 	}
+	if x.failure != nil {
+		fields = append(fields, zap.String("error", loggedError(x.failure)))
+	}
 	if x.info.LastEvent != "" {
 		fields = append(fields, zap.String("resumes", string(x.info.Resumes)), zap.String("last-event", x.info.LastEvent))
 	}
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -19,6 +19,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"toucanway/core/balance"
 	"toucanway/core/buffers"
@@ -104,6 +106,8 @@
 	servers sync.WaitGroup
 	// shutDown makes the host cancel the requests in flight, as at the end of the grace period.
 	shutDown func()
+	// log holds the lines of the gateway.
+	log *observer.ObservedLogs
 	// onDial is called before each connection to a backend server; nil does nothing.
 	onDial func(address string)
 }
@@ -141,9 +145,11 @@
 	f := &fixture{
 		t: t, callers: fasthttputil.NewInmemoryListener(), listeners: map[string]*fasthttputil.InmemoryListener{}, received: map[string][]string{},
 	}
+	var core zapcore.Core
+	core, f.log = observer.New(zap.InfoLevel)
 	f.gateway = New(Settings{
 		Self: "host", Place: fleet.Place{Region: "r", DataCentre: "d"}, Dialect: testDialect{},
-		Client: controlapi.NewClient(nil, 1, func() []fleet.HostID { return nil }), Pool: backend.NewPool(f), Log: zap.NewNop(),
+		Client: controlapi.NewClient(nil, 1, func() []fleet.HostID { return nil }), Pool: backend.NewPool(f), Log: zap.New(core),
 		Metrics: metrics.New(metrics.Options{}), Budget: Budget{Ratio: 1, Slack: 100, Window: time.Second},
 		GracePeriod: 4 * time.Second, ConfigurationTime: time.Minute, Now: time.Now, Buffers: b,
 	})
--- a/io/gateway/proxy.go
+++ b/io/gateway/proxy.go
@@ -79,6 +79,8 @@
 	successor *successor
 	// endsWithConnection is set if the last answer had no end of its own.
 	endsWithConnection bool
+	// failure is the reason why no server has answered successfully, for the log.
+	failure error
 	// failedAnswer is a failed answer of a backend server, which is forwarded if no other server answers.
 	failedAnswer *answer
 	// waitTime is the time that the request has waited for a server that can take it.
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -244,7 +244,7 @@
 		enc.AddFloat64("limit-per-second", s.limit.PerSecond)
 	}
 	if s.err != nil {
-		enc.AddString("error", s.err.Error())
+		enc.AddString("error", loggedError(s.err))
 	}
 	return nil
 }
