dispatch, callers: refusals of the hosts' path say nothing of a server's bytes

Cause: the message held the text of the attempt's error; callers.toRefusal did the same for errors of any other kind.

Both have a text that says what to do next. Failed attempts, which no line told of, are logged as `attempt at a backend server failed` with the request's id and the error, 512 bytes at most (logs.ErrorField, which the gateway and the reports of engines use as well). Refusals of calls of plain services held no such text before.

--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -307,7 +307,8 @@
 	if errors.As(err, &r) {
 		return r
 	}
-	return &fleet.Refusal{Code: fleet.CodeBackendFailed, Message: err.Error(), Execution: fleet.MayHaveRun, RetryAfter: time.Second}
+	return &fleet.Refusal{Code: fleet.CodeBackendFailed, Execution: fleet.MayHaveRun, RetryAfter: time.Second,
+		Message: "the backend server gave no complete answer; send the request again only if it may run twice"}
 }
 
 func (s *Server) call(ctx *fasthttp.RequestCtx, id fleet.RequestID, identity Identity) *fleet.Refusal {
--- a/io/controller/orders.go
+++ b/io/controller/orders.go
@@ -13,6 +13,7 @@
 	"toucanway/core/pause"
 	"toucanway/core/raft"
 	"toucanway/core/residency"
+	"toucanway/io/logs"
 )
 
 // planLoop runs the planner and carries out its actions while this host leads.
@@ -200,5 +201,5 @@
 	c.mu.Unlock()
 	c.metrics.probes.Inc(1)
 	c.cfg.Log.Info(logReport, zap.String("instance", string(p.Engine)), zap.Int64("accepted", rep.Accepted), zap.Bool("busy", rep.Busy),
-		zap.Int("models", len(rep.Models)), zap.Error(err))
+		zap.Int("models", len(rep.Models)), logs.ErrorField(err))
 }
--- a/io/dispatch/crash.go
+++ b/io/dispatch/crash.go
@@ -190,6 +190,7 @@
 // prepareRetry waits for the backoff before another attempt. It returns a refusal if the retry budget, the number of attempts or
 // the time is used up.
 func (a *answer) prepareRetry(ctx context.Context, now time.Time, cause error) *fleet.Refusal {
+	a.d.logFailure(a.call.ID, cause)
 	if r := a.checkPoison(now); r != nil {
 		return r
 	}
@@ -203,7 +204,8 @@
 	uncharged := errorx.IsOfType(cause, backend.ErrNotSent) || a.crashed
 	wait, ok := a.d.policy.retry(now, a.call.Identity.Tenant, a.attempts, a.doc.Limits.MaxAttempts, left, uncharged)
 	if !ok {
-		return a.refuse(fleet.CodeBackendFailed, busyRetryAfter, "no backend server completed the answer in %d attempts: %v", a.attempts, cause)
+		return a.refuse(fleet.CodeBackendFailed, busyRetryAfter,
+			"no backend server completed the answer in %d attempts; send the request again, if it may have run only if it may run twice", a.attempts)
 	}
 	a.d.metrics.retries.With(string(a.call.Identity.Tenant)).Inc(1)
 	if pause.For(ctx, wait) != nil {
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"toucanway/core/config"
 	"toucanway/core/fleet"
 	"toucanway/io/engines"
@@ -13,6 +15,7 @@
 	"toucanway/io/hosts"
 	"toucanway/io/jobs"
 	"toucanway/io/ledgers"
+	"toucanway/io/logs"
 	"toucanway/io/metrics"
 	"toucanway/io/network"
 	"toucanway/io/owner"
@@ -33,6 +36,8 @@
 	Ledger   *ledgers.Client
 	Reporter *planning.Reporter
 	Metrics  *metrics.Registry
+	// Log is the logger of failed attempts; nil means none.
+	Log      *zap.Logger
 	Policies Policies
 	Seed     uint64
 }
@@ -61,11 +66,23 @@
 
 // New returns a dispatcher.
 func New(cfg Settings) *Dispatcher {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
 	return &Dispatcher{
 		cfg: cfg, policy: newPolicy(cfg), metrics: newDispatchMetrics(cfg.Metrics),
 	}
 }
 
+// logAttemptFailed is the log line of an attempt at a backend server that has not brought a complete answer.
+const logAttemptFailed = "attempt at a backend server failed"
+
+// logFailure logs why an attempt has failed. The caller is not told: the error may name servers, or quote bytes of theirs, which may belong to
+// another caller.
+func (d *Dispatcher) logFailure(id fleet.RequestID, err error) {
+	d.cfg.Log.Info(logAttemptFailed, zap.String("request", string(id)), logs.ErrorField(err))
+}
+
 // Run accepts background jobs until the context ends, then waits for those that are still running.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.jobs.Start(ctx)
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -67,6 +67,7 @@
 		if err == nil {
 			return a, nil
 		}
+		d.logFailure(c.ID, err)
 		mayHaveRun = mayHaveRun || !errorx.IsOfType(err, backend.ErrNotSent)
 		if ctx.Err() != nil || attempt >= doc.Limits.MaxAttempts || !d.policy.spend(time.Now(), c.Identity.Tenant) {
 			return nil, d.serviceRefusal(ctx, c, mayHaveRun)
@@ -250,10 +251,11 @@
 		}
 		tried[b.ID] = true
 		a, err := o.d.callBackend(ctx, b, o.call, true, nonIdempotentTimeout)
-		switch {
-		case err == nil:
+		if err == nil {
 			return o.complete(ctx, a)
-		case errorx.IsOfType(err, backend.ErrNotSent):
+		}
+		o.d.logFailure(o.call.ID, err)
+		if errorx.IsOfType(err, backend.ErrNotSent) {
 			continue
 		}
 		o.commit(ctx, &ledger.MarkUnknown{Key: o.key, Attempt: o.attempt})
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -122,6 +122,7 @@
 		Engines: engines.NewClient(h.pool), Services: services.NewClient(h.pool),
 		Ledger:   ledgers.NewClient(h.client, voterList, cfg.LedgerGroups),
 		Reporter: h.reporter, Metrics: h.metrics, Policies: cfg.Policies.Dispatch, Seed: cfg.Seed,
+		Log: cfg.Loggers.Logger(settings.LogEngines),
 	})
 	h.registry.reports = h.dispatch
 	if err := h.newCallers(); err != nil {
--- a/io/gateway/failure_message_test.go
+++ b/io/gateway/failure_message_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"toucanway/io/logs"
 )
 
 // ofAnother stands for bytes of a server that may belong to another caller.
@@ -76,11 +78,11 @@
 					fields := lines[0].ContextMap()
 					require.Equal(t, "backend-failed", fields["cause"])
 					require.NotEmpty(t, fields["error"])
-					require.LessOrEqual(t, len(fields["error"].(string)), maxLoggedError)
+					require.LessOrEqual(t, len(fields["error"].(string)), logs.MaxErrorBytes)
 					step := fields["steps"].([]any)[0].(map[string]any)
 					require.Equal(t, "server-a", step["instance"])
 					require.Contains(t, step["error"], tt.want)
-					require.LessOrEqual(t, len(step["error"].(string)), maxLoggedError)
+					require.LessOrEqual(t, len(step["error"].(string)), logs.MaxErrorBytes)
 				})
 			})
 		}
--- a/io/gateway/finish.go
+++ b/io/gateway/finish.go
@@ -11,17 +11,9 @@
 
 	"toucanway/core/accounts"
 	"toucanway/core/holdoff"
+	"toucanway/io/logs"
 )
 
-// maxLoggedError bounds the text of an error in a log line: it may quote what a server has sent.
-const maxLoggedError = 512
-
-// loggedError returns the text of an error for the log.
-func loggedError(err error) string {
-	text := err.Error()
-	return text[:min(len(text), maxLoggedError)]
-}
-
 // fail ends a request that no server has answered successfully. It writes an answer, or closes the connection if a stream has
 // begun or the caller has disconnected. It returns the status, 0 without an answer, and the cause for the log.
 //
@@ -134,7 +126,7 @@
 			zap.Duration("gap-ms", x.stream.longestGap))
 	}
 	if x.failure != nil {
-		fields = append(fields, zap.String("error", loggedError(x.failure)))
+		fields = append(fields, logs.ErrorField(x.failure))
 	}
 	if x.info.LastEvent != "" {
 		fields = append(fields, zap.String("resumes", string(x.info.Resumes)), zap.String("last-event", x.info.LastEvent))
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -14,6 +14,7 @@
 	"toucanway/core/buffers"
 	"toucanway/core/fleet"
 	"toucanway/io/backend"
+	"toucanway/io/logs"
 )
 
 // streamState is the state of a streamed answer to the caller, across all servers that contribute to it.
@@ -244,7 +245,7 @@
 		enc.AddFloat64("limit-per-second", s.limit.PerSecond)
 	}
 	if s.err != nil {
-		enc.AddString("error", loggedError(s.err))
+		enc.AddString("error", logs.ErrorText(s.err))
 	}
 	return nil
 }
