operators, backend: the operators' client judges heads as all readers do

An answer with status 000, or with a malformed field, that came from a host's address counted as an operator's success: a submission reported as accepted, a host as ready.

Cause: the client had an HTTP client of the library's own, so that the judgement of heads, which is in the pool, did not apply.

The client uses the pool, which takes any dialer for that; its own closing of connections and its idle timeouts fall away with it. TLS is opened by the client's dialer, within the time for a dial. The pool's errors speak of servers, since hosts are some now.

TestMalformedHeads of io/operators failed before in 6 of 7 cases; TestTLS, TestSilentHost and TestWatchHeartbeats hold what the change might have broken.

--- a/io/backend/body.go
+++ b/io/backend/body.go
@@ -44,7 +44,7 @@
 		return n, err
 	}
 	if werr := b.x.endWrite(); werr != nil {
-		return n, ErrLost.Wrap(werr, "the connection to the backend server at %s broke while the request was written", b.x.address)
+		return n, ErrLost.Wrap(werr, "the connection to the server at %s broke while the request was written", b.x.address)
 	}
 	return n, io.EOF
 }
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -73,7 +73,7 @@
 func (x *Exchange) begin(match func(*fasthttp.ResponseHeader) Match) (*Exchange, error) {
 	if err := x.readHeaders(match); err != nil {
 		x.Abort()
-		return nil, ErrLost.Wrap(err, "backend server at %s sent invalid answer headers", x.address)
+		return nil, ErrLost.Wrap(err, "the server at %s sent invalid answer headers", x.address)
 	}
 	x.conn.readBefore = time.Time{}
 	return x, nil
@@ -89,7 +89,7 @@
 		// The head is in the buffer, so that there is no error.
 		_, _ = x.conn.r.Discard(h.Size)
 	}
-	return ErrStray.New("the backend server sent more than %d interim answers; the connection is closed", maxInterimAnswers)
+	return ErrStray.New("the server sent more than %d interim answers; the connection is closed", maxInterimAnswers)
 }
 
 // readHeaders reads the headers of the answer and skips answers to earlier requests.
@@ -104,7 +104,7 @@
 			return err
 		}
 		if x.Response.StatusCode() < fasthttp.StatusOK {
-			return ErrStray.New("the backend server sent an answer that switches protocols; the connection is closed")
+			return ErrStray.New("the server sent an answer that switches protocols; the connection is closed")
 		}
 		x.body = x.newBody()
 		x.complete = x.body == nil
@@ -116,7 +116,7 @@
 			return nil
 		case Unidentified:
 			if x.reused || x.ambiguous {
-				return ErrStray.New("the backend server sent an answer without the request's id on a connection with earlier requests")
+				return ErrStray.New("the server sent an answer without the request's id on a connection with earlier requests")
 			}
 			x.ambiguous = true
 			return nil
@@ -124,11 +124,11 @@
 		}
 		x.ambiguous = true
 		if stray == maxStrayAnswers {
-			return ErrStray.New("the backend server sent %d answers to other requests; the connection is closed", stray+1)
+			return ErrStray.New("the server sent %d answers to other requests; the connection is closed", stray+1)
 		}
 		if x.body != nil {
 			if n, err := io.Copy(io.Discard, io.LimitReader(x.body, maxStrayBytes+1)); err != nil || n > maxStrayBytes {
-				return ErrStray.New("the backend server sent an answer to another request that does not end; the connection is closed")
+				return ErrStray.New("the server sent an answer to another request that does not end; the connection is closed")
 			}
 		}
 	}
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -40,7 +41,7 @@
 
 // Pool opens and reuses connections to backend servers; it is safe for concurrent use.
 type Pool struct {
-	network network.Network
+	dialer Dialer
 
 	mu   sync.Mutex
 	idle map[string][]idleConn
@@ -51,9 +52,14 @@
 	until time.Time
 }
 
-// NewPool returns a pool that dials through the given network.
-func NewPool(n network.Network) *Pool {
-	return &Pool{network: n, idle: map[string][]idleConn{}}
+// Dialer opens connections; a network.Network is one.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// NewPool returns a pool that opens connections through a dialer.
+func NewPool(d Dialer) *Pool {
+	return &Pool{dialer: d, idle: map[string][]idleConn{}}
 }
 
 // Options configure one exchange.
@@ -100,11 +106,11 @@
 	for {
 		c, reused, err := p.getConn(ctx, address, o)
 		if err != nil {
-			return nil, failure(written).Wrap(err, "cannot connect to backend server at %s; check that it runs and is reachable", address)
+			return nil, failure(written).Wrap(err, "cannot connect to the server at %s; check that it runs and is reachable", address)
 		}
 		if o.Permitted != nil && !o.Permitted() {
 			c.Close()
-			return nil, failure(written).Wrap(ErrNotPermitted.New("the permission ended before the request was sent"), "request to backend server at %s dropped", address)
+			return nil, failure(written).Wrap(ErrNotPermitted.New("the permission ended before the request was sent"), "request to the server at %s dropped", address)
 		}
 		c.readBefore = time.Now().Add(o.IdleTimeout)
 		x, err := p.send(ctx, address, c, req)
@@ -114,7 +120,7 @@
 		}
 		written = written || c.written
 		if !reused || ctx.Err() != nil || written && !o.mayRepeat() {
-			return nil, failure(written).Wrap(err, "connection to backend server at %s ended before the answer began", address)
+			return nil, failure(written).Wrap(err, "connection to the server at %s ended before the answer began", address)
 		}
 		// The server may have closed the idle connection meanwhile, as HTTP allows at any time.
 		o.NewConnection = true
@@ -168,7 +174,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, cmp.Or(o.DialTimeout, network.DialTimeout))
 	defer cancel()
-	nc, err := p.network.Dial(dialCtx, address)
+	nc, err := p.dialer.Dial(dialCtx, address)
 	if err != nil {
 		return nil, false, err
 	}
--- a/io/operators/client.go
+++ b/io/operators/client.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"toucanway/io/backend"
 	"toucanway/io/metrics"
 	"toucanway/io/network"
 )
@@ -42,7 +44,7 @@
 // *Error.
 type Client struct {
 	cfg  ClientSettings
-	http *fasthttp.Client
+	pool *backend.Pool
 }
 
 // NewClient returns a client.
@@ -53,25 +55,33 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = clientTimeout
 	}
-	return &Client{cfg: cfg, http: &fasthttp.Client{
-		Dial:                      func(address string) (net.Conn, error) { return cfg.dial(context.Background(), address) },
-		TLSConfig:                 cfg.TLS,
-		ReadTimeout:               cfg.Timeout,
-		WriteTimeout:              cfg.Timeout,
-		MaxResponseBodySize:       maxAnswerBytes,
-		MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader:  true,
-	}}
+	return &Client{cfg: cfg, pool: backend.NewPool(hostDialer{cfg})}
 }
 
-func (s ClientSettings) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	return s.Dial(ctx, address)
+// hostDialer opens connections as the settings of a client say.
+type hostDialer struct{ cfg ClientSettings }
+
+// Dial connects to a host.
+func (d hostDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := d.cfg.Dial(ctx, address)
+	if err != nil || d.cfg.TLS == nil {
+		return c, err
+	}
+	cfg := d.cfg.TLS.Clone()
+	if cfg.ServerName == "" {
+		if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
+	t := tls.Client(c, cfg)
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return t, nil
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.pool.Close() }
 
 // Document returns the newest accepted document.
 func (c *Client) Document(ctx context.Context) (DocumentAnswer, error) {
@@ -182,32 +192,42 @@
 }
 
 func (c *Client) callOne(ctx context.Context, address, method, path string, data []byte, answer any) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	req := c.newRequest(address, method, path)
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	c.prepare(req, address, method, path)
 	if data != nil {
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(data)
 	}
-	deadline := time.Now().Add(c.cfg.Timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
+	x, err := c.pool.Do(ctx, address, req, backend.Options{IdleTimeout: c.cfg.Timeout, DialTimeout: dialTimeout})
+	if err != nil {
+		return errors.Join(ctx.Err(), err)
 	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return err
+	defer x.Close()
+	body, err := readBody(x)
+	if err != nil {
+		return errors.Join(ctx.Err(), err)
 	}
-	return decodeAnswer(resp.StatusCode(), resp.Body(), answer)
+	return decodeAnswer(x.Response.StatusCode(), body, answer)
 }
 
-func (c *Client) prepare(req *fasthttp.Request, address, method, path string) {
-	scheme := "http://"
-	if c.cfg.TLS != nil {
-		scheme = "https://"
+// readBody reads the whole body of an answer.
+func readBody(x *backend.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = ErrProtocol.New("the answer has more than %d bytes; use a client of the same version as the host", maxAnswerBytes)
 	}
-	req.SetRequestURI(scheme + address + path)
+	return body, err
+}
+
+// newRequest returns a request to a host, which the caller releases.
+func (c *Client) newRequest(address, method, path string) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + address + path)
 	req.Header.SetMethod(method)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.cfg.Token)
+	return req
 }
 
 // decodeAnswer decodes an answer, or returns the *Error of an answer with an error status.
--- a/io/operators/client_watch.go
+++ b/io/operators/client_watch.go
@@ -6,12 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
-	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"toucanway/io/backend"
 )
 
 // maxEventLine bounds the bytes of one line of the watch stream.
@@ -37,30 +36,22 @@
 
 // watchOne watches one host. It reports whether the host answered, and the error that ended the stream.
 func (c *Client) watchOne(ctx context.Context, address string, after uint64, each func(EventAnswer) error) (bool, error) {
-	var closer connCloser
-	defer closer.close()
-	defer context.AfterFunc(ctx, closer.close)()
-	client := &fasthttp.Client{
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := c.cfg.dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return closer.setConn(&idleTimeoutConn{Conn: conn}), nil
-		},
-		TLSConfig: c.cfg.TLS, StreamResponseBody: true, MaxIdemponentCallAttempts: 1, WriteTimeout: c.cfg.Timeout,
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := c.newRequest(address, fasthttp.MethodGet, PathWatch+"?after="+strconv.FormatUint(after, 10))
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	c.prepare(req, address, fasthttp.MethodGet, PathWatch+"?after="+strconv.FormatUint(after, 10))
-	if err := client.Do(req, resp); err != nil {
+	// The end of the context closes the connection.
+	x, err := c.pool.Do(ctx, address, req, backend.Options{IdleTimeout: watchIdleTimeout, NewConnection: true, DialTimeout: dialTimeout})
+	if err != nil {
 		return false, err
 	}
-	if resp.StatusCode() >= fasthttp.StatusBadRequest {
-		return true, decodeAnswer(resp.StatusCode(), resp.Body(), nil)
+	defer x.Abort()
+	if status := x.Response.StatusCode(); status >= fasthttp.StatusBadRequest {
+		body, err := readBody(x)
+		if err != nil {
+			return true, err
+		}
+		return true, decodeAnswer(status, body, nil)
 	}
-	lines := bufio.NewScanner(resp.BodyStream())
+	lines := bufio.NewScanner(x)
 	lines.Buffer(nil, maxEventLine)
 	for lines.Scan() {
 		var line struct {
@@ -82,41 +73,3 @@
 	}
 	return true, nil
 }
-
-// idleTimeoutConn fails a read if nothing, not even a heartbeat, arrives within watchIdleTimeout.
-type idleTimeoutConn struct{ net.Conn }
-
-// Read reads with a deadline watchIdleTimeout from now.
-func (s *idleTimeoutConn) Read(p []byte) (int, error) {
-	if err := s.SetReadDeadline(time.Now().Add(watchIdleTimeout)); err != nil {
-		return 0, err
-	}
-	return s.Conn.Read(p)
-}
-
-// connCloser closes a connection from another goroutine.
-type connCloser struct {
-	mu     sync.Mutex
-	conn   net.Conn
-	closed bool
-}
-
-// setConn sets the connection, and closes it at once if close was called before.
-func (s *connCloser) setConn(c net.Conn) net.Conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conn = c
-	if s.closed {
-		_ = c.Close() // the next write returns the error
-	}
-	return c
-}
-
-func (s *connCloser) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	if s.conn != nil {
-		_ = s.conn.Close() // it may already be closed
-	}
-}
