gateway: tests of malformed heads of servers that go on with a stream

The answers of a server that is to go on with a stream, behind a broken one or beside a silent one, are read by the pool as well.

--- a/io/gateway/successor_test.go
+++ b/io/gateway/successor_test.go
@@ -83,6 +83,8 @@
 		"fails":                 {map[string]script{"b": rawAnswer("HTTP/1.1 500 Oops\r\nId: 1\r\nSignature: x\r\nContent-Length: 0\r\n\r\n")}, nil, true},
 		"crashes":               {map[string]script{"b": closeConnection}, nil, true},
 		"answers without stamp": {map[string]script{"b": rawAnswer("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n")}, nil, true},
+		"malformed status":      {map[string]script{"b": rawAnswer(inChunks("HTTP/1.1 000 OK\r\nId: 1\r\nSignature: x\r\n"+eventType, event(3)))}, nil, true},
+		"malformed field":       {map[string]script{"b": rawAnswer(inChunks(signedHead+"Odd Name: x\r\n"+eventType, event(3)))}, nil, true},
 		"no budget": {map[string]script{"b": goingOnAfter(0)}, func(f *fixture) {
 			f.gateway.view.budget.SetLimits(0, 0)
 		}, false},
