backend: the end of an answer until the close stays its end

Read-through: a reader that reads again behind the end of such an answer, whose request was interrupted, got the error of the interrupted write in place of the end. No reader of the product does so.

The upload tests read again behind the end: TestEarlyAnswerToUpload failed before in its case of a server that neither reads on nor closes. Tests that fail no longer wait for their server for ever: the run that showed this hung until its time-out of ten minutes.

--- a/io/backend/broken_upload_test.go
+++ b/io/backend/broken_upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"runtime"
@@ -38,6 +39,12 @@
 	}
 	begun()
 	rest, err := io.ReadAll(x)
+	if err == nil {
+		// The end stays the end.
+		if _, again := x.Read(make([]byte, 1)); !errors.Is(again, io.EOF) {
+			err = again
+		}
+	}
 	return string(first) + string(rest), err
 }
 
@@ -124,6 +131,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			read := make(chan struct{})
+			// A test that fails doesn't wait for its server.
+			defer close(read)
 			address := networktest.UploadServer{Answer: tt.answer, End: func(c *net.TCPConn) {
 				switch {
 				case tt.end != nil:
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -165,14 +165,13 @@
 	defer timer.Stop()
 	select {
 	case <-x.bodyWritten:
-		return x.writeErr
 	case <-timer.C:
+		if err := x.conn.interruptWrites(); err != nil {
+			return err
+		}
+		<-x.bodyWritten
 	}
-	if err := x.conn.interruptWrites(); err != nil {
-		return err
-	}
-	// A write that has failed before has an error of its own.
-	<-x.bodyWritten
+	// A write that has failed before it was interrupted has an error of its own.
 	if errors.Is(x.writeErr, errInterrupted) {
 		return nil
 	}
--- a/io/gateway/broken_upload_test.go
+++ b/io/gateway/broken_upload_test.go
@@ -100,6 +100,8 @@
 		t.Run(name, func(t *testing.T) {
 			f := newUploadFixture(t)
 			end := make(chan struct{})
+			// A test that fails doesn't wait for its server.
+			defer close(end)
 			f.addUploadServer("a", tt.answer, func(c *net.TCPConn) {
 				// A reset discards what its receiver hasn't read.
 				<-end
@@ -107,9 +109,7 @@
 			})
 			f.addServer("b", signedAnswer("of the next"))
 			f.makeSecondChoice("b")
-			got := f.upload("/unsafe/")
-			close(end)
-			require.Equal(t, parsedAnswer{200, tt.want, true}, got)
+			require.Equal(t, parsedAnswer{200, tt.want, true}, f.upload("/unsafe/"))
 		})
 	}
 }
