--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -13,7 +13,7 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("http1")
 
-// ErrMalformed means that a head is not one that HTTP allows. Its text quotes at most maxQuoted bytes of the head, which may belong to another
+// ErrMalformed means that a head or a trailer is not one that HTTP allows. Its text quotes at most maxQuoted bytes of the head, which may belong to another
 // request; it is meant for the log.
 var ErrMalformed = Errors.NewType("malformed")
 
