backend: heads of interim answers are parsed as those of final ones

An interim answer with a length that is no number, has a sign or is empty, or with an unknown encoding, was passed over, and the final answer behind it reached the caller.

Cause: judged interim heads and dropped them unparsed, so that the checks that the judgement leaves to the library, the values of fields of the framing, were left out. Each head is now judged and then parsed, in one place for both kinds.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -79,15 +79,18 @@
 	return x, nil
 }
 
-// skipInterim reads interim answers, and leaves the head of the final one in the connection's reader.
-func (x *Exchange) skipInterim() error {
+// readFinalHead reads the head of the next final answer, and the interim answers before it. Each head is judged before the library parses it.
+func (x *Exchange) readFinalHead() error {
 	for range maxInterimAnswers + 1 {
+		x.Response.Reset()
+		x.Response.Header.SetNoDefaultContentType(true)
 		h, err := http1.PeekHead(x.conn.r)
-		if err != nil || !h.IsInterim() {
+		if err != nil {
+			return err
+		}
+		if err := x.Response.Header.Read(x.conn.r); err != nil || !h.IsInterim() {
 			return err
 		}
-		// The head is in the buffer, so that there is no error.
-		_, _ = x.conn.r.Discard(h.Size)
 	}
 	return ErrStray.New("the server sent more than %d interim answers; the connection is closed", maxInterimAnswers)
 }
@@ -95,12 +98,7 @@
 // readHeaders reads the headers of the answer and skips answers to earlier requests.
 func (x *Exchange) readHeaders(match func(*fasthttp.ResponseHeader) Match) error {
 	for stray := 0; ; stray++ {
-		if err := x.skipInterim(); err != nil {
-			return err
-		}
-		x.Response.Reset()
-		x.Response.Header.SetNoDefaultContentType(true)
-		if err := x.Response.Header.Read(x.conn.r); err != nil {
+		if err := x.readFinalHead(); err != nil {
 			return err
 		}
 		if x.Response.StatusCode() < fasthttp.StatusOK {
--- a/io/gateway/malformed_head_test.go
+++ b/io/gateway/malformed_head_test.go
@@ -44,36 +44,34 @@
 
 // malformedFields are lines of heads that HTTP doesn't allow.
 var malformedFields = map[string]string{
-	"blank in a name":            "Odd Name: x\r\n",
-	"blank before the colon":     "Odd : x\r\n",
-	"tab before the colon":       "Odd\t: x\r\n",
-	"tab in a name":              "Odd\tName: x\r\n",
-	"NUL in a name":              "Odd\x00Name: x\r\n",
-	"control byte in a name":     "Odd\x01Name: x\r\n",
-	"ESC in a name":              "\x1b[31mOdd: x\r\n",
-	"DEL in a name":              "Odd\x7f: x\r\n",
-	"CR in a name":               "Odd\rName: x\r\n",
-	"other byte in a name":       "Odd\xe9: x\r\n",
-	"bracket in a name":          "Odd(1): x\r\n",
-	"no name":                    ": x\r\n",
-	"blank as a name":            " : x\r\n",
-	"no colon":                   "Odd\r\n",
-	"folded value":               "Odd: x\r\n y\r\n",
-	"folded with a tab":          "Odd: x\r\n\ty\r\n",
-	"folded length":              "Content-Length:\r\n 5\r\n",
-	"NUL in a value":             "Odd: x\x00y\r\n",
-	"CR in a value":              "Odd: x\ry\r\n",
-	"CR at the end of a value":   "Odd: x\r\r\n",
-	"control byte in a value":    "Odd: x\x01y\r\n",
-	"length that is no number":   "Content-Length: 5x\r\n",
-	"negative length":            "Content-Length: -5\r\n",
-	"length with a sign":         "Content-Length: +5\r\n",
-	"empty length":               "Content-Length:\r\n",
-	"two lengths":                "Content-Length: 5\r\nContent-Length: 6\r\n",
-	"encoding that isn't known":  "Transfer-Encoding: gzip, chunked\r\n",
-	"two encodings":              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-	"field of an interim answer": "",
-	"folded interim answer":      "",
+	"blank in a name":           "Odd Name: x\r\n",
+	"blank before the colon":    "Odd : x\r\n",
+	"tab before the colon":      "Odd\t: x\r\n",
+	"tab in a name":             "Odd\tName: x\r\n",
+	"NUL in a name":             "Odd\x00Name: x\r\n",
+	"control byte in a name":    "Odd\x01Name: x\r\n",
+	"ESC in a name":             "\x1b[31mOdd: x\r\n",
+	"DEL in a name":             "Odd\x7f: x\r\n",
+	"CR in a name":              "Odd\rName: x\r\n",
+	"other byte in a name":      "Odd\xe9: x\r\n",
+	"bracket in a name":         "Odd(1): x\r\n",
+	"no name":                   ": x\r\n",
+	"blank as a name":           " : x\r\n",
+	"no colon":                  "Odd\r\n",
+	"folded value":              "Odd: x\r\n y\r\n",
+	"folded with a tab":         "Odd: x\r\n\ty\r\n",
+	"folded length":             "Content-Length:\r\n 5\r\n",
+	"NUL in a value":            "Odd: x\x00y\r\n",
+	"CR in a value":             "Odd: x\ry\r\n",
+	"CR at the end of a value":  "Odd: x\r\r\n",
+	"control byte in a value":   "Odd: x\x01y\r\n",
+	"length that is no number":  "Content-Length: 5x\r\n",
+	"negative length":           "Content-Length: -5\r\n",
+	"length with a sign":        "Content-Length: +5\r\n",
+	"empty length":              "Content-Length:\r\n",
+	"two lengths":               "Content-Length: 5\r\nContent-Length: 6\r\n",
+	"encoding that isn't known": "Transfer-Encoding: gzip, chunked\r\n",
+	"two encodings":             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
 }
 
 // Guards against an answer with a malformed field that reaches its caller, with that line or without it.
@@ -81,15 +79,11 @@
 	const status, fields = "HTTP/1.1 200 OK\r\n", "Id: 1\r\nSignature: x\r\n"
 	for name, line := range malformedFields {
 		t.Run(name, func(t *testing.T) {
-			switch name {
-			case "field of an interim answer":
-				testMalformedHead(t, "HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n"+status+fields)
-			case "folded interim answer":
-				testMalformedHead(t, "HTTP/1.1 103 Early Hints\r\nOdd: x\r\n y\r\n\r\n"+status+fields)
-			default:
-				testMalformedHead(t, status+line+fields)
-				testMalformedHead(t, status+fields+line)
-			}
+			testMalformedHead(t, status+line+fields)
+			testMalformedHead(t, status+fields+line)
+		})
+		t.Run(name+", interim answer", func(t *testing.T) {
+			testMalformedHead(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+status+fields)
 		})
 	}
 }
