review: case 11, all of the core killed during the first start

All five controllers are killed 0.3 s after the first start of the system and are back 0.6 s later on their disks, with bootstrap false.

--- /dev/null
+++ b/review/_rig-3/platform/main.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// cases are the cases by the name of their command.
+var cases = map[string]func(ctx context.Context, w *world, trouble bool) (broken bool, err error){
+	"killed-at-first-start": killedAtFirstStart,
+	"seed-lost-at-start":    seedLostAtStart,
+	"other-writer":          otherWriter,
+}
+
+func main() {
+	// Processes end with the thread that has started them.
+	runtime.LockOSThread()
+	os.Exit(run())
+}
+
+// run plays the case that the first argument names. The second is the folder of the case, the third the program.
+func run() int {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: platform CASE FOLDER PROGRAM")
+		return exitNotRun
+	}
+	broken, err := play(cases[os.Args[1]], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	case broken:
+		return exitBroken
+	}
+	return exitHeld
+}
+
+func play(f func(context.Context, *world, bool) (bool, error), folder, program string, trouble bool) (bool, error) {
+	r, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return false, err
+	}
+	program, err = filepath.Abs(program)
+	if err != nil {
+		return false, err
+	}
+	n, err := newNetwork(maxMachines)
+	if err != nil {
+		return false, err
+	}
+	tmp, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(tmp)
+	w := &world{network: n, program: program, folder: tmp, record: r}
+	for _, i := range seeds {
+		w.seeds = append(w.seeds, n.address(i, portControl))
+	}
+	defer w.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	return f(ctx, w, trouble)
+}
+
+// Machines of the cases: five controllers, of which three are the seeds, and two gateways. maxMachines is the largest number.
+const maxMachines = 12
+
+var (
+	seeds       = []int{1, 2, 3}
+	controllers = []int{1, 2, 3, 4, 5}
+	gateways    = []int{6, 7}
+)
+
+// startAll starts all machines of the deployment for the first time. It returns them by number.
+func (w *world) startAll() (map[int]*machine, error) {
+	out := map[int]*machine{}
+	for _, i := range slices.Concat(controllers, gateways) {
+		role := roleController
+		if slices.Contains(gateways, i) {
+			role = roleGateway
+		}
+		out[i] = w.addMachine(i, role)
+		if err := out[i].start(true); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
