review: case 14, the first manifest is lost with two disks of a grown deployment

Nine controllers that have to bear two losses; two seeds lose their disks immediately after the first manifest was acknowledged.

--- a/review/_rig-3/platform/machine.go
+++ b/review/_rig-3/platform/machine.go
@@ -31,17 +31,24 @@
 
 // world is the deployment with all that the case has started.
 type world struct {
-	network  network
-	program  string
-	folder   string
-	record   *record
-	seeds    []string
+	network network
+	program string
+	folder  string
+	record  *record
+	seeds   []string
+	// losses is the number of machines of the core that the deployment has to bear at once.
+	losses   int
 	machines []*machine
 }
 
 // zone returns the zone of a machine.
 func (m *machine) zone() string { return zones[m.number%len(zones)] }
 
+// disk returns the data folder of a controller.
+func (m *machine) disk() string {
+	return filepath.Join(m.world.folder, fmt.Sprintf("disk-%d", m.number))
+}
+
 // addMachine adds a machine without a process.
 func (w *world) addMachine(number int, role string) *machine {
 	m := &machine{world: w, number: number, role: role}
@@ -79,13 +86,13 @@
 	line("seeds: %s", seeds)
 	line("bootstrap: %t", bootstrap)
 	if m.role == roleController {
-		line("data-folder: %q", filepath.Join(m.world.folder, fmt.Sprintf("disk-%d", m.number)))
+		line("data-folder: %q", m.disk())
 	}
 	line("memory: %q", "284MiB")
 	line("cores: 0.4")
 	line("descriptors: 4100")
 	line("link-mbps: 1000.0")
-	line("tolerated-losses: 1")
+	line("tolerated-losses: %d", m.world.losses)
 	line("bounds:")
 	line("  grace: \"8s\"")
 	line("  configuration-in-force: \"2500ms\"")
--- a/review/_rig-3/platform/main.go
+++ b/review/_rig-3/platform/main.go
@@ -18,9 +18,10 @@
 
 // cases are the cases by the name of their command.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (broken bool, err error){
-	"killed-at-first-start": killedAtFirstStart,
-	"seed-lost-at-start":    seedLostAtStart,
-	"other-writer":          otherWriter,
+	"killed-at-first-start":           killedAtFirstStart,
+	"seed-lost-at-start":              seedLostAtStart,
+	"other-writer":                    otherWriter,
+	"disks-lost-after-first-manifest": disksLostAfterFirstManifest,
 }
 
 func main() {
@@ -64,7 +65,7 @@
 		return false, err
 	}
 	defer os.RemoveAll(tmp)
-	w := &world{network: n, program: program, folder: tmp, record: r}
+	w := &world{network: n, program: program, folder: tmp, record: r, losses: 1}
 	for _, i := range seeds {
 		w.seeds = append(w.seeds, n.address(i, portControl))
 	}
--- a/review/_rig-3/platform/server.go
+++ b/review/_rig-3/platform/server.go
@@ -112,7 +112,16 @@
 
 // post sends a call to a control machine and returns the status and the body of its answer; the status is 0 without one.
 func (w *world) post(client *http.Client, control int, path string, body []byte) (int, string) {
-	res, err := client.Post("http://"+w.network.address(control, portControl)+path, "application/json", bytes.NewReader(body))
+	return answerOf(client.Post("http://"+w.network.address(control, portControl)+path, "application/json", bytes.NewReader(body)))
+}
+
+// get is post without a body.
+func (w *world) get(client *http.Client, control int, path string) (int, string) {
+	return answerOf(client.Get("http://" + w.network.address(control, portControl) + path))
+}
+
+// answerOf returns the status and the body of an answer.
+func answerOf(res *http.Response, err error) (int, string) {
 	if err != nil {
 		return 0, err.Error()
 	}
