--- a/review/_rig-3/platform/other_writer.go
+++ b/review/_rig-3/platform/other_writer.go
@@ -58,12 +58,11 @@
 	return wrong > 0, nil
 }
 
-// writeCheckIn sends one check-in that is not from a runner: it lacks version and cold_left_ms.
+// writeCheckIn sends one check-in that is not from a runner: it lacks version, slots and cold_left_ms.
 func (w *world) writeCheckIn(s *server) {
 	w.sleepUntil(writerAt)
 	body, err := json.Marshal(map[string]any{
-		"service": archiveService, "addr": s.address(), "zone": s.zone(), "slots": 6, "state": "ready", "seq": 1,
-		"born": time.Now().UnixMilli(),
+		"service": archiveService, "addr": s.address(), "zone": s.zone(), "state": "ready", "seq": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
 		panic(err)
