review: case 15, an order of a killed leader's process arrives after one of its next process

Script: bash review/15/run.sh. The link to an engine is cut for 0.7 s and the leader is killed as its order is on its way.

--- a/review/_rig-3/platform/main.go
+++ b/review/_rig-3/platform/main.go
@@ -22,6 +22,7 @@
 	"seed-lost-at-start":              seedLostAtStart,
 	"other-writer":                    otherWriter,
 	"disks-lost-after-first-manifest": disksLostAfterFirstManifest,
+	"late-order":                      lateOrder,
 }
 
 func main() {
--- a/review/_rig-3/platform/operator.go
+++ b/review/_rig-3/platform/operator.go
@@ -21,6 +21,8 @@
 	Priority    int    `json:"priority"`
 	Service     string `json:"service"`
 	MaxAttempts int    `json:"max_attempts"`
+	Sticky      bool   `json:"sticky,omitempty"`
+	GapTarget   int    `json:"gap_target_ms,omitempty"`
 }
 
 type service struct {
@@ -29,6 +31,8 @@
 	MaxConns   int    `json:"max_conns"`
 	Protocol   string `json:"protocol"`
 	TLS        bool   `json:"tls"`
+	// Engine is set for a service of model runners.
+	Engine *engineSpec `json:"engine,omitempty"`
 }
 
 type manifest struct {
