--- a/review/_rig-3/platform/first_manifest.go
+++ b/review/_rig-3/platform/first_manifest.go
@@ -14,10 +14,12 @@
 	grownControllers = 9
 )
 
-// Times after the loss: the machines are back after lossTime, and the operator reads back until readTime.
+// Times of the case. The operator sends from submitFrom on, so that its calls wait at the seeds as the first leader is elected. The machines are back
+// lossTime after the loss, and the operator reads back until readTime.
 const (
-	lossTime = time.Second
-	readTime = 40 * time.Second
+	submitFrom = 500 * time.Millisecond
+	lossTime   = time.Second
+	readTime   = 40 * time.Second
 )
 
 // disksLostAfterFirstManifest has two seeds lose their disks immediately after the first manifest was acknowledged, which is as many as the
@@ -33,12 +35,15 @@
 			return false, err
 		}
 	}
+	w.sleepUntil(submitFrom)
 	w.submitAtOnce(ctx, newManifest(ledgerService))
 	if trouble {
 		lost := seeds[:grownLosses]
+		var kills sync.WaitGroup
 		for _, i := range lost {
-			machines[i].kill()
+			kills.Go(machines[i].kill)
 		}
+		kills.Wait()
 		for _, i := range lost {
 			if err := os.RemoveAll(machines[i].disk()); err != nil {
 				return false, err
--- a/review/_rig-3/platform/first_start.go
+++ b/review/_rig-3/platform/first_start.go
@@ -23,7 +23,7 @@
 // killedAtFirstStart kills all processes of the core at the same moment while the system starts for the first time. They are back within a
 // second, with their disks.
 func killedAtFirstStart(ctx context.Context, w *world, trouble bool) (bool, error) {
-	machines, err := w.startAll()
+	machines, err := w.startAll(gateways[1])
 	if err != nil {
 		return false, err
 	}
@@ -47,7 +47,7 @@
 func seedLostAtStart(ctx context.Context, w *world, trouble bool) (bool, error) {
 	control := controllers
 	lost := seeds[len(seeds)-1]
-	machines, err := w.startAll()
+	machines, err := w.startAll(lost)
 	if err != nil {
 		return false, err
 	}
--- a/review/_rig-3/platform/late_order.go
+++ b/review/_rig-3/platform/late_order.go
@@ -17,7 +17,9 @@
 	retransmitAfter = 870 * time.Millisecond
 	leaderDownTime  = 100 * time.Millisecond
 	// thawTime is the platform's thaw_ms.
-	thawTime       = 300 * time.Millisecond
+	thawTime = 300 * time.Millisecond
+	// askFrom is the time of the first requests, about a second before a check-in of the engine, without which the next leader knows of no engine.
+	askFrom        = trafficFrom + 500*time.Millisecond
 	lateOrderUntil = 24 * time.Second
 )
 
@@ -30,7 +32,7 @@
 // lateOrder cuts the link to an engine as an order is on its way, and kills the process that has sent it, which is restarted. It reports whether
 // the engine gets an order with a lower fence after one with a higher fence, other than in the thaw time after the cut.
 func lateOrder(ctx context.Context, w *world, trouble bool) (bool, error) {
-	machines, err := w.startAll()
+	machines, err := w.startAll(gateways[1])
 	if err != nil {
 		return false, err
 	}
@@ -46,7 +48,7 @@
 	if w.submit(ctx, modelManifest(), controllers) == 0 {
 		return false, fmt.Errorf("the manifest was not acknowledged")
 	}
-	w.sleepUntil(trafficFrom)
+	w.sleepUntil(askFrom)
 	var healed time.Time
 	events := make(chan order, 1)
 	if trouble {
--- a/review/_rig-3/platform/main.go
+++ b/review/_rig-3/platform/main.go
@@ -85,10 +85,11 @@
 	gateways    = []int{6, 7}
 )
 
-// startAll starts all machines of the deployment for the first time. It returns them by number.
-func (w *world) startAll() (map[int]*machine, error) {
+// startAll starts all machines of the deployment for the first time, one of them last. It returns them by number.
+func (w *world) startAll(last int) (map[int]*machine, error) {
 	out := map[int]*machine{}
-	for _, i := range slices.Concat(controllers, gateways) {
+	others := slices.DeleteFunc(slices.Concat(controllers, gateways), func(i int) bool { return i == last })
+	for _, i := range append(others, last) {
 		role := roleController
 		if slices.Contains(gateways, i) {
 			role = roleGateway
--- a/review/_rig-3/platform/other_writer.go
+++ b/review/_rig-3/platform/other_writer.go
@@ -19,7 +19,7 @@
 // otherWriter has another writer send one check-in that lacks fields, under the id of a runner and with another service. No request may be run
 // by a service to which no manifest allows it to go.
 func otherWriter(ctx context.Context, w *world, trouble bool) (bool, error) {
-	if _, err := w.startAll(); err != nil {
+	if _, err := w.startAll(gateways[1]); err != nil {
 		return false, err
 	}
 	var servers []*server
