--- a/review/_rig-3/platform/link.go
+++ b/review/_rig-3/platform/link.go
@@ -8,8 +8,7 @@
 	"time"
 )
 
-// link carries the connections to one machine. It can be cut for a while: nothing passes then, in either direction, and what was sent arrives
-// after the cut, as TCP sends it again.
+// link carries the connections to one machine. It can be cut for a while: nothing passes then, in either direction.
 type link struct {
 	target string
 
@@ -76,7 +75,7 @@
 	k.pass(t, c, true)
 }
 
-// pass passes on what one side sends. Bytes that were held up by a cut arrive retransmitAfter later.
+// pass passes on what one side sends, after a cut if there is one.
 func (k *link) pass(dst io.Writer, src io.Reader, toTarget bool) {
 	buf := make([]byte, 64<<10)
 	for {
@@ -93,7 +92,8 @@
 	}
 }
 
-// holdOrder calls onOrder if the bytes begin an order and it is set, and then holds them until after the cut.
+// holdOrder returns once the bytes may pass: those that begin an order, if onOrder is set, after that is called and retransmitAfter the end of the
+// cut that it has begun, other bytes once the link is not cut.
 func (k *link) holdOrder(b []byte, toTarget bool) {
 	k.mu.Lock()
 	f := k.onOrder
