review: each script names record.txt and writes it in every case

The scripts passed their folder on, and the stand-in wrote record.txt there; a missing build or a case that could not run left an old record in place.

--- a/review/_rig-3/platform/main.go
+++ b/review/_rig-3/platform/main.go
@@ -31,29 +31,35 @@
 	os.Exit(run())
 }
 
-// run plays the case that the first argument names. The second is the folder of the case, the third the program.
+// run plays the case that the first argument names. The second is the file of the record, the third the program.
 func run() int {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: platform CASE FOLDER PROGRAM")
+		fmt.Fprintln(os.Stderr, "usage: platform CASE RECORD PROGRAM")
 		return exitNotRun
 	}
-	broken, err := play(cases[os.Args[1]], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
+	r, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.line("case %s, with the disruption: %t", os.Args[1], trouble)
+	broken, err := play(cases[os.Args[1]], r, os.Args[3], trouble)
 	switch {
 	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
+		r.result("the case could not run: %v", err)
 		return exitNotRun
 	case broken:
+		r.result("the rule was broken")
 		return exitBroken
 	}
+	r.result("the rule held")
 	return exitHeld
 }
 
-func play(f func(context.Context, *world, bool) (bool, error), folder, program string, trouble bool) (bool, error) {
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		return false, err
-	}
-	program, err = filepath.Abs(program)
+// play plays a case, and ends all processes that it has started.
+func play(f func(context.Context, *world, bool) (bool, error), r *record, program string, trouble bool) (bool, error) {
+	program, err := filepath.Abs(program)
 	if err != nil {
 		return false, err
 	}
